--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! The whole path in one process on loopback.
--- /dev/null
+++ b/crates/demo/src/main.rs
@@ -0,0 +1,3 @@
+//! The whole path in one process on loopback.
+
+fn main() {}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! The policy of one entry host.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry host: lookups and forwarding.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry host: lookups and forwarding.
+
+fn main() {}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, heartbeats and documents whose versions only increase.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Runs scenarios over simulated or real hosts.
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs scenarios over simulated or real hosts.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rollouts of service versions, fault tests and the controller lease.
--- /dev/null
+++ b/crates/scenario/src/lib.rs
@@ -0,0 +1,1 @@
+//! The scenario language and its reports.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for upstreams.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the platform and for upstreams.
+
+fn main() {}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered log events and metrics.
