--- a/crates/config/src/arena.rs
+++ b/crates/config/src/arena.rs
@@ -10,6 +10,7 @@
     fn index(self) -> usize;
 }
 
+/// Defines key newtypes.
 macro_rules! keys {
     ($($(#[$doc:meta])* $name:ident($raw:ty);)*) => {$(
         $(#[$doc])*
