--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -300,18 +300,12 @@
         shifts.iter().map(|it| (*it, &self.shifts[*it]))
     }
 
-    /// Requests of a service that a region runs at the same time: its slots, or the preset's limit.
-    pub fn region_permits(&self, service: ServiceId, region: RegionId) -> u32 {
-        let slots = self
-            .instances
-            .iter()
-            .filter(|(_, it)| it.service == service && it.region == region && !it.draining)
-            .map(|(_, it)| it.slots)
-            .sum();
-        let preset = self.active_preset.and_then(|it| self.presets.value(it));
-        let limits = preset.map(|it| it.region_limits.as_slice()).unwrap_or_default();
-        let limit = limits.iter().find(|it| it.service == service && it.region == region);
-        limit.map_or(slots, |it| it.max_in_flight.min(slots))
+    /// The active preset's limit on requests of a service that run in a region at the same time.
+    pub fn region_limit(&self, service: ServiceId, region: RegionId) -> Option<u32> {
+        let preset = self.active_preset.and_then(|it| self.presets.value(it))?;
+        let limits = &preset.region_limits;
+        let limit = limits.iter().find(|it| it.service == service && it.region == region)?;
+        Some(limit.max_in_flight)
     }
 
     /// Adds regions, zones, links and sites.
--- /dev/null
+++ b/crates/engine/src/control.rs
@@ -0,0 +1,369 @@
+//! Control work of one host: ticks, messages of peers, documents and platform writes.
+
+use std::sync::Arc;
+
+use anyhow::Context as _;
+use kingcupford_config::{ConfigVersion, Head, Snapshot, assemble};
+use kingcupford_fleet::{Candidate, MemberState, Offered};
+use kingcupford_quota::{Ledger, Proposal, WriteOutcome};
+use kingcupford_rollout::Rollout;
+use tokio::time::{Duration, Instant};
+
+use crate::{
+    engine::Engine,
+    message::{Envelope, Message},
+};
+
+/// Name of the document that holds the head of the configuration.
+pub(crate) const HEAD: &str = "config/head";
+
+/// Name of the document that holds the division of shares.
+pub const LEDGER: &str = "quota/ledger";
+
+/// Prefix of the documents that hold rollouts.
+pub const ROLLOUT_PREFIX: &str = "rollout/";
+
+/// Kind of the heartbeat section with the binding for request ids.
+pub(crate) const BINDING_SECTION: u16 = 1;
+
+/// Kind of the heartbeat section with the active configuration version.
+const CONFIG_SECTION: u16 = 2;
+
+/// Time between two messages with the evidence of open rollouts.
+const EVIDENCE_EVERY: Duration = Duration::from_millis(500);
+
+/// A configuration whose chunks are complete and that waits to be compiled.
+#[derive(Debug, Clone)]
+pub struct PendingConfig {
+    /// The head.
+    pub head: Head,
+    /// The chunks in the head's order.
+    pub chunks: Vec<Arc<[u8]>>,
+}
+
+impl PendingConfig {
+    /// Compiles the snapshot; takes long for large tables, so not under a lock.
+    pub fn compile(&self, previous: &Snapshot) -> anyhow::Result<Snapshot> {
+        let mut at = 0;
+        let declarations = assemble(&self.head, |_| {
+            at += 1;
+            self.chunks.get(at - 1).map(AsRef::as_ref)
+        })?;
+        Snapshot::compile(
+            &declarations,
+            ConfigVersion(self.head.version),
+            &self.head.active_preset,
+            &self.head.source_revision,
+            Some(previous),
+        )
+    }
+}
+
+impl Engine {
+    /// Does what is due; to be called every 50 ms.
+    pub fn tick(&mut self, now: Instant, unix_ms: u64) -> Vec<Envelope> {
+        let mut res = Vec::new();
+        let sequence = self.fleet.sequence();
+        self.fleet.set_load(self.load_permille());
+        let binding = self.request_ids.binding(now).into_bytes();
+        self.fleet.set_section(BINDING_SECTION, binding);
+        let version = self.snapshot.version.0.to_le_bytes().to_vec();
+        self.fleet.set_section(CONFIG_SECTION, version);
+        let messages = self.fleet.tick(now);
+        if self.fleet.resumed_after_pause() {
+            self.holder.resumed_after_pause(now);
+        }
+        if self.fleet.sequence() != sequence {
+            self.holder.heartbeat_sent(self.fleet.sequence(), now);
+        }
+        res.extend(messages.into_iter().map(|it| envelope(it, Message::Fleet)));
+        self.adopt_documents(now);
+        res.extend(self.tick_shares(now));
+        res.extend(self.tick_rollouts(now, unix_ms));
+        let announcements = self.quarantine.drain_announcements();
+        if !announcements.is_empty() {
+            res.extend(self.to_all(&Message::Quarantine(announcements)));
+        }
+        self.pump(now);
+        res
+    }
+
+    /// Asks peers for loans, nearest first; cheap when no resource is short.
+    pub fn tick_shares(&mut self, now: Instant) -> Vec<Envelope> {
+        let peers = self.peers_by_nearness();
+        let messages = self.holder.tick(now, &peers);
+        messages.into_iter().map(|it| envelope(it, Message::Quota)).collect()
+    }
+
+    /// Whether a request just found a resource short, so that shares should be ticked at once.
+    pub fn needs_share_tick(&self) -> bool {
+        self.holder.needs_tick()
+    }
+
+    /// Handles a message of a peer.
+    pub fn receive(&mut self, from: &str, message: Message, now: Instant) -> Vec<Envelope> {
+        match message {
+            Message::Fleet(it) => {
+                if let kingcupford_fleet::Message::Heartbeat(beat) = &it {
+                    let own = self.fleet.identity().incarnation;
+                    let heard = (beat.heard_incarnation == own).then_some(beat.heard_sequence);
+                    self.holder.heard(from, beat.incarnation, heard, now);
+                    if beat.heard_incarnation != own {
+                        let standing = self.quarantine.standing(now);
+                        self.fleet_received(from, it, now, standing)
+                    } else {
+                        self.fleet_received(from, it, now, Vec::new())
+                    }
+                } else {
+                    self.fleet_received(from, it, now, Vec::new())
+                }
+            }
+            Message::Quota(it) => {
+                let replies = self.holder.receive(from, it, now);
+                self.pump(now);
+                replies.into_iter().map(|it| envelope(it, Message::Quota)).collect()
+            }
+            Message::Quarantine(announcements) => {
+                for it in &announcements {
+                    self.quarantine.receive(it, now);
+                }
+                Vec::new()
+            }
+            Message::RolloutEvidence(it) => {
+                self.rollouts.merge(&it, now);
+                Vec::new()
+            }
+            Message::RolloutStop(it) => {
+                if !self.rollouts.stop(&it) {
+                    return Vec::new();
+                }
+                self.install_caps(now);
+                self.to_all(&Message::RolloutStop(it))
+            }
+        }
+    }
+
+    /// Hands a message to membership; `standing` goes to a peer that does not know this process.
+    fn fleet_received(
+        &mut self,
+        from: &str,
+        message: kingcupford_fleet::Message,
+        now: Instant,
+        standing: Vec<kingcupford_route::Announcement>,
+    ) -> Vec<Envelope> {
+        let replies = self.fleet.receive(from, message, now);
+        let mut res: Vec<Envelope> =
+            replies.into_iter().map(|it| envelope(it, Message::Fleet)).collect();
+        if !standing.is_empty() {
+            res.push(Envelope { to: from.to_owned(), message: Message::Quarantine(standing) });
+        }
+        self.adopt_documents(now);
+        res
+    }
+
+    /// Notes a document that was read from the platform.
+    pub fn platform_document(&mut self, name: &str, version: u64, bytes: &[u8], now: Instant) {
+        self.fleet.platform_reachable(now);
+        if self.fleet.offer(name, version, bytes) == Offered::Newer {
+            self.adopt_documents(now);
+        }
+    }
+
+    /// Notes that the platform answered.
+    pub fn platform_reachable(&mut self, now: Instant) {
+        self.fleet.platform_reachable(now);
+    }
+
+    /// Notes that the platform has no ledger yet.
+    pub fn ledger_missing(&mut self) {
+        self.holder.ledger_missing();
+    }
+
+    /// Notes the platform's list of hosts.
+    pub fn platform_hosts(&mut self, list: &[Candidate], now: Instant) {
+        self.fleet.platform_reachable(now);
+        self.fleet.platform_hosts(list, now);
+    }
+
+    /// Notes that a connection to a peer failed.
+    pub fn stream_failed(&mut self, host: &str, now: Instant) {
+        self.fleet.stream_failed(host, now);
+    }
+
+    /// Where a peer accepts messages.
+    pub fn peer_address(&self, host: &str) -> Option<std::net::SocketAddr> {
+        self.fleet.member(host).map(|it| it.peer_address)
+    }
+
+    /// Whether this host should follow the platform's watches.
+    pub fn is_speaker(&self) -> bool {
+        self.fleet.is_speaker()
+    }
+
+    /// Chunks of the newest head that are not stored here.
+    pub fn missing_chunks(&self) -> Vec<String> {
+        self.fleet.documents().missing_chunks()
+    }
+
+    /// Stores a chunk that was read from the platform.
+    pub fn insert_chunk(&mut self, bytes: &[u8]) {
+        self.fleet.documents_mut().insert_chunk(bytes);
+    }
+
+    /// The newest configuration when it is newer than the active one and complete.
+    pub fn pending_config(&self) -> anyhow::Result<Option<PendingConfig>> {
+        let Some(document) = self.fleet.document(HEAD) else { return Ok(None) };
+        if document.version <= self.snapshot.version.0 {
+            return Ok(None);
+        }
+        let head: Head = serde_json::from_slice(&document.bytes).context("head of configuration")?;
+        let documents = self.fleet.documents();
+        let chunks = head.chunks.iter().map(|it| documents.chunk(&it.sha256).cloned());
+        let Some(chunks) = chunks.collect::<Option<Vec<_>>>() else { return Ok(None) };
+        Ok(Some(PendingConfig { head, chunks }))
+    }
+
+    /// The conditional update of the ledger that is due.
+    pub fn propose_ledger(&mut self, now: Instant) -> Option<Proposal> {
+        self.holder.propose_ledger(now)
+    }
+
+    /// Reports what became of a ledger update.
+    pub fn proposal_done(&mut self, proposal: &Proposal, outcome: WriteOutcome, now: Instant) {
+        let known = match &outcome {
+            WriteOutcome::Written(version) => Some((*version, &proposal.ledger)),
+            WriteOutcome::Conflict(version, ledger) => Some((*version, ledger)),
+            WriteOutcome::Unknown => None,
+        };
+        if let Some((version, ledger)) = known
+            && let Ok(bytes) = serde_json::to_vec(ledger)
+        {
+            self.fleet.platform_reachable(now);
+            self.fleet.offer(LEDGER, version, &bytes);
+        }
+        self.holder.proposal_done(outcome, now);
+    }
+
+    /// Writes of rollout objects that are due.
+    pub fn rollout_writes(&mut self, now: Instant, unix_ms: u64) -> Vec<kingcupford_rollout::Write> {
+        let reachable = self.fleet.reach(now).platform;
+        self.rollouts.writes(now, unix_ms, reachable)
+    }
+
+    /// Reports what became of a rollout write.
+    pub fn rollout_written(
+        &mut self,
+        write: &kingcupford_rollout::Write,
+        outcome: kingcupford_rollout::WriteOutcome,
+        now: Instant,
+    ) {
+        if let kingcupford_rollout::WriteOutcome::Written { version } = outcome
+            && let Ok(bytes) = serde_json::to_vec(&write.rollout)
+        {
+            let name = format!("{ROLLOUT_PREFIX}{}", write.rollout.service);
+            self.platform_document(&name, version, &bytes, now);
+        }
+        self.rollouts.written(&write.rollout.service, outcome, now);
+    }
+
+    /// Starts the hand-back of this host's share.
+    pub fn leave(&mut self, now: Instant) {
+        self.holder.leave(now);
+    }
+
+    /// Whether the hand-back is complete.
+    pub fn has_left(&self) -> bool {
+        self.holder.has_left()
+    }
+
+    /// Takes over documents that became newer.
+    fn adopt_documents(&mut self, now: Instant) {
+        for name in self.fleet.take_newer() {
+            let Some(document) = self.fleet.document(&name).cloned() else { continue };
+            if name == HEAD {
+                if let Ok(head) = serde_json::from_slice::<Head>(&document.bytes) {
+                    let chunks = head.chunks.into_iter().map(|it| it.sha256).collect();
+                    self.fleet.documents_mut().want_chunks(document.version, chunks);
+                }
+            } else if name == LEDGER {
+                if let Ok(ledger) = serde_json::from_slice::<Ledger>(&document.bytes) {
+                    self.holder.adopt_ledger(document.version, ledger, now);
+                }
+            } else if name.starts_with(ROLLOUT_PREFIX)
+                && let Ok(rollout) = serde_json::from_slice::<Rollout>(&document.bytes)
+                && self.rollouts.adopt(rollout, document.version, now)
+            {
+                self.install_caps(now);
+            }
+        }
+    }
+
+    /// Stops rollouts on evidence and tells peers.
+    fn tick_rollouts(&mut self, now: Instant, unix_ms: u64) -> Vec<Envelope> {
+        let tick = self.rollouts.tick(now, unix_ms);
+        if tick.shares_changed {
+            self.install_caps(now);
+        }
+        let mut res = Vec::new();
+        for stop in tick.stops {
+            res.extend(self.to_all(&Message::RolloutStop(stop)));
+        }
+        if now >= self.next_evidence {
+            self.next_evidence = now + EVIDENCE_EVERY;
+            for evidence in self.rollouts.evidence() {
+                res.extend(self.to_all(&Message::RolloutEvidence(evidence)));
+            }
+        }
+        res
+    }
+
+    /// One envelope for each peer that is not gone.
+    fn to_all(&self, message: &Message) -> Vec<Envelope> {
+        let peers = self.peers_by_nearness();
+        peers.into_iter().map(|to| Envelope { to, message: message.clone() }).collect()
+    }
+
+    /// Peers that can answer, the own zone first, then the own region, then the others.
+    fn peers_by_nearness(&self) -> Vec<String> {
+        let own = self.fleet.identity();
+        let region = |zone: &str| {
+            let zone = self.snapshot.zones.key(zone)?;
+            Some(self.snapshot.region_of(zone))
+        };
+        let own_region = region(&own.zone);
+        let mut res: Vec<(u8, &str)> = self
+            .fleet
+            .members()
+            .iter()
+            .filter(|it| it.name != own.name)
+            .filter(|it| matches!(it.state, MemberState::Live | MemberState::Draining))
+            .map(|it| {
+                let distance = if it.zone == own.zone {
+                    0
+                } else if region(&it.zone) == own_region {
+                    1
+                } else {
+                    2
+                };
+                (distance, it.name.as_str())
+            })
+            .collect();
+        res.sort_unstable();
+        res.into_iter().map(|it| it.1.to_owned()).collect()
+    }
+
+    /// Running requests against the slots of this host's share of its own region.
+    fn load_permille(&self) -> u16 {
+        let Some((_, region)) = self.home() else { return 0 };
+        let instances = self.snapshot.instances.iter().filter(|(_, it)| it.region == region);
+        let slots: u32 = instances.map(|(_, it)| it.slots).sum();
+        let hosts = self.fleet.members().iter().filter(|it| it.state == MemberState::Live).count();
+        let share = f64::from(slots) / hosts.max(1) as f64;
+        (self.requests.len() as f64 / share.max(1.0) * 1000.0).min(10_000.0) as u16
+    }
+}
+
+/// Wraps a message with its recipient.
+fn envelope<T>((to, message): (String, T), wrap: impl Fn(T) -> Message) -> Envelope {
+    Envelope { to, message: wrap(message) }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,1 +1,20 @@
 //! The policy of one entry host.
+
+mod caps;
+mod control;
+mod engine;
+mod lookup;
+mod message;
+mod place;
+mod request;
+mod rollouts;
+
+pub use crate::{
+    control::{LEDGER, PendingConfig, ROLLOUT_PREFIX},
+    engine::{Engine, EngineSettings, Status},
+    lookup::{LookupAnswer, LookupQuery, NamedHost},
+    message::{Envelope, Message},
+    request::{
+        Admission, Attempt, AttemptEnd, Next, Reason, Refusal, RequestHead, ShownKey, Start, Ticket,
+    },
+};
--- /dev/null
+++ b/crates/engine/src/place.rs
@@ -0,0 +1,290 @@
+//! Placement of admitted requests: region, version and instance.
+
+use std::sync::Arc;
+
+use kingcupford_config::{InstanceId, RegionId, ServiceId, ShiftId, VersionId};
+use kingcupford_quota::{Resource, Take};
+use kingcupford_route::{AllowedRegion, AttemptOutcome, ChoiceQuery, Outcome};
+use kingcupford_rollout::Side;
+use tokio::time::Instant;
+
+use crate::{
+    engine::{Engine, OPEN_TENANT},
+    request::{Attempt, AttemptEnd, Reason, Refusal, Start, Ticket},
+};
+
+/// Where an attempt runs.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Placement {
+    /// The instance.
+    pub(crate) instance: InstanceId,
+    /// The version that it runs.
+    pub(crate) version: VersionId,
+    /// Its region, whose permit the attempt holds.
+    pub(crate) region: RegionId,
+}
+
+/// A region that may serve a request.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    /// The region.
+    region: RegionId,
+    /// The shift whose cap bounds this path.
+    shift: Option<ShiftId>,
+}
+
+impl Engine {
+    /// Chooses an instance for an admitted request, or lets it wait its turn.
+    pub fn start(&mut self, ticket: Ticket, now: Instant) -> Start {
+        let Some(at) = self.position(ticket) else {
+            return Start::Refused(Refusal::new(Reason::BadRequest));
+        };
+        if self.requests[at].ready {
+            self.requests[at].ready = false;
+            return Start::Attempt(self.attempt(at));
+        }
+        let request = &self.requests[at];
+        if now >= request.deadline {
+            return self.refuse(at, Reason::DeadlinePassed, now);
+        }
+        if request.wait_until.is_some_and(|it| now >= it) {
+            return self.refuse(at, Reason::ServiceBusy, now);
+        }
+        let state = &self.services[usize::from(request.service.0)];
+        let is_contended = state.head.is_some() || !state.queue.is_empty();
+        if !request.queued && !is_contended && self.place(at, false, now) {
+            return Start::Attempt(self.attempt(at));
+        }
+        self.wait(at, now)
+    }
+
+    /// Tickets of waiting requests that were placed since the last call.
+    pub fn ready_tickets(&self) -> impl Iterator<Item = Ticket> {
+        self.requests.iter().filter(|it| it.ready).map(|it| it.ticket)
+    }
+
+    /// Takes bytes of a link's bandwidth; answers how long to wait before sending them.
+    pub fn spend_link(
+        &mut self,
+        from: RegionId,
+        to: RegionId,
+        bytes: usize,
+        now: Instant,
+    ) -> Option<std::time::Duration> {
+        if from == to || self.snapshot.link(from, to).is_none() {
+            return None;
+        }
+        match self.holder.take(Resource::Link { from, to }, bytes as f64, now) {
+            Take::Taken => None,
+            Take::Empty { retry_after, .. } => Some(retry_after),
+        }
+    }
+
+    /// Lets a request wait in its service's queue.
+    fn wait(&mut self, at: usize, now: Instant) -> Start {
+        let max_wait = self.settings.max_slot_wait;
+        let request = &mut self.requests[at];
+        let until = *request.wait_until.get_or_insert(request.deadline.min(now + max_wait));
+        if !request.queued {
+            let tenant = request.tenant.unwrap_or(OPEN_TENANT);
+            let queue = &mut self.services[usize::from(request.service.0)].queue;
+            if queue.push(tenant, 1.0, request.ticket).is_err() {
+                return self.refuse(at, Reason::TenantQueueFull, now);
+            }
+            self.requests[at].queued = true;
+        }
+        Start::Wait { until }
+    }
+
+    /// Refuses an admitted request that waited in vain.
+    fn refuse(&mut self, at: usize, reason: Reason, now: Instant) -> Start {
+        let request = &self.requests[at];
+        let outcome = if request.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
+        let reason = match reason {
+            Reason::ServiceBusy if !self.has_instance(request.service) => Reason::NoUpstream,
+            it => it,
+        };
+        let end = AttemptEnd {
+            outcome: AttemptOutcome::Cancelled,
+            status: None,
+            byte_sent: request.may_have_run,
+            draining: false,
+            latency: std::time::Duration::ZERO,
+        };
+        self.close(at, &end, now);
+        let retry = std::time::Duration::from_secs(1);
+        Start::Refused(Refusal::new(reason).with_outcome(outcome).with_retry_after(retry))
+    }
+
+    /// Gives free slots to waiting requests in the order of the fair queues.
+    pub(crate) fn pump(&mut self, now: Instant) {
+        for service in 0..self.services.len() {
+            while let Some(ticket) = self.next_waiting(service) {
+                let Some(at) = self.position(ticket) else {
+                    self.services[service].head = None;
+                    continue;
+                };
+                if !self.place(at, true, now) {
+                    break;
+                }
+                self.services[service].head = None;
+                let request = &mut self.requests[at];
+                request.queued = false;
+                request.ready = true;
+            }
+        }
+    }
+
+    /// The next waiting request of a service, which stays its head until it is placed.
+    fn next_waiting(&mut self, service: usize) -> Option<Ticket> {
+        let state = &mut self.services[service];
+        if state.head.is_none() {
+            state.head = state.queue.pop().map(|it| it.1);
+        }
+        state.head
+    }
+
+    /// Finds an instance for a request; `waited` marks one that was counted as demand before.
+    fn place(&mut self, at: usize, waited: bool, now: Instant) -> bool {
+        let request = &self.requests[at];
+        let (service, route) = (request.service, request.route);
+        let split = self.rollouts.split(&self.snapshot, service);
+        let pick = match request.pick {
+            Some(it) => Some(it),
+            // A repeat goes to the old version, so that a fault of the new one costs one attempt.
+            None if request.attempts > 0 => None,
+            None => self.rollouts.pick(service, route),
+        };
+        let version = match pick {
+            Some(it) if it.side == Side::New => split.new.unwrap_or(split.old),
+            _ if split.new_share >= 1.0 => split.new.unwrap_or(split.old),
+            _ => split.old,
+        };
+        self.requests[at].pick = pick;
+        for choice in self.regions(service) {
+            if self.place_in(at, version, choice, waited, now) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Finds an instance in one region, inside the region's, the link's and the shift's caps.
+    fn place_in(
+        &mut self,
+        at: usize,
+        version: VersionId,
+        choice: Choice,
+        waited: bool,
+        now: Instant,
+    ) -> bool {
+        let Some((home_zone, home_region)) = self.home() else { return false };
+        let request = &self.requests[at];
+        let service = request.service;
+        let slots = Resource::RegionSlots(service, choice.region);
+        let taken = if waited {
+            self.holder.retry_permit(slots, now)
+        } else {
+            self.holder.acquire_permit(slots, now)
+        };
+        if taken != Take::Taken {
+            return false;
+        }
+        let share_slots = self.holder.allowance(slots, now).0 as u32;
+        let regions = [AllowedRegion { region: choice.region, share_slots }];
+        let request = &self.requests[at];
+        let instance = self.balancer.choose(&ChoiceQuery {
+            service,
+            version,
+            home_region,
+            home_zone,
+            regions: &regions,
+            excluded: &request.tried,
+            idempotent: request.idempotent,
+            now,
+        });
+        let Some(instance) = instance else {
+            self.holder.release_permit(slots, now);
+            return false;
+        };
+        if let Some(shift) = choice.shift
+            && self.holder.take(Resource::Shift(shift), 1.0, now) != Take::Taken
+        {
+            self.holder.release_permit(slots, now);
+            return false;
+        }
+        self.balancer.started(instance, now);
+        let request = &mut self.requests[at];
+        request.attempts += 1;
+        request.placement = Some(Placement { instance, version, region: choice.region });
+        true
+    }
+
+    /// Regions that may serve a service, in the order of preference.
+    fn regions(&mut self, service: ServiceId) -> Vec<Choice> {
+        let Some((_, home)) = self.home() else { return Vec::new() };
+        let snapshot = Arc::clone(&self.snapshot);
+        let shift_to = |region: RegionId| {
+            let mut shifts = snapshot.active_shifts();
+            shifts.find(|(_, it)| it.service == service && it.from == home && it.to == region)
+        };
+        let mut others: Vec<(f64, Choice)> = snapshot
+            .regions
+            .iter()
+            .filter(|(id, _)| *id != home)
+            .map(|(region, _)| {
+                let latency_ms = snapshot.link(home, region).map_or(f64::MAX, |it| it.latency_ms);
+                (latency_ms, Choice { region, shift: shift_to(region).map(|it| it.0) })
+            })
+            .collect();
+        others.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut res = vec![Choice { region: home, shift: None }];
+        res.extend(others.into_iter().map(|it| it.1));
+        if let Some(at) = self.due_shift(&res) {
+            let choice = res.remove(at);
+            res.insert(0, choice);
+        }
+        res
+    }
+
+    /// The choice whose shift is due for this request, by error diffusion of the wanted shares.
+    fn due_shift(&mut self, choices: &[Choice]) -> Option<usize> {
+        for (at, choice) in choices.iter().enumerate() {
+            let Some(shift) = choice.shift else { continue };
+            let credit = &mut self.shift_credit[usize::from(shift.0)];
+            *credit = (*credit + self.snapshot.shifts[shift].share).min(2.0);
+            if *credit >= 1.0 {
+                *credit -= 1.0;
+                return Some(at);
+            }
+        }
+        None
+    }
+
+    /// Whether any instance of a service may take work.
+    fn has_instance(&self, service: ServiceId) -> bool {
+        let mut instances = self.snapshot.instances.iter();
+        instances.any(|(id, it)| {
+            it.service == service && !it.draining && !self.balancer.is_ejected(id)
+        })
+    }
+
+    /// The attempt of a placed request.
+    fn attempt(&self, at: usize) -> Attempt {
+        let request = &self.requests[at];
+        let placement = request.placement.expect("a placed request has a placement");
+        Attempt {
+            ticket: request.ticket,
+            instance: placement.instance,
+            version: placement.version,
+            service: request.service,
+            route: request.route,
+            tenant: request.tenant,
+            region: placement.region,
+            deadline: request.deadline,
+            idempotent: request.idempotent,
+            fingerprint: request.fingerprint,
+            pick: request.pick,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/respond.rs
@@ -0,0 +1,134 @@
+//! Refusals as HTTP answers.
+
+use http::{HeaderValue, StatusCode, header};
+use kingcupford_engine::{Outcome, Reason, Refusal};
+use poem::{Body, Response};
+use serde::Serialize;
+
+use crate::headers;
+
+/// JSON body of a refusal or failure.
+#[derive(Debug, Serialize)]
+struct RefusalBody<'a> {
+    /// `executed`, `not-run` or `unknown`.
+    outcome: &'a str,
+    /// Stable name of the reason.
+    reason: &'a str,
+    /// What happened.
+    message: &'a str,
+    /// What to do.
+    hint: &'a str,
+    /// When a repeat makes sense.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    /// A host to ask instead, or the status of a former execution.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    detail: Option<&'a str>,
+    /// A fresh binding for request ids.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    binding: Option<&'a str>,
+}
+
+/// The HTTP answer for a refusal or failure.
+pub fn refusal(refusal: &Refusal) -> Response {
+    let (message, hint) = explain(refusal.reason);
+    let retry_after_ms =
+        refusal.retry_after.map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX).max(1));
+    let outcome: &str = refusal.outcome.into();
+    let body = RefusalBody {
+        outcome,
+        reason: refusal.reason.into(),
+        message,
+        hint,
+        retry_after_ms,
+        detail: refusal.detail.as_deref(),
+        binding: refusal.binding.as_deref(),
+    };
+    let mut res = Response::builder()
+        .status(status(refusal.reason, refusal.outcome))
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(headers::OUTCOME, outcome)
+        .body(Body::from_json(&body).unwrap_or_else(|_| Body::empty()));
+    if let Some(ms) = retry_after_ms {
+        res.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(ms.div_ceil(1000)));
+    }
+    if let Some(binding) = &refusal.binding
+        && let Ok(value) = HeaderValue::from_str(binding)
+    {
+        res.headers_mut().insert(headers::BINDING, value);
+    }
+    res
+}
+
+/// The status of a refusal.
+fn status(reason: Reason, outcome: Outcome) -> StatusCode {
+    match reason {
+        Reason::UnknownService | Reason::UnknownRoute => StatusCode::NOT_FOUND,
+        Reason::KeyMissing | Reason::KeyInvalid => StatusCode::UNAUTHORIZED,
+        Reason::TenantRate | Reason::TenantQueueFull => StatusCode::TOO_MANY_REQUESTS,
+        Reason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::RequestIdMissing => StatusCode::PRECONDITION_REQUIRED,
+        Reason::RequestIdMalformed | Reason::BadRequest => StatusCode::BAD_REQUEST,
+        Reason::RequestIdRunning | Reason::RequestIdExecuted | Reason::RequestIdUnknown => {
+            StatusCode::CONFLICT
+        }
+        Reason::RequestIdElsewhere => StatusCode::MISDIRECTED_REQUEST,
+        Reason::RequestIdVoid => StatusCode::GONE,
+        Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        Reason::UpstreamFailed if outcome == Outcome::Unknown => StatusCode::BAD_GATEWAY,
+        Reason::UpstreamFailed
+        | Reason::KeyUnconfirmed
+        | Reason::ServiceBusy
+        | Reason::NoUpstream
+        | Reason::RequestIdsFull
+        | Reason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Message and hint of a reason.
+fn explain(reason: Reason) -> (&'static str, &'static str) {
+    match reason {
+        Reason::UnknownService => {
+            ("no service has this name", "the first segment of the path names the service")
+        }
+        Reason::UnknownRoute => ("no route matches the method and path", "check the path"),
+        Reason::KeyMissing => ("the route needs a key", "send `authorization: Bearer <key>`"),
+        Reason::KeyInvalid => ("the key is not valid", "ask your operator for a new key"),
+        Reason::KeyUnconfirmed => {
+            ("this host cannot confirm that the key is still valid", "ask another host")
+        }
+        Reason::TenantRate => ("the tenant's rate is spent", "wait and send fewer requests"),
+        Reason::TenantQueueFull => ("the tenant has too many waiting requests", "wait and repeat"),
+        Reason::ServiceBusy => ("no slot became free in time", "wait and repeat"),
+        Reason::NoUpstream => ("no healthy upstream can be reached", "wait and repeat"),
+        Reason::Quarantined => {
+            ("a request with this content made upstreams fail", "change the request")
+        }
+        Reason::RequestIdMissing => (
+            "the route is not idempotent and needs a request id",
+            "send `kingcupford-request-id: <binding>.<unique>` with the binding given here",
+        ),
+        Reason::RequestIdMalformed => {
+            ("the request id has the wrong form", "send `<binding>.<unique>`")
+        }
+        Reason::RequestIdRunning => ("a request with this id runs now", "wait for its answer"),
+        Reason::RequestIdExecuted => ("a request with this id ran before", "do not repeat it"),
+        Reason::RequestIdUnknown => {
+            ("a request with this id may have run before", "look up its result before repeating")
+        }
+        Reason::RequestIdElsewhere => {
+            ("another host owns this request id", "ask the host named in `detail`")
+        }
+        Reason::RequestIdVoid => (
+            "the request id has ended, the request may have run before",
+            "look up its result before repeating it with a new id",
+        ),
+        Reason::RequestIdsFull => {
+            ("this host cannot remember more request ids", "use another host")
+        }
+        Reason::DeadlinePassed => ("the deadline passed", "allow more time"),
+        Reason::UpstreamFailed => ("the connection to the upstream failed", "see `outcome`"),
+        Reason::NotReady => ("this host has no configuration yet", "use another host"),
+        Reason::BadRequest => ("the request is malformed", "check the request line and headers"),
+    }
+}
