Add membership, documents and the transport between hosts

The engine and the entry process need the interfaces of fleet and peer. Fleet keeps membership by heartbeats and digests and copies versioned documents; peer carries frames over HTTP/2 with mutual TLS.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,1 +1,20 @@
 //! Membership, heartbeats and documents whose versions only increase.
+
+mod digest;
+mod document;
+mod fleet;
+mod member;
+mod message;
+mod receive;
+mod settings;
+
+pub use crate::{
+    document::{Document, Documents, Offered, chunk_name},
+    fleet::{Confirmation, Fleet, Reach},
+    member::{Candidate, HostIdentity, Member, MemberState},
+    message::{
+        ChunkReply, ChunkRequest, Digest, DigestEntry, DocumentReply, DocumentRequest, Heartbeat,
+        MAX_MESSAGE_BYTES, Message, Profile,
+    },
+    settings::FleetSettings,
+};
