--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,17 @@
-//! Stand-ins for the platform and for upstreams.
+//! Stand-ins for the platform and for upstreams, run as processes or inside tests.
+
+mod gate;
+mod http_parts;
+mod platform;
+mod upstream;
+
+pub use crate::{
+    platform::{
+        Calls, HostEntry, HostState, Outage, PlatformFaults, PlatformLimits, PlatformSettings,
+        PlatformStandin,
+    },
+    upstream::{
+        ExecutionRecord, ExecutionState, UpstreamCounts, UpstreamFaults, UpstreamSettings,
+        UpstreamStandin, VersionFault,
+    },
+};
