--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -40,7 +40,7 @@
             connect_timeout_ms: 1000,
             read_timeout_ms: 2000,
             write_timeout_ms: 3000,
-            watch_margin_ms: 2000,
+            watch_margin_ms: 1000,
         }
     }
 }
--- /dev/null
+++ b/crates/platform/src/watcher.rs
@@ -0,0 +1,273 @@
+//! Follows objects of the platform by one pending watch.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinHandle,
+    time::{Instant, sleep_until},
+};
+
+use crate::{
+    object::{Answer, Object, ObjectStore, Watched},
+    retry::Retry,
+};
+
+/// Events that may wait for the receiver.
+const EVENT_BUFFER: usize = 64;
+
+/// What is followed and how often the platform is asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WatcherSettings {
+    /// Starts of the names that are followed.
+    pub prefixes: Vec<String>,
+    /// Wait of one watch; a change is noticed within it even when watches hang.
+    pub wait_ms: u64,
+    /// Wait after a watch that hung, until one works again.
+    pub short_wait_ms: u64,
+    /// Least time between two watches, so that a burst of changes takes few calls.
+    pub spacing_ms: u64,
+}
+
+impl Default for WatcherSettings {
+    fn default() -> Self {
+        Self {
+            prefixes: ["config/", "rollout/", "quota/"].map(str::to_owned).to_vec(),
+            wait_ms: 3000,
+            short_wait_ms: 500,
+            spacing_ms: 200,
+        }
+    }
+}
+
+/// A change of a followed object.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WatchEvent {
+    /// Name of the object.
+    pub name: String,
+    /// The object, `None` when it was deleted.
+    pub object: Option<Object>,
+}
+
+/// Whether the platform answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reachability {
+    /// No call has ended yet.
+    Unknown,
+    /// The last call was answered.
+    Reachable,
+    /// Calls fail.
+    Unreachable {
+        /// End of the first call that failed.
+        since: Instant,
+    },
+}
+
+/// A running watcher; dropping it stops it.
+#[derive(Debug)]
+pub struct Watcher {
+    /// Changes of followed objects, the newest state of each.
+    pub events: mpsc::Receiver<WatchEvent>,
+    /// Whether the platform answers.
+    pub reachability: watch::Receiver<Reachability>,
+    /// The task.
+    task: JoinHandle<()>,
+}
+
+impl Watcher {
+    /// Starts to follow; the first events tell the objects that exist.
+    pub fn start<S: ObjectStore>(store: Arc<S>, settings: WatcherSettings, seed: u64) -> Self {
+        let (sender, events) = mpsc::channel(EVENT_BUFFER);
+        let (reach, reachability) = watch::channel(Reachability::Unknown);
+        let follower = Follower {
+            store,
+            settings,
+            events: sender,
+            reach,
+            known: BTreeMap::new(),
+            retry: Retry::endless(seed),
+        };
+        let task = tokio::spawn(async move {
+            // Ends when the receiver of the events is gone.
+            follower.run().await;
+        });
+        Self { events, reachability, task }
+    }
+}
+
+impl Drop for Watcher {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Why a step of a [`Follower`] ended early.
+enum Stop {
+    /// A call failed; try again after at least this time.
+    Failed(u64),
+    /// Nobody receives events any more.
+    Closed,
+}
+
+/// The state of a watcher's task.
+struct Follower<S> {
+    /// The platform.
+    store: Arc<S>,
+    /// What is followed.
+    settings: WatcherSettings,
+    /// Receiver of changes.
+    events: mpsc::Sender<WatchEvent>,
+    /// Receiver of the reachability.
+    reach: watch::Sender<Reachability>,
+    /// Versions that were reported, by name.
+    known: BTreeMap<String, u64>,
+    /// Waits after failures.
+    retry: Retry,
+}
+
+impl<S: ObjectStore> Follower<S> {
+    /// Lists, then watches from there; lists again after each gap or failure.
+    async fn run(mut self) {
+        let mut wait_ms = self.settings.wait_ms;
+        loop {
+            let stop = match self.list().await {
+                Ok(revision) => self.follow(revision, &mut wait_ms).await,
+                Err(it) => it,
+            };
+            match stop {
+                Stop::Closed => return,
+                Stop::Failed(at_least_ms) => {
+                    self.retry.pause(at_least_ms).await;
+                }
+            }
+        }
+    }
+
+    /// Reports everything that differs from what is known; answers the revision to watch from.
+    async fn list(&mut self) -> Result<u64, Stop> {
+        let mut first_revision = None;
+        let mut listed = Vec::new();
+        for prefix in self.settings.prefixes.clone() {
+            let answer = self.store.list(&prefix).await;
+            let listing = self.value(answer)?;
+            // Later lists may already show changes that the watch reports again.
+            first_revision.get_or_insert(listing.revision);
+            listed.extend(listing.objects.into_iter().map(|it| (it.name, it.version)));
+        }
+        listed.sort();
+        let known: Vec<String> = self.known.keys().cloned().collect();
+        for name in known {
+            if listed.binary_search_by(|it| it.0.cmp(&name)).is_err() {
+                self.report(name, None).await?;
+            }
+        }
+        for (name, version) in listed {
+            self.update(name, Some(version)).await?;
+        }
+        Ok(first_revision.unwrap_or(0))
+    }
+
+    /// Watches until a call fails or changes were missed.
+    async fn follow(&mut self, mut after: u64, wait_ms: &mut u64) -> Stop {
+        let spacing = Duration::from_millis(self.settings.spacing_ms);
+        loop {
+            let next_at = Instant::now() + spacing;
+            // One watch on all names counts as one pending call instead of one for each prefix.
+            let wait = Duration::from_millis(*wait_ms);
+            match self.store.watch("", after, wait).await {
+                Answer::Value(Watched::Changes { revision, changes }) => {
+                    self.answered();
+                    *wait_ms = self.settings.wait_ms;
+                    after = revision;
+                    for change in changes {
+                        if !self.follows(&change.name) {
+                            continue;
+                        }
+                        if let Err(it) = self.update(change.name, change.version).await {
+                            return it;
+                        }
+                    }
+                }
+                Answer::Value(Watched::TooOld) => {
+                    self.answered();
+                    *wait_ms = self.settings.wait_ms;
+                    return Stop::Failed(0);
+                }
+                // Only watches may be disturbed; the list that follows finds out.
+                Answer::Unavailable => {
+                    *wait_ms = self.settings.short_wait_ms;
+                    return Stop::Failed(0);
+                }
+                Answer::Throttled { retry_after_ms } => return Stop::Failed(retry_after_ms),
+            }
+            sleep_until(next_at).await;
+        }
+    }
+
+    /// Whether a name is followed.
+    fn follows(&self, name: &str) -> bool {
+        self.settings.prefixes.iter().any(|it| name.starts_with(it))
+    }
+
+    /// Reads and reports an object whose version differs from the reported one.
+    async fn update(&mut self, name: String, version: Option<u64>) -> Result<(), Stop> {
+        if self.known.get(&name).copied() == version {
+            return Ok(());
+        }
+        if version.is_none() {
+            return self.report(name, None).await;
+        }
+        let answer = self.store.read(&name).await;
+        let object = self.value(answer)?;
+        self.report(name, object).await
+    }
+
+    /// Reports an object.
+    async fn report(&mut self, name: String, object: Option<Object>) -> Result<(), Stop> {
+        match &object {
+            Some(it) => {
+                self.known.insert(name.clone(), it.version);
+            }
+            None => {
+                self.known.remove(&name);
+            }
+        }
+        self.events.send(WatchEvent { name, object }).await.map_err(|_| Stop::Closed)
+    }
+
+    /// Takes the value of an answer and notes whether the platform is reachable.
+    fn value<T>(&mut self, answer: Answer<T>) -> Result<T, Stop> {
+        match answer {
+            Answer::Value(it) => {
+                self.answered();
+                Ok(it)
+            }
+            Answer::Unavailable => {
+                let since = Instant::now();
+                self.set_reach(Reachability::Unreachable { since });
+                Err(Stop::Failed(0))
+            }
+            // The platform is there, only this client asks too often.
+            Answer::Throttled { retry_after_ms } => Err(Stop::Failed(retry_after_ms)),
+        }
+    }
+
+    /// Notes that a call was answered.
+    fn answered(&mut self) {
+        self.retry.reset();
+        self.set_reach(Reachability::Reachable);
+    }
+
+    /// Changes the reported reachability; an outage keeps the time of its start.
+    fn set_reach(&self, reach: Reachability) {
+        self.reach.send_if_modified(|it| {
+            let is_same = *it == reach
+                || matches!(it, Reachability::Unreachable { .. })
+                    && matches!(reach, Reachability::Unreachable { .. });
+            if !is_same {
+                *it = reach;
+            }
+            !is_same
+        });
+    }
+}
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -5,6 +5,7 @@
 mod limit;
 mod settings;
 mod store;
+mod wire;
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
--- a/crates/standin/src/upstream/mod.rs
+++ b/crates/standin/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-in for one upstream instance.
 
 mod api;
+mod execution;
 mod executions;
 mod reports;
 mod settings;
