--- a/crates/route/src/host.rs
+++ b/crates/route/src/host.rs
@@ -81,7 +81,8 @@
                 name_hash: it.name_hash,
                 zone: it.zone,
                 region: region_of(snapshot, it.zone),
-                load: if it.load.is_finite() { it.load.max(0.0) } else { f64::MAX },
+                // One absurd report must not raise the mean that all are compared with.
+                load: if it.load.is_finite() { it.load.clamp(0.0, 1.0) } else { 1.0 },
             })
             .collect();
         hosts.sort_by_key(|it| (it.region, it.zone, it.name_hash, it.host));
--- /dev/null
+++ b/crates/route/tests/it/host.rs
@@ -0,0 +1,103 @@
+//! Tests of the host ranking.
+
+use kingcupford_config::{HostId, Snapshot, ZoneId};
+use kingcupford_route::{HostCandidate, rank_hosts};
+
+use crate::fleet::{REGIONS, snapshot};
+
+/// `per_zone` idle hosts in each zone, keyed in the order of zones.
+fn candidates(snapshot: &Snapshot, per_zone: u32) -> Vec<HostCandidate> {
+    let zones = REGIONS.iter().flat_map(|it| [format!("{it}-1"), format!("{it}-2")]);
+    let hosts = zones.enumerate().flat_map(|(index, zone)| {
+        (0..per_zone).map(move |it| (index as u32 * per_zone + it, zone.clone()))
+    });
+    hosts
+        .map(|(id, zone)| {
+            let zone = snapshot.zones.key(&zone).unwrap();
+            HostCandidate::new(HostId(id), &format!("host-{id}"), zone, 0.0)
+        })
+        .collect()
+}
+
+/// The names of the zones of ranked hosts.
+fn zones(snapshot: &Snapshot, candidates: &[HostCandidate], ranked: &[HostId]) -> Vec<String> {
+    let zone = |id: &HostId| candidates.iter().find(|it| it.host == *id).unwrap().zone;
+    ranked.iter().map(|it| snapshot.zones[zone(it)].name.clone()).collect()
+}
+
+// Guards against answers that send callers past a nearer zone or region.
+#[test]
+fn rank_hosts_near_first() {
+    let snapshot = snapshot(1, &[], &[], None);
+    let hosts = candidates(&snapshot, 1);
+    let zone = snapshot.zones.key("north-2").unwrap();
+    let ranked = rank_hosts(&hosts, zone, &snapshot, 7, 10);
+    let zones = zones(&snapshot, &hosts, &ranked);
+    assert_eq!(zones[..2], ["north-2", "north-1"]);
+    assert!(zones[2..4].iter().all(|it| it.starts_with("east")), "{zones:?}");
+    assert!(zones[4..].iter().all(|it| it.starts_with("west")), "{zones:?}");
+}
+
+// Guards against empty answers when the callers' zone and region have no host left.
+#[test]
+fn rank_hosts_falls_through() {
+    let snapshot = snapshot(1, &[], &[], None);
+    let mut hosts = candidates(&snapshot, 2);
+    for it in &mut hosts {
+        it.may_be_named = snapshot.zones[it.zone].name == "west-1";
+    }
+    for zone in 0..=6 {
+        assert_eq!(rank_hosts(&hosts, ZoneId(zone), &snapshot, 7, 3).len(), 2, "zone {zone}");
+    }
+}
+
+// Guards against a restarted or drained host that moves the callers of other hosts.
+#[test]
+fn rank_hosts_moves_only_callers_of_lost_host() {
+    let snapshot = snapshot(1, &[], &[], None);
+    let mut hosts = candidates(&snapshot, 8);
+    let zone = hosts[0].zone;
+    let first =
+        |hosts: &[HostCandidate], affinity| rank_hosts(hosts, zone, &snapshot, affinity, 1)[0];
+    let before: Vec<_> = (0..800).map(|it| first(&hosts, it)).collect();
+    hosts[3].may_be_named = false;
+    let mut moved = 0;
+    for (affinity, before) in before.iter().enumerate() {
+        let after = first(&hosts, affinity as u64);
+        assert_ne!(after, HostId(3));
+        assert!(after == *before || *before == HostId(3));
+        moved += u32::from(after != *before);
+    }
+    assert!((50..=150).contains(&moved), "{moved} of 800 callers belonged to one of 8 hosts");
+}
+
+// Guards against a host that hashing keeps naming although it carries more than its part.
+#[test]
+fn rank_hosts_bounds_load() {
+    let snapshot = snapshot(1, &[], &[], None);
+    let mut hosts = candidates(&snapshot, 4);
+    let zone = hosts[0].zone;
+    hosts[1].load = 0.9;
+    hosts[2].load = f64::NAN;
+    for affinity in 0..100 {
+        let ranked = rank_hosts(&hosts, zone, &snapshot, affinity, 4);
+        assert!(ranked[..2].iter().all(|it| [HostId(0), HostId(3)].contains(it)), "{ranked:?}");
+    }
+}
+
+// Guards against rankings by process-local keys, with which two hosts would answer differently.
+#[test]
+fn rank_hosts_independent_of_keys() {
+    let snapshot = snapshot(1, &[], &[], None);
+    let hosts = candidates(&snapshot, 8);
+    let mut renumbered = hosts.clone();
+    for it in &mut renumbered {
+        it.host = HostId(1000 - it.host.0);
+    }
+    for affinity in 0..100 {
+        let ranked = rank_hosts(&hosts, hosts[0].zone, &snapshot, affinity, 20);
+        let other = rank_hosts(&renumbered, hosts[0].zone, &snapshot, affinity, 20);
+        let other: Vec<_> = other.iter().map(|it| HostId(1000 - it.0)).collect();
+        assert_eq!(ranked, other);
+    }
+}
--- /dev/null
+++ b/crates/route/tests/it/quarantine.rs
@@ -0,0 +1,165 @@
+//! Tests of the quarantine.
+
+use std::time::Duration;
+
+use kingcupford_route::{Announcement, Check, Fingerprint, Quarantine};
+use tokio::time::Instant;
+
+/// The poison request.
+const POISON: Fingerprint = Fingerprint(1);
+
+/// A harmless request.
+const INNOCENT: Fingerprint = Fingerprint(2);
+
+/// Whether a fingerprint is blocked.
+fn is_blocked(quarantine: &Quarantine, fingerprint: Fingerprint, now: Instant) -> bool {
+    matches!(quarantine.check(fingerprint, now), Check::Quarantined { .. })
+}
+
+// Guards against a poison request that goes on to crash upstreams, and against an endless block.
+#[test]
+fn lost_blocks_after_two_instances() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new();
+    quarantine.lost(POISON, "i1", now);
+    quarantine.lost(POISON, "i1", now);
+    assert_eq!(quarantine.check(POISON, now), Check::Suspect);
+    quarantine.lost(POISON, "i2", now);
+    let until = now + Duration::from_secs(600);
+    assert_eq!(quarantine.check(POISON, now), Check::Quarantined { until });
+    assert_eq!(quarantine.check(POISON, until), Check::Suspect);
+    // After the quarantine one more loss is enough.
+    quarantine.lost(POISON, "i3", until);
+    assert!(is_blocked(&quarantine, POISON, until));
+    let forgotten = until + Duration::from_secs(1800);
+    assert_eq!(quarantine.check(POISON, forgotten), Check::Clear);
+}
+
+// Guards against two hosts that lose two upstreams each, because they don't tell each other.
+#[test]
+fn receive_adds_up_coincidences() {
+    let now = Instant::now();
+    let mut hosts = [Quarantine::new(), Quarantine::new(), Quarantine::new()];
+    hosts[0].lost(POISON, "i1", now);
+    hosts[1].lost(POISON, "i2", now);
+    for from in 0..2 {
+        let config = bincode::config::standard();
+        for message in hosts[from].drain_announcements() {
+            let bytes = bincode::encode_to_vec(&message, config).unwrap();
+            let (decoded, _): (Announcement, _) =
+                bincode::decode_from_slice(&bytes, config).unwrap();
+            assert_eq!(decoded, message);
+            for to in (0..3).filter(|it| *it != from) {
+                hosts[to].receive(&decoded, now);
+            }
+        }
+    }
+    assert!(hosts.iter().all(|it| is_blocked(it, POISON, now)));
+    let mut joined = Quarantine::new();
+    let later = now + Duration::from_secs(100);
+    for it in hosts[2].standing(later) {
+        joined.receive(&it, later);
+    }
+    let until = now + Duration::from_secs(600);
+    assert_eq!(joined.check(POISON, later), Check::Quarantined { until });
+}
+
+// Guards against announcements that hosts send back and forth for ever.
+#[test]
+fn receive_does_not_echo() {
+    let now = Instant::now();
+    let (mut a, mut b) = (Quarantine::new(), Quarantine::new());
+    a.lost(POISON, "i1", now);
+    a.lost(POISON, "i2", now);
+    let mut rounds = 0;
+    loop {
+        let (from_a, from_b) = (a.drain_announcements(), b.drain_announcements());
+        if from_a.is_empty() && from_b.is_empty() {
+            break;
+        }
+        from_a.iter().for_each(|it| b.receive(it, now));
+        from_b.iter().for_each(|it| a.receive(it, now));
+        rounds += 1;
+        assert!(rounds < 4);
+    }
+}
+
+// Guards against blocking a popular request that ran on two instances when they died.
+#[test]
+fn lost_spares_popular_requests() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new();
+    for _ in 0..100 {
+        quarantine.succeeded(INNOCENT, now);
+    }
+    for instance in ["i1", "i2", "i3"] {
+        quarantine.lost(INNOCENT, instance, now);
+    }
+    assert!(!is_blocked(&quarantine, INNOCENT, now));
+    // Past successes don't protect a request for ever: it may turn bad with a new version.
+    let mut quarantine = Quarantine::new();
+    for _ in 0..100 {
+        quarantine.succeeded(INNOCENT, now);
+    }
+    let later = now + Duration::from_secs(300);
+    quarantine.lost(INNOCENT, "i1", later);
+    quarantine.lost(INNOCENT, "i2", later);
+    assert!(is_blocked(&quarantine, INNOCENT, later));
+}
+
+// Guards against blocking requests that ran beside a poison request at both crashes, whichever
+// loss is seen first.
+#[test]
+fn lost_spares_neighbours_of_poison() {
+    for poison_first in [false, true] {
+        let now = Instant::now();
+        let (mut quarantine, mut peer) = (Quarantine::new(), Quarantine::new());
+        quarantine.succeeded(INNOCENT, now);
+        for instance in ["i1", "i2"] {
+            let pair = if poison_first { [POISON, INNOCENT] } else { [INNOCENT, POISON] };
+            pair.into_iter().for_each(|it| quarantine.lost(it, instance, now));
+        }
+        for it in quarantine.drain_announcements() {
+            peer.receive(&it, now);
+        }
+        for it in [&quarantine, &peer] {
+            assert!(is_blocked(it, POISON, now), "poison first: {poison_first}");
+            assert!(!is_blocked(it, INNOCENT, now), "poison first: {poison_first}");
+        }
+    }
+}
+
+// Guards against growth without bound, and against a flood that pushes out running quarantines.
+#[test]
+fn lost_bounds_memory() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new();
+    quarantine.lost(POISON, "i1", now);
+    quarantine.lost(POISON, "i2", now);
+    for it in 10..20_000 {
+        quarantine.lost(Fingerprint(it), "i1", now + Duration::from_millis(it));
+    }
+    assert!(quarantine.len() <= 4096);
+    assert!(is_blocked(&quarantine, POISON, now));
+    assert!(quarantine.drain_announcements().len() <= 2 * 4096);
+}
+
+// Guards against equal fingerprints of different requests, by which one tenant could block another.
+#[test]
+fn fingerprint_takes_in_all_parts() {
+    let of = Quarantine::fingerprint;
+    let base = of("t", "GET", "/a", Some(3), b"abc");
+    assert_eq!(base, of("t", "GET", "/a", Some(3), b"abc"));
+    let others = [
+        of("u", "GET", "/a", Some(3), b"abc"),
+        of("tG", "ET", "/a", Some(3), b"abc"),
+        of("t", "GET/", "a", Some(3), b"abc"),
+        of("t", "GET", "/b", Some(3), b"abc"),
+        of("t", "GET", "/a", Some(4), b"abc"),
+        of("t", "GET", "/a", None, b"abc"),
+        of("t", "GET", "/a", Some(3), b"abd"),
+    ];
+    assert!(others.iter().all(|it| *it != base));
+    let long = [7; 1000];
+    assert_eq!(of("t", "GET", "/a", None, &long), of("t", "GET", "/a", None, &long[..256]));
+}
