--- a/crates/route/tests/it/balance.rs
+++ b/crates/route/tests/it/balance.rs
@@ -287,3 +287,36 @@
     let room = bench.balancer.headroom(service, north, bench.now);
     assert_eq!((room.slots, room.free), (8, 7));
 }
+
+// Guards against longer outages than the fault: requests from before an ejection that fail late
+// must not delay the probe, and an instance that returned must not count as ejected.
+#[test]
+fn finished_late_failures() {
+    let mut bench = Bench::new(1, &["north"]);
+    let (here, there) = (bench.id("north-1-0"), bench.id("north-2-0"));
+    for _ in 0..3 {
+        bench.balancer.started(here, bench.now);
+    }
+    bench.attempt(here, AttemptOutcome::Refused);
+    bench.pass(100);
+    for _ in 0..3 {
+        bench.end(here, AttemptOutcome::Broken { response_begun: false }, 5);
+    }
+    bench.pass(100);
+    assert_eq!(bench.start(), Some(here));
+    bench.end(here, OK, 5);
+    for _ in 0..3 {
+        bench.attempt(there, AttemptOutcome::TimedOut);
+    }
+    assert!(bench.balancer.is_ejected(there));
+    assert!(!bench.balancer.is_ejected(here));
+}
+
+// Guards against traffic between zones that the home zone could serve.
+#[test]
+fn choose_prefers_home_zone() {
+    let mut bench = Bench::new(1, &["north"]);
+    let here = bench.id("north-1-0");
+    let part = bench.part(here);
+    assert!((600..900).contains(&part), "{part} of 1000 stay in the zone");
+}
--- a/crates/route/tests/it/quarantine.rs
+++ b/crates/route/tests/it/quarantine.rs
@@ -163,3 +163,25 @@
     let long = [7; 1000];
     assert_eq!(of("t", "GET", "/a", None, &long), of("t", "GET", "/a", None, &long[..256]));
 }
+
+// Guards against a peer that blocks a request although it runs well there, and against a block
+// that stays after running requests showed it to be wrong.
+#[test]
+fn succeeded_outweighs_losses() {
+    let now = Instant::now();
+    let (mut a, mut b) = (Quarantine::new(), Quarantine::new());
+    (0..3).for_each(|_| b.succeeded(INNOCENT, now));
+    a.lost(INNOCENT, "i1", now);
+    a.lost(INNOCENT, "i2", now);
+    (0..2).for_each(|_| a.succeeded(INNOCENT, now));
+    assert!(is_blocked(&a, INNOCENT, now), "succeeded as often as it was lost");
+    let first = a.drain_announcements();
+    first.iter().for_each(|it| b.receive(it, now));
+    assert!(!is_blocked(&b, INNOCENT, now));
+    let mut c = Quarantine::new();
+    first.iter().for_each(|it| c.receive(it, now));
+    assert!(is_blocked(&c, INNOCENT, now));
+    a.succeeded(INNOCENT, now);
+    a.drain_announcements().iter().for_each(|it| c.receive(it, now));
+    assert!(!is_blocked(&a, INNOCENT, now) && !is_blocked(&c, INNOCENT, now));
+}
