Divide caps into shares with leases and loans

All loans and shares are integer units of the whole cap, so their sum is exact and a lowered cap takes effect on loans at once.

--- /dev/null
+++ b/crates/quota/src/demand.rs
@@ -0,0 +1,87 @@
+//! Estimate of the recent demand for one resource.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Time constant of the estimate that follows a sudden rise.
+const FAST: Duration = Duration::from_millis(100);
+/// Time constant of the estimate that outlasts short gaps.
+const SLOW: Duration = Duration::from_secs(1);
+/// Time for which refused spends count as unmet.
+const UNMET: Duration = Duration::from_millis(250);
+/// Demand is recent for this long after the last spend.
+const RECENT: Duration = Duration::from_secs(2);
+
+/// Estimate of the recent demand for one resource.
+#[derive(Debug)]
+pub(crate) struct Demand {
+    /// Amount asked for, decaying by [`FAST`].
+    fast: f64,
+    /// Amount asked for, decaying by [`SLOW`].
+    slow: f64,
+    /// Amount refused, decaying by [`UNMET`].
+    unmet: f64,
+    /// Largest recent single amount.
+    pub(crate) amount: f64,
+    /// Time to which the sums are decayed.
+    at: Instant,
+    /// Time of the last spend.
+    last: Option<Instant>,
+}
+
+impl Demand {
+    /// No demand.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self { fast: 0.0, slow: 0.0, unmet: 0.0, amount: 0.0, at: now, last: None }
+    }
+
+    /// Counts a spend.
+    pub(crate) fn add(&mut self, amount: f64, now: Instant) {
+        let recent = self.is_recent(now);
+        self.decay(now);
+        self.fast += amount;
+        self.slow += amount;
+        self.amount = if recent { self.amount.max(amount) } else { amount };
+        self.last = Some(now);
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn add_unmet(&mut self, amount: f64, now: Instant) {
+        self.decay(now);
+        self.unmet += amount;
+    }
+
+    /// Amount per second; the fast sum without one amount, so that a single spend is no surge.
+    pub(crate) fn rate_per_s(&mut self, now: Instant) -> f64 {
+        if !self.is_recent(now) {
+            return 0.0;
+        }
+        self.decay(now);
+        let fast = (self.fast - self.amount).max(0.0) / FAST.as_secs_f64();
+        fast.max(self.slow / SLOW.as_secs_f64())
+    }
+
+    /// Amount refused a short time ago.
+    pub(crate) fn unmet(&mut self, now: Instant) -> f64 {
+        self.decay(now);
+        if self.unmet < 0.05 * self.amount { 0.0 } else { self.unmet }
+    }
+
+    /// Whether there was a spend a short time ago.
+    pub(crate) fn is_recent(&self, now: Instant) -> bool {
+        self.last.is_some_and(|it| now < it + RECENT)
+    }
+
+    /// Decays the sums.
+    fn decay(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
+        if elapsed <= 0.0 {
+            return;
+        }
+        self.fast *= (-elapsed / FAST.as_secs_f64()).exp();
+        self.slow *= (-elapsed / SLOW.as_secs_f64()).exp();
+        self.unmet *= (-elapsed / UNMET.as_secs_f64()).exp();
+        self.at = now;
+    }
+}
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -3,40 +3,59 @@
 use std::time::Duration;
 
 use kingcupford_config::Snapshot;
+use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
-use crate::{Cap, Ledger, Message, Proposal, Resource, WriteOutcome};
+use crate::{
+    Cap, Resource, ResourceName, Settings, account::Account, proposal::Writer, share::Shares,
+    watch::Watch,
+};
+
+/// A spend that finds less than this much of its demand left asks for a loan.
+pub(crate) const LOW_HORIZON: Duration = Duration::from_millis(400);
+/// Least time between two ticks out of turn for one resource.
+const QUIET: Duration = Duration::from_millis(20);
+/// Time in which an answer to a loan request is expected.
+pub(crate) const ANSWER_PATIENCE: Duration = Duration::from_millis(300);
 
 /// One process's shares of all caps, with its leases, loans and buckets.
+///
+/// At every moment the capacities of all holders of a fleet add up to at most the cap, and so do
+/// their refill rates. Each method takes the current time and brings the affected state up to it.
 #[derive(Debug)]
 pub struct Holder {
+    /// Name of the host.
+    pub(crate) name: String,
+    /// Bound address of the process.
+    pub(crate) address: String,
+    /// The process of the host.
+    pub(crate) incarnation: u64,
     /// Periods and bounds.
-    settings: Settings,
-}
-
-/// Periods and bounds of a [`Holder`]; equal on all hosts of a fleet.
-#[derive(Debug, Clone)]
-pub struct Settings {
-    /// Time after a refresh in which the main part may be spent.
-    pub main_lease: Duration,
-    /// Wait of a reclaimer beyond the main lease.
-    pub main_margin: Duration,
-    /// Time after a refresh in which the floor part may be spent.
-    pub floor_lease: Duration,
-    /// Wait of a reclaimer beyond the floor lease.
-    pub floor_margin: Duration,
-    /// Length of a loan.
-    pub loan: Duration,
-    /// Wait of a lender beyond the loan.
-    pub loan_margin: Duration,
-    /// Longest time that a request holds a permit.
-    pub longest_request: Duration,
-    /// Time between two refreshes in the platform while peers do not confirm.
-    pub refresh: Duration,
-    /// Time between two refreshes in the platform while all peers confirm.
-    pub confirmed_refresh: Duration,
-    /// Loan requests of one resource that wait for an answer.
-    pub fanout: usize,
+    pub(crate) settings: Settings,
+    /// Source of jitter.
+    pub(crate) rng: SmallRng,
+    /// Time of the start.
+    pub(crate) created: Instant,
+    /// Own units and leases.
+    pub(crate) shares: Shares,
+    /// What is known of the other owners.
+    pub(crate) watch: Watch,
+    /// The known ledger and writes to it.
+    pub(crate) writer: Writer,
+    /// One account per resource that was ever configured, never removed.
+    pub(crate) accounts: Vec<Account>,
+    /// Indices of the accounts sorted by resource.
+    by_resource: Vec<(Resource, usize)>,
+    /// Indices of the accounts sorted by name.
+    by_name: Vec<(ResourceName, usize)>,
+    /// Accounts that a tick visits.
+    pub(crate) active: Vec<usize>,
+    /// Number of the last loan request.
+    pub(crate) last_request: u64,
+    /// Whether a spend needs a loan before the next regular tick.
+    pub(crate) urgent: bool,
+    /// Whether the hand-back has begun.
+    pub(crate) leaving: bool,
 }
 
 /// Outcome of a spend.
@@ -46,7 +65,7 @@
     Taken,
     /// Nothing was taken.
     Empty {
-        /// Time after which the own refill suffices.
+        /// Time after which the own refill suffices, at most one minute.
         retry_after: Duration,
         /// Whether a peer may lend soon, so that waiting up to 250 ms makes sense.
         loan_pending: bool,
@@ -56,8 +75,24 @@
 impl Holder {
     /// A holder without any share; `address` is the bound peer address.
     pub fn new(name: &str, address: &str, incarnation: u64, seed: u64, now: Instant) -> Self {
-        let _ = (name, address, incarnation, seed, now);
-        Self { settings: Settings::default() }
+        Self {
+            name: name.to_owned(),
+            address: address.to_owned(),
+            incarnation,
+            settings: Settings::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            created: now,
+            shares: Shares::new(now),
+            watch: Watch::new(now),
+            writer: Writer::new(now),
+            accounts: Vec::new(),
+            by_resource: Vec::new(),
+            by_name: Vec::new(),
+            active: Vec::new(),
+            last_request: 0,
+            urgent: false,
+            leaving: false,
+        }
     }
 
     /// Replaces the periods and bounds.
@@ -68,147 +103,223 @@
 
     /// Replaces all caps after a new configuration; `snapshot` has the names of their resources.
     pub fn set_caps(&mut self, caps: Vec<(Resource, Cap)>, snapshot: &Snapshot, now: Instant) {
-        let _ = (caps, snapshot, now);
-    }
-
-    /// Takes over a ledger that was read from the platform or a peer; an older version is ignored.
-    pub fn adopt_ledger(&mut self, version: u64, ledger: Ledger, now: Instant) {
-        let _ = (version, ledger, now);
+        self.settle_all(now);
+        for account in &mut self.accounts {
+            account.cap = None;
+        }
+        for (resource, cap) in caps {
+            let Some(name) = ResourceName::new(resource, snapshot) else { continue };
+            let index = self.index_or_insert(resource, name, now);
+            self.accounts[index].cap = Some(cap);
+        }
+        for account in &mut self.accounts {
+            if account.cap.is_none() {
+                account.tokens = 0.0;
+            }
+        }
+        self.settle_all(now);
     }
 
-    /// Notes that the platform has no ledger yet, so that this holder may create it.
-    pub fn ledger_missing(&mut self) {}
-
     /// Spends an amount of a rate cap.
     pub fn take(&mut self, resource: Resource, amount: f64, now: Instant) -> Take {
-        let _ = (resource, amount, now);
-        Take::Empty { retry_after: self.settings.loan, loan_pending: false }
+        self.spend(resource, Some(amount), true, now)
     }
 
     /// Repeats a spend of a waiting request without counting its demand again.
     pub fn retry_take(&mut self, resource: Resource, amount: f64, now: Instant) -> Take {
-        self.take(resource, amount, now)
+        self.spend(resource, Some(amount), false, now)
     }
 
     /// Gives back an amount that was taken but not used.
     pub fn refund(&mut self, resource: Resource, amount: f64, now: Instant) {
-        let _ = (resource, amount, now);
+        let Some(index) = self.index(resource) else { return };
+        let account = &mut self.accounts[index];
+        account.settle(&self.shares, now);
+        account.tokens += amount.max(0.0);
+        account.settle(&self.shares, now);
     }
 
     /// Takes one permit of a concurrency cap.
     pub fn acquire_permit(&mut self, resource: Resource, now: Instant) -> Take {
-        self.take(resource, 1.0, now)
+        self.spend(resource, None, true, now)
     }
 
     /// Repeats [`Self::acquire_permit`] of a waiting request without counting its demand again.
     pub fn retry_permit(&mut self, resource: Resource, now: Instant) -> Take {
-        self.acquire_permit(resource, now)
+        self.spend(resource, None, false, now)
     }
 
     /// Gives one permit back.
     pub fn release_permit(&mut self, resource: Resource, now: Instant) {
-        let _ = (resource, now);
+        let Some(index) = self.index(resource) else { return };
+        let account = &mut self.accounts[index];
+        account.settle(&self.shares, now);
+        account.in_use = account.in_use.saturating_sub(1);
     }
 
-    /// Units that this holder could lend.
+    /// Units that this holder could lend now.
     pub fn room(&mut self, resource: Resource, now: Instant) -> u32 {
-        let _ = (resource, now);
-        0
+        let Some(index) = self.index(resource) else { return 0 };
+        let until = now + self.settings.loan + self.settings.loan_margin;
+        let account = &mut self.accounts[index];
+        account.settle(&self.shares, now);
+        if self.leaving { 0 } else { account.room(&self.shares, now, until) }
     }
 
-    /// Handles a message of a peer and returns messages with their recipients.
-    pub fn receive(
-        &mut self,
-        from: &str,
-        message: Message,
-        now: Instant,
-    ) -> Vec<(String, Message)> {
-        let _ = (from, message, now);
-        Vec::new()
+    /// Burst capacity and refill rate, or permits and 0, that this holder may use now.
+    pub fn allowance(&mut self, resource: Resource, now: Instant) -> (f64, f64) {
+        let Some(index) = self.index(resource) else { return (0.0, 0.0) };
+        let account = &mut self.accounts[index];
+        account.settle(&self.shares, now);
+        let units = account.units(&self.shares, now);
+        let fraction = f64::from(units) / f64::from(crate::UNITS);
+        match account.cap {
+            Some(Cap::Rate { rate_per_s, burst }) => (burst * fraction, rate_per_s * fraction),
+            Some(Cap::Permits { .. }) => (f64::from(account.permits(units)), 0.0),
+            None => (0.0, 0.0),
+        }
     }
 
-    /// Asks peers, nearest first, for loans where demand exceeds supply; to be called every 50 ms.
-    pub fn tick(&mut self, now: Instant, peers: &[String]) -> Vec<(String, Message)> {
-        let _ = (now, peers);
-        Vec::new()
+    /// Permits in use.
+    pub fn in_use(&self, resource: Resource) -> u32 {
+        self.index(resource).map_or(0, |index| self.accounts[index].in_use)
     }
 
     /// Whether a spend since the last tick needs a loan, so that the caller ticks at once.
     pub fn needs_tick(&self) -> bool {
-        false
+        self.urgent
     }
 
-    /// Notes the sending of a heartbeat.
+    /// Notes the sending of a heartbeat; sequences rise.
     pub fn heartbeat_sent(&mut self, sequence: u64, now: Instant) {
-        let _ = (sequence, now);
+        self.watch.note_heartbeat(sequence, now);
     }
 
     /// Notes a sign of life of a peer process, with the highest heartbeat sequence of this process
-    /// that the peer says it has received.
+    /// and incarnation that the peer says it has received.
+    ///
+    /// Must be called before a heartbeat is acknowledged to its sender, because the sender counts
+    /// on this holder not reclaiming its share for the whole lease.
     pub fn heard(&mut self, peer: &str, incarnation: u64, acknowledged: Option<u64>, now: Instant) {
-        let _ = (peer, incarnation, acknowledged, now);
+        self.watch.note_heard(peer, incarnation, acknowledged, now);
     }
 
     /// Notes that a peer process is known to have ended, not only to be silent.
-    pub fn peer_gone(&mut self, peer: &str, incarnation: u64, now: Instant) {
-        let _ = (peer, incarnation, now);
+    ///
+    /// Its confirmation is no longer needed. A wrong report breaks the cap, so proof is needed: its
+    /// address refuses connections or was bound by a successor.
+    pub fn peer_gone(&mut self, peer: &str, incarnation: u64) {
+        self.watch.note_gone(peer, incarnation);
     }
 
-    /// The conditional update that is due, for a join, refresh, move, reclaim or hand-back.
-    ///
-    /// `now` must be the time just before the write is sent. The caller must report the outcome by
-    /// [`Self::proposal_done`]; until then there is no further proposal.
-    pub fn propose_ledger(&mut self, now: Instant) -> Option<Proposal> {
-        let _ = now;
-        None
+    /// Drops borrowed units and leases after the process was paused.
+    pub fn resumed_after_pause(&mut self, now: Instant) {
+        self.settle_all(now);
+        self.shares.main_until = self.shares.main_until.min(now);
+        self.shares.floor_until = self.shares.floor_until.min(now);
+        for account in &mut self.accounts {
+            account.pending.clear();
+            for loan in &mut account.borrowed {
+                loan.until = loan.until.min(now);
+            }
+        }
+        self.watch.restart(now);
+        self.writer.refresh_soon(now);
+        self.settle_all(now);
     }
 
-    /// Reports what became of the last proposal.
-    pub fn proposal_done(&mut self, outcome: WriteOutcome, now: Instant) {
-        let _ = (outcome, now);
+    /// Whether the main part may be spent.
+    pub fn main_valid(&self, now: Instant) -> bool {
+        now < self.shares.main_until
     }
 
-    /// Starts the hand-back of a graceful shutdown.
-    pub fn leave(&mut self, now: Instant) {
-        let _ = now;
+    /// Whether the floor part may be spent.
+    pub fn floor_valid(&self, now: Instant) -> bool {
+        now < self.shares.floor_until
     }
 
-    /// Whether the hand-back is complete.
-    pub fn has_left(&self) -> bool {
-        false
+    /// Own floor and main units, lent ones included.
+    pub fn share_units(&self) -> (u32, u32) {
+        (self.shares.floor, self.shares.main)
     }
 
-    /// Drops loans and leases after the process was paused.
-    pub fn resumed_after_pause(&mut self, now: Instant) {
-        let _ = now;
+    /// Brings all accounts up to `now`, before leases or units change.
+    pub(crate) fn settle_all(&mut self, now: Instant) {
+        for account in &mut self.accounts {
+            account.settle(&self.shares, now);
+        }
     }
 
-    /// Whether the main part may be spent.
-    pub fn main_valid(&self, now: Instant) -> bool {
-        let _ = now;
-        false
+    /// The account of a resource.
+    pub(crate) fn index(&self, resource: Resource) -> Option<usize> {
+        let at = self.by_resource.binary_search_by_key(&resource, |it| it.0).ok()?;
+        Some(self.by_resource[at].1)
     }
 
-    /// Burst capacity and refill rate, or permits and 0, that this holder may use now.
-    pub fn allowance(&mut self, resource: Resource, now: Instant) -> (f64, f64) {
-        let _ = (resource, now);
-        (0.0, 0.0)
+    /// The account of a named resource.
+    pub(crate) fn index_of_name(&self, name: &ResourceName) -> Option<usize> {
+        let at = self.by_name.binary_search_by(|it| it.0.cmp(name)).ok()?;
+        Some(self.by_name[at].1)
     }
-}
 
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            main_lease: Duration::from_secs(10),
-            main_margin: Duration::from_secs(2),
-            floor_lease: Duration::from_secs(30 * 60),
-            floor_margin: Duration::from_secs(60),
-            loan: Duration::from_secs(2),
-            loan_margin: Duration::from_millis(50),
-            longest_request: Duration::from_secs(60),
-            refresh: Duration::from_secs(3),
-            confirmed_refresh: Duration::from_secs(60),
-            fanout: 8,
+    /// Takes an amount of a rate cap or one permit, and notes whether a loan is needed.
+    fn spend(
+        &mut self,
+        resource: Resource,
+        amount: Option<f64>,
+        first: bool,
+        now: Instant,
+    ) -> Take {
+        let Some(index) = self.index(resource) else {
+            return Take::Empty { retry_after: Duration::from_secs(1), loan_pending: false };
+        };
+        let account = &mut self.accounts[index];
+        account.settle(&self.shares, now);
+        if first {
+            account.demand.add(amount.unwrap_or(1.0), now);
+        }
+        let outcome = match amount {
+            Some(amount) => account.take(&self.shares, amount, now),
+            None if account.acquire(&self.shares, now) => Ok(()),
+            None => Err(ANSWER_PATIENCE),
+        };
+        if outcome.is_err() && first {
+            account.demand.add_unmet(amount.unwrap_or(1.0), now);
+        }
+        if !account.active {
+            account.active = true;
+            self.active.push(index);
+        }
+        let mut asking = false;
+        if now >= account.quiet_until {
+            let low = outcome.is_err() || account.runs_low(&self.shares, LOW_HORIZON, now);
+            asking = low && account.lacking_units(&self.shares, now) > 0;
+            if asking {
+                account.quiet_until = now + QUIET;
+                self.urgent = true;
+            }
+        }
+        match outcome {
+            Ok(()) => Take::Taken,
+            Err(retry_after) => {
+                let loan_pending = asking || account.awaits_loan(ANSWER_PATIENCE, now);
+                Take::Empty { retry_after, loan_pending }
+            }
+        }
+    }
+
+    /// The account of a resource, a new one if it is not known.
+    fn index_or_insert(&mut self, resource: Resource, name: ResourceName, now: Instant) -> usize {
+        match self.by_resource.binary_search_by_key(&resource, |it| it.0) {
+            Ok(at) => self.by_resource[at].1,
+            Err(at) => {
+                let index = self.accounts.len();
+                self.accounts.push(Account::new(name.clone(), now));
+                self.by_resource.insert(at, (resource, index));
+                let at = self.by_name.partition_point(|it| it.0 < name);
+                self.by_name.insert(at, (name, index));
+                index
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/quota/src/loan.rs
@@ -0,0 +1,356 @@
+//! Loans: requests of the borrower and grants of the lender.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::{
+    Holder, LoanId, Message, UNITS,
+    account::{Account, Borrowed, Lent, Pending, Refusal},
+    holder::{ANSWER_PATIENCE, LOW_HORIZON},
+};
+
+/// Requests out of the expected even division, since some peers have less room than others.
+const OVERASK: u32 = 3;
+/// Smallest requested part; smaller loans cost more messages than they help.
+const MIN_REQUEST: u32 = UNITS / 200;
+/// Units needed beyond the measured demand.
+const HEADROOM: f64 = 1.25;
+/// Wait after the first refusal of a peer, doubled by each further one.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest wait after refusals of a peer.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// Time until an unanswered renewal is repeated.
+const RENEWAL_PATIENCE: Duration = Duration::from_millis(250);
+
+impl Holder {
+    /// Asks peers, nearest first, for loans where demand exceeds supply; to be called every 50 ms,
+    /// and at once when [`Self::needs_tick`] says so.
+    pub fn tick<S: AsRef<str>>(&mut self, now: Instant, peers: &[S]) -> Vec<(String, Message)> {
+        self.extend_leases(now);
+        self.urgent = false;
+        let mut res = Vec::new();
+        let mut active = std::mem::take(&mut self.active);
+        active.retain(|index| {
+            self.accounts[*index].settle(&self.shares, now);
+            self.return_permits(*index, now, &mut res);
+            if !self.leaving {
+                self.renew_loans(*index, now, &mut res);
+                self.request_loans(*index, now, peers, &mut res);
+            }
+            let account = &mut self.accounts[*index];
+            account.active = account.demand.is_recent(now) || !account.borrowed.is_empty();
+            account.active
+        });
+        self.active = active;
+        res
+    }
+
+    /// Handles a message of a peer and returns messages with their recipients.
+    pub fn receive(
+        &mut self,
+        from: &str,
+        message: Message,
+        now: Instant,
+    ) -> Vec<(String, Message)> {
+        let (Message::LoanRequest { resource, .. }
+        | Message::Loan { resource, .. }
+        | Message::LoanReturn { resource, .. }) = &message;
+        let Some(index) = self.index_of_name(resource) else { return Vec::new() };
+        self.accounts[index].settle(&self.shares, now);
+        match message {
+            Message::LoanRequest { id, renews, resource, units } => {
+                let loan = match renews {
+                    Some(old) => self.renew(index, from, old, units, now),
+                    None => None,
+                };
+                let renewed = loan.is_some();
+                let (units, tokens) =
+                    loan.unwrap_or_else(|| self.lend(index, from, id, units, now));
+                let duration_ms = u32::try_from(self.settings.loan.as_millis());
+                let duration_ms = duration_ms.unwrap_or(u32::MAX);
+                let answer = Message::Loan { id, renewed, resource, units, tokens, duration_ms };
+                vec![(from.to_owned(), answer)]
+            }
+            Message::Loan { id, renewed, units, tokens, duration_ms, .. } => {
+                let duration = Duration::from_millis(u64::from(duration_ms));
+                let grant = Grant { renewed, units, tokens, duration };
+                self.borrow(index, from, id, grant, now);
+                Vec::new()
+            }
+            Message::LoanReturn { id, .. } => {
+                self.accounts[index].lent.retain(|it| it.id != id || it.borrower != from);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Lends units and tokens; a repeated request gets the first answer again.
+    fn lend(&mut self, index: usize, to: &str, id: LoanId, units: u32, now: Instant) -> (u32, f64) {
+        let until = now + self.settings.loan + self.settings.loan_margin;
+        let account = &mut self.accounts[index];
+        if let Some(lent) = account.lent.iter().find(|it| it.id == id && it.borrower == to) {
+            return (lent.grants[0].0, lent.tokens);
+        }
+        let before = account.units(&self.shares, now);
+        let room = if self.leaving { 0 } else { account.room(&self.shares, now, until) };
+        let units = units.min(room);
+        if units == 0 {
+            return (0, 0.0);
+        }
+        let tokens = account.tokens * f64::from(units) / f64::from(before);
+        account.tokens -= tokens;
+        let back = if account.is_permits() { until + self.settings.longest_request } else { until };
+        let grants = vec![(units, back)];
+        account.lent.push(Lent { id, borrower: to.to_owned(), grants, tokens });
+        (units, tokens)
+    }
+
+    /// Prolongs a loan for up to `units`; `None` if it has ended.
+    fn renew(
+        &mut self,
+        index: usize,
+        to: &str,
+        id: LoanId,
+        units: u32,
+        now: Instant,
+    ) -> Option<(u32, f64)> {
+        let until = now + self.settings.loan + self.settings.loan_margin;
+        let account = &mut self.accounts[index];
+        let at = account.lent.iter().position(|it| it.id == id && it.borrower == to)?;
+        let held = account.lent[at].units(now);
+        // Units that another grant keeps out anyway, or whose lease ends too early, stay out of it.
+        let lendable = account.is_permits();
+        let lendable = self.shares.units_through(lendable, now, until);
+        let others = account.lent_units(now) - held;
+        let room = account.room(&self.shares, now, until);
+        let lacking = account.lacking_units(&self.shares, now);
+        let offer = (held + room).saturating_sub(lacking).min(lendable.saturating_sub(others));
+        let granted = if self.leaving { 0 } else { units.min(offer) };
+        if granted == 0 {
+            return Some((0, 0.0));
+        }
+        let before = account.units(&self.shares, now);
+        let extra = granted.saturating_sub(held);
+        let tokens = if extra == 0 {
+            0.0
+        } else {
+            account.tokens * f64::from(extra) / f64::from(before.max(extra))
+        };
+        account.tokens -= tokens;
+        let back = if account.is_permits() { until + self.settings.longest_request } else { until };
+        let grants = &mut account.lent[at].grants;
+        grants.retain(|it| it.0 > granted || it.1 > back);
+        grants.push((granted, back));
+        Some((granted, tokens))
+    }
+
+    /// Takes a loan that answers a pending request.
+    fn borrow(&mut self, index: usize, from: &str, id: LoanId, grant: Grant, now: Instant) {
+        let longest_request = self.settings.longest_request;
+        let account = &mut self.accounts[index];
+        let pending = account.pending.iter().position(|it| it.id == id && it.peer == from);
+        let Some(at) = pending else { return };
+        let pending = account.pending.swap_remove(at);
+        if pending.renews.is_none() || grant.units == 0 {
+            let satisfied = grant.units >= pending.units;
+            account.note_answer(from, satisfied, grant.units > 0, now);
+        }
+        let until = pending.sent + grant.duration;
+        if grant.units == 0 || until <= now {
+            return;
+        }
+        let forget_at = until + longest_request;
+        let id = if grant.renewed { pending.renews.unwrap_or(id) } else { id };
+        match account.borrowed.iter_mut().find(|it| it.id == id) {
+            Some(loan) => {
+                loan.units = grant.units;
+                loan.until = until;
+                loan.forget_at = loan.forget_at.max(forget_at);
+            }
+            None => {
+                let lender = from.to_owned();
+                account.borrowed.push(Borrowed {
+                    id,
+                    lender,
+                    units: grant.units,
+                    until,
+                    forget_at,
+                });
+            }
+        }
+        if grant.tokens.is_finite() {
+            account.tokens += grant.tokens.max(0.0);
+        }
+        account.settle(&self.shares, now);
+        if !account.active {
+            account.active = true;
+            self.active.push(index);
+        }
+    }
+
+    /// Returns ended loans of permits that the requests in progress do not need.
+    fn return_permits(&mut self, index: usize, now: Instant, out: &mut Vec<(String, Message)>) {
+        let account = &mut self.accounts[index];
+        if !account.is_permits() {
+            return;
+        }
+        let ended = account.borrowed.iter().filter(|it| it.until <= now).map(|it| it.units);
+        let mut units = account.units(&self.shares, now) + ended.sum::<u32>();
+        let mut at = 0;
+        while at < account.borrowed.len() {
+            let loan = &account.borrowed[at];
+            let without = units.saturating_sub(loan.units);
+            if now < loan.until || account.in_use > account.permits(without) {
+                at += 1;
+                continue;
+            }
+            units = without;
+            let loan = account.borrowed.swap_remove(at);
+            account.pending.retain(|it| it.renews != Some(loan.id));
+            let resource = account.name.clone();
+            out.push((loan.lender, Message::LoanReturn { id: loan.id, resource }));
+        }
+    }
+
+    /// Renews loans in the second half of their time, as far as the demand lasts.
+    fn renew_loans(&mut self, index: usize, now: Instant, out: &mut Vec<(String, Message)>) {
+        let renew_within = self.settings.loan / 2;
+        let account = &mut self.accounts[index];
+        if account.borrowed.is_empty() || !account.demand.is_recent(now) {
+            return;
+        }
+        let live = account.borrowed.iter().filter(|it| now < it.until);
+        let borrowed: u32 = live.map(|it| it.units).sum();
+        let wanted = account.wanted_units(HEADROOM, now);
+        let own = account.units(&self.shares, now).saturating_sub(borrowed);
+        let needed = u64::from(wanted.saturating_sub(own).min(borrowed));
+        if needed == 0 || borrowed == 0 {
+            return;
+        }
+        for at in 0..account.borrowed.len() {
+            let loan = &account.borrowed[at];
+            let due = now < loan.until && loan.until < now + renew_within;
+            let units = u64::from(loan.units) * needed;
+            let units = u32::try_from(units.div_ceil(u64::from(borrowed))).unwrap_or(UNITS);
+            let waiting = account
+                .pending
+                .iter()
+                .any(|it| it.renews == Some(loan.id) && now < it.sent + RENEWAL_PATIENCE);
+            if !due || waiting || account.is_refusing(&loan.lender, now) {
+                continue;
+            }
+            let (peer, renews) = (loan.lender.clone(), Some(loan.id));
+            account.pending.retain(|it| it.renews != renews);
+            self.last_request += 1;
+            let id = LoanId { incarnation: self.incarnation, number: self.last_request };
+            account.pending.push(Pending { id, peer: peer.clone(), renews, units, sent: now });
+            let resource = account.name.clone();
+            out.push((peer, Message::LoanRequest { id, renews, resource, units }));
+        }
+    }
+
+    /// Asks several peers at once when the demand exceeds the units and little is left.
+    fn request_loans<S: AsRef<str>>(
+        &mut self,
+        index: usize,
+        now: Instant,
+        peers: &[S],
+        out: &mut Vec<(String, Message)>,
+    ) {
+        let loan = self.settings.loan;
+        let account = &mut self.accounts[index];
+        account.pending.retain(|it| now < it.sent + loan);
+        account.note_unanswered(now);
+        if !account.demand.is_recent(now) {
+            return;
+        }
+        let wanted = account.wanted_units(HEADROOM, now);
+        let lacking = wanted.saturating_sub(account.units(&self.shares, now));
+        if lacking == 0 || !account.runs_low(&self.shares, LOW_HORIZON, now) {
+            return;
+        }
+        let waiting = account.pending.iter().filter(|it| it.renews.is_none());
+        let waiting = waiting.filter(|it| now < it.sent + ANSWER_PATIENCE).count();
+        let mut chosen = Vec::new();
+        for peer in peers {
+            let peer = peer.as_ref();
+            if chosen.len() + waiting >= self.settings.fanout {
+                break;
+            }
+            let pending = account.pending.iter().any(|it| it.renews.is_none() && it.peer == peer);
+            if peer != self.name && !pending && !account.is_refusing(peer, now) {
+                chosen.push(peer);
+            }
+        }
+        let asked = u32::try_from(chosen.len() + waiting).unwrap_or(UNITS).max(1);
+        let units = (lacking / asked).saturating_mul(OVERASK).max(MIN_REQUEST);
+        let units = units.min(lacking.max(MIN_REQUEST)).min(UNITS);
+        for peer in chosen {
+            self.last_request += 1;
+            let id = LoanId { incarnation: self.incarnation, number: self.last_request };
+            account.pending.push(Pending {
+                id,
+                peer: peer.to_owned(),
+                renews: None,
+                units,
+                sent: now,
+            });
+            let resource = account.name.clone();
+            let request = Message::LoanRequest { id, renews: None, resource, units };
+            out.push((peer.to_owned(), request));
+        }
+    }
+}
+
+/// What a peer granted.
+struct Grant {
+    /// Whether it prolongs a loan.
+    renewed: bool,
+    /// Granted units.
+    units: u32,
+    /// Tokens that come with it.
+    tokens: f64,
+    /// Time to use it, from the sending of the request.
+    duration: Duration,
+}
+
+impl Account {
+    /// Whether a peer had too little a short time ago.
+    fn is_refusing(&self, peer: &str, now: Instant) -> bool {
+        let at = self.refusals.binary_search_by(|it| it.peer.as_str().cmp(peer));
+        at.is_ok_and(|at| now < self.refusals[at].until)
+    }
+
+    /// Lengthens or ends the backoff of a peer.
+    fn note_answer(&mut self, peer: &str, satisfied: bool, some: bool, now: Instant) {
+        let at = self.refusals.binary_search_by(|it| it.peer.as_str().cmp(peer));
+        if satisfied {
+            if let Ok(at) = at {
+                self.refusals.remove(at);
+            }
+            return;
+        }
+        let at = at.unwrap_or_else(|at| {
+            let refusal = Refusal { peer: peer.to_owned(), until: now, count: 0 };
+            self.refusals.insert(at, refusal);
+            at
+        });
+        let refusal = &mut self.refusals[at];
+        refusal.count = if some { 1 } else { refusal.count + 1 };
+        let backoff = FIRST_BACKOFF * 2_u32.pow(refusal.count.min(8) - 1);
+        refusal.until = now + backoff.min(MAX_BACKOFF);
+    }
+
+    /// Counts requests that were not answered in time as refusals of their peers.
+    fn note_unanswered(&mut self, now: Instant) {
+        let late = self.pending.iter().filter(|it| it.renews.is_none());
+        let late = late.filter(|it| now >= it.sent + ANSWER_PATIENCE);
+        let late: Vec<String> = late.map(|it| it.peer.clone()).collect();
+        for peer in late {
+            if !self.is_refusing(&peer, now) {
+                self.note_answer(&peer, false, false, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/quota/src/share.rs
@@ -0,0 +1,92 @@
+//! The units of one process and the leases under which it may spend them.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::Settings;
+
+/// The units of one process and the leases under which it may spend them.
+#[derive(Debug)]
+pub(crate) struct Shares {
+    /// Units under the floor lease.
+    pub(crate) floor: u32,
+    /// Units under the main lease.
+    pub(crate) main: u32,
+    /// End of the main lease.
+    pub(crate) main_until: Instant,
+    /// End of the floor lease.
+    pub(crate) floor_until: Instant,
+    /// Start of spending rates; loans of a predecessor of the same name have ended by then.
+    pub(crate) rates_from: Instant,
+    /// Start of using permits; requests of a predecessor have ended by then.
+    pub(crate) permits_from: Instant,
+    /// Reclaimed units with the time by which the former holder's requests have ended.
+    pub(crate) permit_holds: Vec<(u32, Instant)>,
+}
+
+impl Shares {
+    /// No units, leases that have ended.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            floor: 0,
+            main: 0,
+            main_until: now,
+            floor_until: now,
+            rates_from: now,
+            permits_from: now,
+            permit_holds: Vec::new(),
+        }
+    }
+
+    /// Units that may be spent on a cap at a time.
+    pub(crate) fn units(&self, permits: bool, at: Instant) -> u32 {
+        self.units_through(permits, at, at + Duration::from_nanos(1))
+    }
+
+    /// Units that may be spent on a cap now and whose leases last until `until`.
+    pub(crate) fn units_through(&self, permits: bool, now: Instant, until: Instant) -> u32 {
+        let from = if permits { self.permits_from } else { self.rates_from };
+        if now < from {
+            return 0;
+        }
+        let floor = if until <= self.floor_until { self.floor } else { 0 };
+        let main = if until <= self.main_until { self.main } else { 0 };
+        let held = if permits { self.held(now) } else { 0 };
+        (floor + main).saturating_sub(held)
+    }
+
+    /// Reclaimed units whose former holder may still run requests.
+    pub(crate) fn held(&self, now: Instant) -> u32 {
+        self.permit_holds.iter().filter(|it| now < it.1).map(|it| it.0).sum()
+    }
+
+    /// Whether the units include those of a predecessor that may still be in use.
+    pub(crate) fn is_held(&self, now: Instant) -> bool {
+        now < self.rates_from || now < self.permits_from || self.held(now) > 0
+    }
+
+    /// Prolongs the leases by a refresh sent at `sent`.
+    ///
+    /// A lease that has ended is restored only by a refresh written to the platform: a reclaim may
+    /// be on its way there, and only the conditional update decides which of the two comes first.
+    pub(crate) fn extend(
+        &mut self,
+        sent: Instant,
+        written: bool,
+        settings: &Settings,
+        now: Instant,
+    ) {
+        if written || now < self.main_until {
+            self.main_until = self.main_until.max(sent + settings.main_lease);
+        }
+        if written || now < self.floor_until {
+            self.floor_until = self.floor_until.max(sent + settings.floor_lease);
+        }
+    }
+
+    /// Times between which the spendable units of a rate are constant.
+    pub(crate) fn bounds(&self) -> [Instant; 3] {
+        [self.main_until, self.floor_until, self.rates_from]
+    }
+}
