--- a/crates/quota/src/loan.rs
+++ b/crates/quota/src/loan.rs
@@ -120,14 +120,15 @@
         let at = account.lent.iter().position(|it| it.id == id && it.borrower == to)?;
         let held = account.lent[at].units(now);
         // Units that another grant keeps out anyway, or whose lease ends too early, stay out of it.
-        let lendable = account.is_permits();
-        let lendable = self.shares.units_through(lendable, now, until);
+        let lendable = self.shares.units_through(account.is_permits(), now, until);
         let others = account.lent_units(now) - held;
         let room = account.room(&self.shares, now, until);
         let lacking = account.lacking_units(&self.shares, now);
         let offer = (held + room).saturating_sub(lacking).min(lendable.saturating_sub(others));
         let granted = if self.leaving { 0 } else { units.min(offer) };
-        if granted == 0 {
+        // Permits of a larger grant stay lent for the longest request, so a cut frees nothing soon;
+        // they come back sooner when the loan ends and is returned.
+        if granted == 0 || account.is_permits() && granted < held {
             return Some((0, 0.0));
         }
         let before = account.units(&self.shares, now);
@@ -228,11 +229,19 @@
         if needed == 0 || borrowed == 0 {
             return;
         }
+        let mut covered = 0;
         for at in 0..account.borrowed.len() {
             let loan = &account.borrowed[at];
-            let due = now < loan.until && loan.until < now + renew_within;
-            let units = u64::from(loan.units) * needed;
-            let units = u32::try_from(units.div_ceil(u64::from(borrowed))).unwrap_or(UNITS);
+            let mut due = now < loan.until && loan.until < now + renew_within;
+            let mut units = loan.units;
+            if account.is_permits() {
+                // A smaller grant would not free permits at the lender, so a loan is renewed whole.
+                due &= covered < needed;
+                covered += if now < loan.until { u64::from(units) } else { 0 };
+            } else {
+                let part = u64::from(units) * needed;
+                units = u32::try_from(part.div_ceil(u64::from(borrowed))).unwrap_or(UNITS);
+            }
             let waiting = account
                 .pending
                 .iter()
--- a/crates/quota/src/proposal.rs
+++ b/crates/quota/src/proposal.rs
@@ -341,7 +341,7 @@
 
     /// Gives own units to live owners that have far less than an even share; whether it did.
     fn even_out(&self, ledger: &mut Ledger, own: usize, now: Instant) -> bool {
-        if self.shares.is_held(now) || now >= self.shares.main_until {
+        if now >= self.shares.main_until {
             return false;
         }
         let live = self.live(ledger, own, now);
@@ -349,7 +349,8 @@
             return false;
         }
         let own_units = ledger.holders[own].floor + ledger.holders[own].main;
-        let mut free = own_units.saturating_sub(self.retained_units(now));
+        let held = self.shares.held_permits(now).saturating_add(self.retained_units(now));
+        let mut free = own_units.saturating_sub(held);
         let mut changed = false;
         for part in [Part::Main, Part::Floor] {
             let given = division::even_out(ledger, &live, own, part, free);
@@ -365,7 +366,7 @@
         live.retain(|at| *at != own);
         let record = &mut ledger.holders[own];
         let units = record.floor + record.main;
-        if units > 0 && (live.is_empty() || self.shares.is_held(now)) {
+        if units > 0 && (live.is_empty() || now < self.shares.rates_from) {
             return false;
         }
         let keep = self.retained_units(now).min(units);
@@ -375,6 +376,8 @@
         record.main -= main;
         division::spread(ledger, &live, Part::Floor, floor);
         division::spread(ledger, &live, Part::Main, main);
+        // Requests of a former holder may still use these; counted as reclaimed, they wait there.
+        division::count_reclaimed(ledger, &live, self.shares.held_permits(now).min(floor + main));
         if keep == 0 {
             ledger.holders.remove(own);
         }
--- a/crates/quota/src/share.rs
+++ b/crates/quota/src/share.rs
@@ -57,13 +57,14 @@
     }
 
     /// Reclaimed units whose former holder may still run requests.
-    pub(crate) fn held(&self, now: Instant) -> u32 {
+    fn held(&self, now: Instant) -> u32 {
         self.permit_holds.iter().filter(|it| now < it.1).map(|it| it.0).sum()
     }
 
-    /// Whether the units include those of a predecessor that may still be in use.
-    pub(crate) fn is_held(&self, now: Instant) -> bool {
-        now < self.rates_from || now < self.permits_from || self.held(now) > 0
+    /// Own units whose permits a former holder or predecessor may still use.
+    pub(crate) fn held_permits(&self, now: Instant) -> u32 {
+        let own = self.floor + self.main;
+        if now < self.permits_from { own } else { self.held(now).min(own) }
     }
 
     /// Prolongs the leases by a refresh sent at `sent`.
--- /dev/null
+++ b/crates/quota/tests/parts.rs
@@ -0,0 +1,91 @@
+//! Fair queue, names and encodings.
+
+use kingcupford_config::{Snapshot, Tenant, TenantId};
+use kingcupford_quota::{FairQueue, Ledger, LoanId, Message, Resource, ResourceName, ShareRecord};
+
+/// Guards against a large tenant that delays small ones.
+#[test]
+fn fair_queue_small_tenant_first() {
+    let (large, small) = (TenantId(0), TenantId(1));
+    let mut queue = FairQueue::new(50);
+    for at in 0..50 {
+        queue.push(large, 1.0, at).expect("room");
+    }
+    assert_eq!(queue.push(large, 1.0, 99), Err(99), "the tenant's bound");
+    queue.push(small, 1.0, 100).expect("room for another tenant");
+    let order: Vec<_> = std::iter::from_fn(|| queue.pop()).take(3).collect();
+    assert!(order.contains(&(small, 100)), "{order:?}");
+    assert_eq!((queue.len(), queue.waiting(large), queue.waiting(small)), (48, 48, 0));
+}
+
+/// Guards against weights that have no effect, and against credit for idle times.
+#[test]
+fn fair_queue_weights() {
+    let (a, b) = (TenantId(0), TenantId(1));
+    let mut queue = FairQueue::new(100);
+    for _ in 0..40 {
+        queue.push(a, 1.0, ()).expect("room");
+        queue.pop();
+    }
+    for _ in 0..80 {
+        queue.push(a, 3.0, ()).expect("room");
+        queue.push(b, 1.0, ()).expect("room");
+    }
+    let served = std::iter::from_fn(|| queue.pop()).take(40).filter(|it| it.0 == a).count();
+    assert!((28..=32).contains(&served), "{served} of 40 for weight 3 to 1");
+    queue.retain(|_| false);
+    assert!(queue.is_empty() && queue.pop().is_none());
+}
+
+/// Guards against names that do not lead back to their resource.
+#[test]
+fn resource_name_round_trip() {
+    let mut snapshot = Snapshot::default();
+    let tenant = Tenant {
+        name: "kennel".to_owned(),
+        rate_per_s: 1.0,
+        burst: 1.0,
+        when_isolated: kingcupford_config::IsolationPolicy::Serve,
+    };
+    let resource = Resource::TenantRate(snapshot.tenants.insert("kennel", tenant));
+    let name = ResourceName::new(resource, &snapshot).expect("a known tenant");
+    assert_eq!(name, ResourceName::TenantRate("kennel".to_owned()));
+    assert_eq!(name.resource(&snapshot), Some(resource));
+    assert_eq!(ResourceName::TenantRate("other".to_owned()).resource(&snapshot), None);
+    assert_eq!(ResourceName::new(Resource::TenantRate(TenantId(9)), &snapshot), None);
+}
+
+/// Guards against messages that change on the way.
+#[test]
+fn message_round_trip() {
+    let message = Message::LoanRequest {
+        id: LoanId { incarnation: 3, number: 9 },
+        renews: None,
+        resource: ResourceName::Link { from: "alpen".to_owned(), to: "jura".to_owned() },
+        units: 70_000,
+    };
+    let config = bincode::config::standard();
+    let bytes = bincode::encode_to_vec(&message, config).expect("encodable");
+    let (decoded, _): (Message, _) = bincode::decode_from_slice(&bytes, config).expect("decodable");
+    assert_eq!(decoded, message);
+}
+
+/// Guards against a damaged ledger that hands out more than the whole cap.
+#[test]
+fn ledger_inconsistent() {
+    let record = |name: &str, main| ShareRecord {
+        name: name.to_owned(),
+        address: String::new(),
+        incarnation: 1,
+        floor: 0,
+        main,
+        counter: 0,
+        joined: 1,
+        acknowledged: 1,
+        reclaimed: 0,
+    };
+    let ledger = |holders| Ledger { generation: 1, holders };
+    assert!(ledger(vec![record("a", 600_000), record("b", 400_000)]).is_consistent());
+    assert!(!ledger(vec![record("a", 600_000), record("b", 400_001)]).is_consistent());
+    assert!(!ledger(vec![record("b", 1), record("a", 1)]).is_consistent());
+}
