--- a/crates/rollout/src/latency.rs
+++ b/crates/rollout/src/latency.rs
@@ -25,6 +25,10 @@
 /// Added to the 95th percentile, so that a version a few percent slower is not called faulty.
 const TOLERANCE: f64 = 1.1;
 
+/// Factor on the limit while the new version has all traffic and the limit is not learned any more;
+/// the latency of a whole service moves by about so much in a minute of an ordinary day.
+const STALE_TOLERANCE: f64 = 1.5;
+
 /// Learns the old version's 95th percentile over the last minute.
 #[derive(Debug)]
 pub(crate) struct SlowLimit {
@@ -52,9 +56,15 @@
     /// Whether a response is slow; `None` while the limit is unknown.
     ///
     /// The limit depends only on earlier responses, so both versions are judged alike.
-    pub(crate) fn is_slow(&mut self, latency: Duration, now: Instant) -> Option<bool> {
+    pub(crate) fn is_slow(
+        &mut self,
+        latency: Duration,
+        is_stale: bool,
+        now: Instant,
+    ) -> Option<bool> {
         self.advance(now);
-        self.limit.map(|it| latency > it)
+        let factor = if is_stale { STALE_TOLERANCE } else { 1.0 };
+        self.limit.map(|it| latency > it.mul_f64(factor))
     }
 
     /// Learns a successful response of the old version.
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -144,6 +144,8 @@
     Failures,
     /// More responses are slow.
     Slow,
+    /// It is bad whenever it has all traffic, and good when it has half.
+    UnderLoad,
 }
 
 /// What the new version got on one route.
--- a/crates/rollout/src/sequential.rs
+++ b/crates/rollout/src/sequential.rs
@@ -33,9 +33,9 @@
     /// Ratios of slow responses, of which the old version has 5%.
     ///
     /// One pause of one instance makes a burst of slow responses that are not independent; the cap
-    /// makes an alarm need slow responses in at least three different seconds.
+    /// makes an alarm need slow responses in at least two different seconds, later on three.
     pub(crate) const SLOW: Self =
-        Self { null: 2.0, alternatives: [4.0, 10.0, 25.0, 100.0], cap_per_s: 6.0 };
+        Self { null: 2.0, alternatives: [4.0, 10.0, 25.0, 100.0], cap_per_s: 8.0 };
 }
 
 /// Tests whether bad responses come from the new version more often than its share explains.
@@ -106,9 +106,14 @@
 
     /// Whether the evidence suffices.
     pub(crate) fn is_faulty(&self) -> bool {
+        self.evidence() >= self.threshold
+    }
+
+    /// Logarithm of the capital over all alternatives.
+    pub(crate) fn evidence(&self) -> f64 {
         let largest = self.capital.into_iter().fold(f64::NEG_INFINITY, f64::max);
         let sum: f64 = self.capital.iter().map(|it| (it - largest).exp()).sum();
-        largest + (sum / ALTERNATIVES as f64).ln() >= self.threshold
+        largest + (sum / ALTERNATIVES as f64).ln()
     }
 
     /// Adds the beginnings that are due.
--- a/crates/rollout/src/suspicion.rs
+++ b/crates/rollout/src/suspicion.rs
@@ -6,10 +6,29 @@
 
 use crate::evidence::Tally;
 
-/// How long half of the traffic goes to the old version for comparison.
-const SAMPLE: Duration = Duration::from_secs(30);
+/// Least time in which half of the traffic goes to the old version for comparison.
+const MIN_SAMPLE: Duration = Duration::from_secs(10);
 
-/// Time without suspicion before the watch time may end.
+/// Longest such time, for routes with thin traffic.
+const MAX_SAMPLE: Duration = Duration::from_secs(60);
+
+/// Requests to the new version that end a sample; 35 failures of 35 suffice for an alarm at 50%.
+const SAMPLE_REQUESTS: u64 = 50;
+
+/// Time after a sample in which a new suspicion counts as a relapse.
+const RELAPSE_WITHIN: Duration = Duration::from_secs(10);
+
+/// Requests with all traffic after a sample in which a new suspicion counts as a relapse, whatever
+/// time they took: samples of other routes can delay the return to all traffic.
+const RELAPSE_REQUESTS: u64 = 50;
+
+/// Consecutive relapses that keep a rollout from being done.
+const DOUBTFUL_RELAPSES: u32 = 2;
+
+/// Consecutive relapses that show a fault which only appears with all traffic.
+const FAULTY_RELAPSES: u32 = 3;
+
+/// Time without suspicion after which relapses are forgotten.
 const CLEAR: Duration = Duration::from_secs(30);
 
 /// Logarithm of the evidence for a suspicion; a false one costs only a control sample.
@@ -19,6 +38,10 @@
 const MEMORY: f64 = 2_000.0;
 
 /// Compares the new version with what the old one did before, by a cumulative sum.
+///
+/// A suspicion alone rolls nothing back, since a dependency may be the cause: it opens a control
+/// sample, in which the sequential test compares both versions. A fault that vanishes during each
+/// sample and is back right after it depends on the load.
 #[derive(Debug, Clone)]
 pub(crate) struct Suspicion {
     /// Least fraction of bad responses that is expected.
@@ -29,21 +52,41 @@
     old_bad: f64,
     /// Logarithm of the evidence.
     evidence: f64,
-    /// End of the control sample.
-    sample_until: Option<Instant>,
+    /// Start of the last control sample.
+    sample_start: Option<Instant>,
+    /// Requests to the new version in the last control sample.
+    sampled: u64,
+    /// End of the last control sample, `None` while it is open.
+    sample_end: Option<Instant>,
+    /// Requests with all traffic since the last control sample.
+    after_sample: u64,
+    /// Consecutive relapses.
+    relapses: u32,
 }
 
 impl Suspicion {
     /// No suspicion; `floor` is the fraction of bad responses that is always expected.
     pub(crate) fn new(floor: f64) -> Self {
-        Self { floor, old: 0.0, old_bad: 0.0, evidence: 0.0, sample_until: None }
+        Self {
+            floor,
+            old: 0.0,
+            old_bad: 0.0,
+            evidence: 0.0,
+            sample_start: None,
+            sampled: 0,
+            sample_end: None,
+            after_sample: 0,
+            relapses: 0,
+        }
     }
 
     /// Learns responses of the old version.
     pub(crate) fn learn(&mut self, count: u64, bad: u64) {
         self.old += count as f64;
         self.old_bad += bad as f64;
-        self.shrink(MEMORY);
+        if self.old > MEMORY {
+            self.weigh(MEMORY / 2.0);
+        }
     }
 
     /// Adds responses of the new version that came while it had all traffic.
@@ -51,6 +94,7 @@
         if self.is_open(now) {
             return;
         }
+        self.after_sample += count;
         let expected = 1.5 * (self.old_bad + 0.5) / (self.old + 100.0);
         let null = expected.max(self.floor).min(0.6);
         let alternative = (5.0 * null).clamp(0.05, 0.95);
@@ -58,30 +102,60 @@
         let gain = bad as f64 * (alternative / null).ln()
             + good * ((1.0 - alternative) / (1.0 - null)).ln();
         self.evidence = (self.evidence + gain).max(0.0);
-        if self.evidence >= THRESHOLD {
-            self.evidence = 0.0;
-            self.sample_until = Some(now + SAMPLE);
-            // The sample shall outweigh what the old version did under other conditions.
-            self.shrink(100.0);
+        if self.evidence < THRESHOLD {
+            return;
+        }
+        let is_relapse = self
+            .sample_end
+            .is_some_and(|it| now < it + RELAPSE_WITHIN || self.after_sample <= RELAPSE_REQUESTS);
+        self.relapses = if is_relapse { self.relapses + 1 } else { 0 };
+        self.evidence = 0.0;
+        self.sampled = 0;
+        self.after_sample = 0;
+        self.sample_start = Some(now);
+        self.sample_end = None;
+        // The sample shall outweigh what the old version did under other conditions.
+        self.weigh(100.0);
+    }
+
+    /// Counts requests to the new version during a control sample.
+    pub(crate) fn sample(&mut self, count: u64) {
+        self.sampled += count;
+    }
+
+    /// Whether a control sample is being taken, which is ended here when it suffices.
+    pub(crate) fn is_open(&mut self, now: Instant) -> bool {
+        let Some(start) = self.sample_start else { return false };
+        if self.sample_end.is_some() {
+            return false;
         }
+        let is_enough = self.sampled >= SAMPLE_REQUESTS && now >= start + MIN_SAMPLE;
+        if is_enough || now >= start + MAX_SAMPLE {
+            self.sample_end = Some(now);
+            return false;
+        }
+        true
     }
 
-    /// Whether a control sample is being taken.
-    pub(crate) fn is_open(&self, now: Instant) -> bool {
-        self.sample_until.is_some_and(|it| now < it)
+    /// Whether a sample is open or the fault came back after samples.
+    pub(crate) fn is_doubtful(&self, now: Instant) -> bool {
+        match (self.sample_start, self.sample_end) {
+            (None, _) => false,
+            (Some(_), None) => true,
+            (Some(_), Some(end)) => self.relapses >= DOUBTFUL_RELAPSES && now < end + CLEAR,
+        }
     }
 
-    /// Whether the last suspicion ended long enough ago.
-    pub(crate) fn is_clear(&self, now: Instant) -> bool {
-        self.sample_until.is_none_or(|it| now >= it + CLEAR)
+    /// Whether the fault came back after so many samples that it depends on the load.
+    pub(crate) fn depends_on_load(&self) -> bool {
+        self.relapses >= FAULTY_RELAPSES
     }
 
-    /// Lowers the weight of the old version's responses.
-    fn shrink(&mut self, to: f64) {
+    /// Lowers the weight of the old version's responses to that of `to` responses.
+    fn weigh(&mut self, to: f64) {
         if self.old > to {
-            let factor = to / self.old / if to == MEMORY { 2.0 } else { 1.0 };
-            self.old *= factor;
-            self.old_bad *= factor;
+            self.old_bad *= to / self.old;
+            self.old = to;
         }
     }
 }
