Run the whole path end to end on loopback

Cause: the crates had no process that joins them. Change: the engine composes shares, placement, request ids, quarantine, rollouts and membership; the entry host serves lookups and forwards over real sockets; the demo runs stand-ins and four hosts in one process and verifies a whole exchange. Conclusion: the thin path stands; failures and measurements come next.

--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -1,3 +1,65 @@
-//! The whole path in one process on loopback.
+//! Runs the whole path in one process on loopback.
 
-fn main() {}
+use std::process::ExitCode;
+
+use kingcupford_demo::{Deployment, DeploymentSettings, check};
+use kingcupford_telemetry::{LogSettings, init_logs};
+
+mod flags {
+    #![allow(missing_docs, clippy::missing_docs_in_private_items)]
+
+    xflags::xflags! {
+        /// The whole path in one process: platform, upstreams and entry hosts on loopback.
+        cmd kingcupford-demo {
+            /// Runs a whole exchange, prints what was verified and exits with 0 or 1.
+            optional --check
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let flags = flags::KingcupfordDemo::from_env_or_exit();
+    let res = if flags.check { run_check().await } else { serve().await };
+    match res {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("kingcupford-demo: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a whole exchange and prints what was verified.
+async fn run_check() -> anyhow::Result<()> {
+    let mut deployment = Deployment::start(DeploymentSettings::default()).await?;
+    for line in check(&mut deployment).await? {
+        println!("ok: {line}");
+    }
+    Ok(())
+}
+
+/// Serves until interrupted and prints commands to try.
+async fn serve() -> anyhow::Result<()> {
+    init_logs(&LogSettings { level: "info".to_owned(), source: "demo".to_owned() })?;
+    let deployment = Deployment::start(DeploymentSettings::default()).await?;
+    let (key, version) = deployment.issue_key("demo-1", "school-1").await?;
+    deployment.active_everywhere(version).await?;
+    let base = deployment.url(0)?;
+    let key = key.reveal();
+    println!("Platform: http://{}", deployment.platform.address());
+    println!("Try:");
+    println!("  curl '{base}/v1/lookup?service=ledger-view&client=10.2.0.7'");
+    println!("  curl -i -H 'authorization: Bearer {key}' {base}/ledger-view/balances/7");
+    println!("  curl -i {base}/ledger-view/balances/7");
+    println!(
+        "  curl -i -X POST -d '{{}}' -H 'authorization: Bearer {key}' {base}/deposit-desk/deposits"
+    );
+    println!("  curl -i -X POST -d '{{}}' -H 'authorization: Bearer {key}' \\");
+    println!(
+        "    -H 'kingcupford-request-id: <binding of the answer above>.1' {base}/deposit-desk/deposits"
+    );
+    println!("Interrupt with ctrl-c.");
+    tokio::signal::ctrl_c().await?;
+    Ok(())
+}
--- a/crates/engine/src/caps.rs
+++ b/crates/engine/src/caps.rs
@@ -49,16 +49,14 @@
 }
 
 /// Requests of a service that a region runs at the same time, as the versions' shares allow.
-fn region_permits(
-    snapshot: &Snapshot,
-    service: ServiceId,
-    region: RegionId,
-    split: Split,
-) -> u32 {
+fn region_permits(snapshot: &Snapshot, service: ServiceId, region: RegionId, split: Split) -> u32 {
     let slots = |version: VersionId| -> f64 {
         let Some(version) = snapshot.versions.value(version) else { return 0.0 };
         let instances = version.instances.iter().map(|it| &snapshot.instances[*it]);
-        instances.filter(|it| it.region == region && !it.draining).map(|it| f64::from(it.slots)).sum()
+        instances
+            .filter(|it| it.region == region && !it.draining)
+            .map(|it| f64::from(it.slots))
+            .sum()
     };
     let old = slots(split.old);
     let new = split.new.map_or(0.0, slots);
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -216,7 +216,8 @@
         if document.version <= self.snapshot.version.0 {
             return Ok(None);
         }
-        let head: Head = serde_json::from_slice(&document.bytes).context("head of configuration")?;
+        let head: Head =
+            serde_json::from_slice(&document.bytes).context("head of configuration")?;
         let documents = self.fleet.documents();
         let chunks = head.chunks.iter().map(|it| documents.chunk(&it.sha256).cloned());
         let Some(chunks) = chunks.collect::<Option<Vec<_>>>() else { return Ok(None) };
@@ -245,7 +246,11 @@
     }
 
     /// Writes of rollout objects that are due.
-    pub fn rollout_writes(&mut self, now: Instant, unix_ms: u64) -> Vec<kingcupford_rollout::Write> {
+    pub fn rollout_writes(
+        &mut self,
+        now: Instant,
+        unix_ms: u64,
+    ) -> Vec<kingcupford_rollout::Write> {
         let reachable = self.fleet.reach(now).platform;
         self.rollouts.writes(now, unix_ms, reachable)
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -17,9 +17,7 @@
     caps,
     lookup::NamedHost,
     place::Placement,
-    request::{
-        Admission, AttemptEnd, Next, Reason, Refusal, RequestHead, ShownKey, Ticket,
-    },
+    request::{Admission, AttemptEnd, Next, Reason, Refusal, RequestHead, ShownKey, Ticket},
     rollouts::Rollouts,
 };
 
@@ -151,6 +149,15 @@
     pub(crate) pick: Option<kingcupford_rollout::Pick>,
 }
 
+/// What each tick reports to metrics and logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Health {
+    /// Whether the host hears neither the platform nor another zone.
+    pub isolated: bool,
+    /// Live hosts in this host's view, itself included.
+    pub live_members: usize,
+}
+
 /// What operators and tests see of an engine.
 #[derive(Debug, Clone, PartialEq, serde::Serialize)]
 pub struct Status {
@@ -168,7 +175,9 @@
     pub main_share: bool,
     /// Requests that were admitted and are not finished.
     pub in_flight: usize,
-    /// Names and states of the members in this host's view.
+    /// Services whose new version this host stopped, with the reason.
+    pub stopped_rollouts: Vec<(String, String)>,
+    /// Names, zones and states of the members in this host's view.
     pub members: Vec<(String, String, String)>,
 }
 
@@ -397,9 +406,7 @@
         };
         Err(match self.request_ids.begin(text, tenant, now) {
             Begin::Run(key) => return Ok(key),
-            Begin::Running => {
-                Refusal::new(Reason::RequestIdRunning).with_outcome(Outcome::Unknown)
-            }
+            Begin::Running => Refusal::new(Reason::RequestIdRunning).with_outcome(Outcome::Unknown),
             Begin::Executed { status } => Refusal::new(Reason::RequestIdExecuted)
                 .with_outcome(Outcome::Executed)
                 .with_detail(status.to_string()),
@@ -494,7 +501,7 @@
             self.balancer.marked_draining(placement.instance, now + DRAIN_MARK);
         }
         if let Some(pick) = pick {
-            self.rollouts.observe(service, route, pick, end, now);
+            self.rollouts.observe(service, route, placement.instance, pick, end, now);
         }
     }
 
@@ -537,9 +544,8 @@
         let ran = request.may_have_run || matches!(end.outcome, AttemptOutcome::Answered { .. });
         if let Some(key) = request.key {
             let record = match end.status {
-                Some(status) if matches!(end.outcome, AttemptOutcome::Answered { .. }) => {
-                    End::Executed { status }
-                }
+                // The head of an answer came, so it ran, even if the caller or the body was lost.
+                Some(status) => End::Executed { status },
                 _ if ran || end.byte_sent && request.attempts > 0 => End::Unknown,
                 _ => End::NotRun,
             };
@@ -564,6 +570,25 @@
         Some((zone, self.snapshot.region_of(zone)))
     }
 
+    /// Whether this host takes no new work.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// What each tick reports to metrics and logs.
+    pub fn health(&self, now: Instant) -> Health {
+        let members = self.fleet.members().iter();
+        Health {
+            isolated: self.fleet.isolated(now),
+            live_members: members.filter(|it| it.state == MemberState::Live).count(),
+        }
+    }
+
+    /// Region of this host.
+    pub fn home_region(&self) -> Option<RegionId> {
+        self.home().map(|it| it.1)
+    }
+
     /// Requests that were admitted and are not finished.
     pub fn in_flight(&self) -> usize {
         self.requests.len()
@@ -580,6 +605,11 @@
             platform: self.fleet.reach(now).platform,
             main_share: self.holder.main_valid(now),
             in_flight: self.requests.len(),
+            stopped_rollouts: self
+                .rollouts
+                .stops()
+                .map(|(service, reason)| (service.to_owned(), format!("{reason:?}")))
+                .collect(),
             members: self
                 .fleet
                 .members()
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use crate::{
     control::{LEDGER, PendingConfig, ROLLOUT_PREFIX},
-    engine::{Engine, EngineSettings, Status},
+    engine::{Engine, EngineSettings, Health, Status},
     lookup::{LookupAnswer, LookupQuery, NamedHost},
     message::{Envelope, Message},
     request::{
--- a/crates/engine/src/place.rs
+++ b/crates/engine/src/place.rs
@@ -4,8 +4,8 @@
 
 use kingcupford_config::{InstanceId, RegionId, ServiceId, ShiftId, VersionId};
 use kingcupford_quota::{Resource, Take};
-use kingcupford_route::{AllowedRegion, AttemptOutcome, ChoiceQuery, Outcome};
 use kingcupford_rollout::Side;
+use kingcupford_route::{AllowedRegion, AttemptOutcome, ChoiceQuery, Outcome};
 use tokio::time::Instant;
 
 use crate::{
@@ -264,9 +264,8 @@
     /// Whether any instance of a service may take work.
     fn has_instance(&self, service: ServiceId) -> bool {
         let mut instances = self.snapshot.instances.iter();
-        instances.any(|(id, it)| {
-            it.service == service && !it.draining && !self.balancer.is_ejected(id)
-        })
+        instances
+            .any(|(id, it)| it.service == service && !it.draining && !self.balancer.is_ejected(id))
     }
 
     /// The attempt of a placed request.
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -5,8 +5,8 @@
 use kingcupford_config::{
     CallerKey, InstanceId, RegionId, RouteId, ServiceId, TenantId, VersionId,
 };
-use kingcupford_route::{AttemptOutcome, Fingerprint, Outcome};
 use kingcupford_rollout::Pick;
+use kingcupford_route::{AttemptOutcome, Fingerprint, Outcome};
 use strum::{Display, EnumIter, IntoStaticStr};
 use tokio::time::Instant;
 
--- a/crates/engine/src/rollouts.rs
+++ b/crates/engine/src/rollouts.rs
@@ -1,17 +1,19 @@
 //! Rollouts of all services on one host.
 
-use std::collections::BTreeSet;
-
-use kingcupford_config::{RouteId, ServiceId, Snapshot};
+use kingcupford_config::{InstanceId, RouteId, ServiceId, Snapshot};
 use kingcupford_rollout::{
     Controller, Evidence, FaultTest, Outcome, Pick, Reason, Rollout, Splitter, State, TestPlan,
     Verdict, View, Write, WriteOutcome,
 };
 use kingcupford_route::AttemptOutcome;
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant};
 
 use crate::{caps::Split, message::RolloutStop, request::AttemptEnd};
 
+/// Requests lost with one instance within this time count as one failure, since one crash breaks
+/// all of its connections.
+const CRASH_WINDOW: Duration = Duration::from_secs(1);
+
 /// The rollouts of all services, by service key.
 #[derive(Debug)]
 pub(crate) struct Rollouts {
@@ -40,8 +42,8 @@
     test: FaultTest,
     /// Advances the rollout while this host holds the lease.
     controller: Controller,
-    /// Services whose instance losses were blamed on a version already, by instance and second.
-    blamed: BTreeSet<(u32, u64)>,
+    /// Instances whose loss was counted, with the time, sorted by instance.
+    lost: Vec<(InstanceId, Instant)>,
 }
 
 /// What a tick of the rollouts asks for.
@@ -71,15 +73,15 @@
                     splitter: Splitter::new(seed),
                     test: FaultTest::new(&self.host, self.incarnation, TestPlan { hosts: 8 }),
                     controller: Controller::new(&self.host, seed),
-                    blamed: BTreeSet::new(),
+                    lost: Vec::new(),
                 });
             }
             let state = &mut self.services[usize::from(id.0)];
             state.name.clone_from(&service.name);
             let routes = service.routes.iter();
-            state.test.set_routes(
-                routes.map(|it| (*it, snapshot.routes[*it].path_prefix.as_str())),
-            );
+            state
+                .test
+                .set_routes(routes.map(|it| (*it, snapshot.routes[*it].path_prefix.as_str())));
             let rollout = state.rollout.clone();
             state.test.install(rollout.as_ref(), now);
         }
@@ -133,6 +135,7 @@
         &mut self,
         service: ServiceId,
         route: RouteId,
+        instance: InstanceId,
         pick: Pick,
         end: &AttemptEnd,
         now: Instant,
@@ -145,6 +148,10 @@
             | AttemptOutcome::TimedOut => Outcome::Failure,
             AttemptOutcome::Shed | AttemptOutcome::Refused | AttemptOutcome::Cancelled => return,
         };
+        if matches!(end.outcome, AttemptOutcome::Broken { .. }) && !state.count_loss(instance, now)
+        {
+            return;
+        }
         state.test.observe(route, pick, outcome, end.latency, now);
     }
 
@@ -184,9 +191,10 @@
 
     /// What this host counted in open rollouts.
     pub(crate) fn evidence(&self) -> Vec<Evidence> {
-        let open = self.services.iter().filter(|it| {
-            it.rollout.as_ref().is_some_and(|it| !it.state.is_final())
-        });
+        let open = self
+            .services
+            .iter()
+            .filter(|it| it.rollout.as_ref().is_some_and(|it| !it.state.is_final()));
         open.filter_map(|it| it.test.evidence()).collect()
     }
 
@@ -220,3 +228,20 @@
         self.services.iter().filter_map(|it| Some((it.name.as_str(), it.splitter.stopped()?)))
     }
 }
+
+impl ServiceRollout {
+    /// Whether the loss of a connection to an instance is the first one of its crash.
+    fn count_loss(&mut self, instance: InstanceId, now: Instant) -> bool {
+        match self.lost.binary_search_by_key(&instance, |it| it.0) {
+            Ok(at) if now < self.lost[at].1 + CRASH_WINDOW => false,
+            Ok(at) => {
+                self.lost[at].1 = now;
+                true
+            }
+            Err(at) => {
+                self.lost.insert(at, (instance, now));
+                true
+            }
+        }
+    }
+}
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -16,7 +16,7 @@
 
 /// The body of one request, shared by its attempts.
 #[derive(Clone)]
-pub struct ReplayBody {
+pub(crate) struct ReplayBody {
     /// What was read and what is still to come.
     state: Arc<Mutex<State>>,
 }
@@ -35,14 +35,14 @@
 
 impl ReplayBody {
     /// Wraps the body of a caller's request.
-    pub fn new(body: impl Stream<Item = io::Result<Bytes>> + Send + 'static) -> Self {
+    pub(crate) fn new(body: impl Stream<Item = io::Result<Bytes>> + Send + 'static) -> Self {
         let state =
             State { kept: Vec::new(), kept_bytes: 0, overflowed: false, rest: body.boxed() };
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
     /// Reads the first chunk without losing it.
-    pub async fn first_bytes(&self) -> io::Result<Bytes> {
+    pub(crate) async fn first_bytes(&self) -> io::Result<Bytes> {
         std::future::poll_fn(|context| match self.state.lock().poll_next(context) {
             Poll::Ready(None) => Poll::Ready(Ok(Bytes::new())),
             Poll::Ready(Some(it)) => Poll::Ready(it),
@@ -52,12 +52,12 @@
     }
 
     /// Whether a further attempt can send the body from its start.
-    pub fn can_replay(&self) -> bool {
+    pub(crate) fn can_replay(&self) -> bool {
         !self.state.lock().overflowed
     }
 
     /// The body from its start, for one attempt.
-    pub fn attempt(&self) -> AttemptBody {
+    pub(crate) fn attempt(&self) -> AttemptBody {
         AttemptBody { state: Arc::clone(&self.state), position: 0 }
     }
 }
@@ -82,7 +82,7 @@
 }
 
 /// Streams a body to one upstream.
-pub struct AttemptBody {
+pub(crate) struct AttemptBody {
     /// What was read and what is still to come.
     state: Arc<Mutex<State>>,
     /// Kept chunks that were already sent by this attempt.
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -6,22 +6,22 @@
 const OWN_PREFIX: &str = "kingcupford-";
 
 /// Header with the outcome of a request.
-pub const OUTCOME: HeaderName = HeaderName::from_static("kingcupford-outcome");
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("kingcupford-outcome");
 
 /// Header with the id of a request that is not idempotent.
-pub const REQUEST_ID: HeaderName = HeaderName::from_static("kingcupford-request-id");
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("kingcupford-request-id");
 
 /// Header with a fresh binding for request ids.
-pub const BINDING: HeaderName = HeaderName::from_static("kingcupford-binding");
+pub(crate) const BINDING: HeaderName = HeaderName::from_static("kingcupford-binding");
 
 /// Header with the time left for a request.
-pub const DEADLINE_MS: HeaderName = HeaderName::from_static("kingcupford-deadline-ms");
+pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("kingcupford-deadline-ms");
 
 /// Header with the tenant of a request.
-pub const TENANT: HeaderName = HeaderName::from_static("kingcupford-tenant");
+pub(crate) const TENANT: HeaderName = HeaderName::from_static("kingcupford-tenant");
 
 /// Header by which an upstream says that it drains.
-pub const DRAINING: HeaderName = HeaderName::from_static("kingcupford-draining");
+pub(crate) const DRAINING: HeaderName = HeaderName::from_static("kingcupford-draining");
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [&str; 9] = [
@@ -37,7 +37,7 @@
 ];
 
 /// Headers of a request that pass to the upstream.
-pub fn to_upstream(headers: &HeaderMap) -> HeaderMap {
+pub(crate) fn to_upstream(headers: &HeaderMap) -> HeaderMap {
     let mut res = end_to_end(headers);
     res.remove(header::AUTHORIZATION);
     res.remove(header::HOST);
@@ -46,7 +46,7 @@
 }
 
 /// Headers of an answer that pass to the caller.
-pub fn to_caller(headers: &HeaderMap) -> HeaderMap {
+pub(crate) fn to_caller(headers: &HeaderMap) -> HeaderMap {
     end_to_end(headers)
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,17 @@
 //! The entry host: lookups and forwarding.
+
+mod admin;
+mod api;
+mod body;
+mod control;
+mod forward;
+mod headers;
+mod host;
+mod respond;
+mod settings;
+mod upstream;
+
+pub use crate::{
+    host::{EntryHost, Shutdown},
+    settings::{CallerTls, Limits, PeerTls, Seed, Settings, SettingsFault},
+};
--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -1,7 +1,8 @@
 //! Refusals as HTTP answers.
 
 use http::{HeaderValue, StatusCode, header};
-use kingcupford_engine::{Outcome, Reason, Refusal};
+use kingcupford_engine::{Reason, Refusal};
+use kingcupford_route::Outcome;
 use poem::{Body, Response};
 use serde::Serialize;
 
@@ -30,13 +31,13 @@
 }
 
 /// The HTTP answer for a refusal or failure.
-pub fn refusal(refusal: &Refusal) -> Response {
+pub(crate) fn refusal(refusal: &Refusal) -> Response {
     let (message, hint) = explain(refusal.reason);
     let retry_after_ms =
         refusal.retry_after.map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX).max(1));
-    let outcome: &str = refusal.outcome.into();
+    let outcome = refusal.outcome.to_string();
     let body = RefusalBody {
-        outcome,
+        outcome: &outcome,
         reason: refusal.reason.into(),
         message,
         hint,
@@ -47,7 +48,7 @@
     let mut res = Response::builder()
         .status(status(refusal.reason, refusal.outcome))
         .header(header::CONTENT_TYPE, "application/json")
-        .header(headers::OUTCOME, outcome)
+        .header(headers::OUTCOME, &outcome)
         .body(Body::from_json(&body).unwrap_or_else(|_| Body::empty()));
     if let Some(ms) = retry_after_ms {
         res.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(ms.div_ceil(1000)));
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -222,7 +222,9 @@
             vec![SettingsFault { field: "file".to_owned(), problem, hint: hint.to_owned() }]
         };
         match serde_yaml_ng::from_str(text) {
-            Ok(Value::Mapping(fields)) => Ok(Self { fields, known: Vec::new(), faults: Vec::new() }),
+            Ok(Value::Mapping(fields)) => {
+                Ok(Self { fields, known: Vec::new(), faults: Vec::new() })
+            }
             Ok(_) => Err(fault("is not a mapping".to_owned(), "write `name: value` lines")),
             Err(error) => Err(fault(error.to_string(), "correct the YAML syntax")),
         }
