Write the state of each zone to the platform

Cause: operators cannot see which hosts use which configuration. Change: the first speaker of a zone writes hosts, versions, loads and free slots every 2 s under status/zone/.

--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -27,7 +27,7 @@
 pub(crate) const BINDING_SECTION: u16 = 1;
 
 /// Kind of the heartbeat section with the active configuration version.
-const CONFIG_SECTION: u16 = 2;
+pub(crate) const CONFIG_SECTION: u16 = 2;
 
 /// Time between two messages with the evidence of open rollouts.
 const EVIDENCE_EVERY: Duration = Duration::from_millis(500);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -8,6 +8,7 @@
 mod place;
 mod request;
 mod rollouts;
+mod status;
 
 pub use crate::{
     control::{LEDGER, PendingConfig, ROLLOUT_PREFIX},
@@ -17,4 +18,5 @@
     request::{
         Admission, Attempt, AttemptEnd, Next, Reason, Refusal, RequestHead, ShownKey, Start, Ticket,
     },
+    status::{HostLine, ServiceLine, StopLine, ZONE_STATUS_PREFIX, ZoneStatus},
 };
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use kingcupford_engine::{LEDGER, Message};
+use kingcupford_engine::{LEDGER, Message, ZONE_STATUS_PREFIX};
 use kingcupford_fleet::Candidate;
 use kingcupford_peer::PeerEvent;
 use kingcupford_platform::{
@@ -31,6 +31,9 @@
 /// Time between two announcements of this host.
 const ANNOUNCE_EVERY: Duration = Duration::from_secs(5);
 
+/// Time between two writes of the zone's state.
+const STATUS_EVERY: Duration = Duration::from_secs(2);
+
 /// Longest wait of one watch call.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
@@ -51,6 +54,7 @@
     spawn_loop(host, tasks, |it| async move { hosts_loop(&it).await });
     spawn_loop(host, tasks, |it| async move { announce_loop(&it).await });
     spawn_loop(host, tasks, |it| async move { write_loop(&it).await });
+    spawn_loop(host, tasks, |it| async move { status_loop(&it).await });
 }
 
 /// Runs a loop until the host stops.
@@ -298,6 +302,27 @@
     }
 }
 
+/// Writes the state of this host's zone for operators.
+async fn status_loop(host: &Arc<Host>) {
+    let mut ticks = interval(STATUS_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let status = {
+            let engine = host.engine.lock();
+            if !engine.writes_zone_status() {
+                continue;
+            }
+            engine.zone_status(Instant::now(), unix_ms())
+        };
+        let Ok(bytes) = serde_json::to_vec(&status) else { continue };
+        let name = format!("{ZONE_STATUS_PREFIX}{}", status.zone);
+        host.metrics.platform_calls.inc();
+        // A lost write is repeated with the next one.
+        let _ = host.store.write(&name, bytes.into(), Condition::Always).await;
+    }
+}
+
 /// Writes what the policy wants to keep in the platform.
 async fn write_loop(host: &Arc<Host>) {
     let mut ticks = interval(WRITE_CHECK);
