Read load reports in few places, wait after a pause, serve through a drain notice

Cause: no host read the upstreams' reports; a paused host could act on keys revoked meanwhile; a host that shut down closed its listener while cached lookup answers still named it. Change: two hosts of a region read each instance and tell their peers; decisions after a pause wait until a peer has compared documents, at most 2 s; a draining host serves through a notice longer than a lookup answer is valid.

--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -59,6 +59,8 @@
     pub hosts: Vec<HostSlot>,
     /// Upstream instances.
     pub upstreams: Vec<UpstreamSlot>,
+    /// Time before a host that shuts down closes its listener.
+    pub drain_notice_ms: u64,
     /// Longest time for a graceful shutdown of a host.
     pub shutdown_deadline_ms: u64,
 }
@@ -86,7 +88,12 @@
                 }
             }
         }
-        Self { hosts: hosts.collect(), upstreams, shutdown_deadline_ms: 30_000 }
+        Self {
+            hosts: hosts.collect(),
+            upstreams,
+            drain_notice_ms: 500,
+            shutdown_deadline_ms: 30_000,
+        }
     }
 }
 
@@ -230,6 +237,7 @@
             tls: None,
             peer_tls: self.certificates.issue(&slot.name)?,
             limits: Limits::default(),
+            drain_notice_ms: self.settings.drain_notice_ms,
             shutdown_deadline_ms: self.settings.shutdown_deadline_ms,
             log_level: "info".to_owned(),
         })
--- /dev/null
+++ b/crates/engine/src/admit.rs
@@ -0,0 +1,211 @@
+//! Admission of requests.
+
+use std::{sync::Arc, time::Duration};
+
+use kingcupford_config::{IsolationPolicy, TenantId};
+use kingcupford_fleet::MemberState;
+use kingcupford_quota::{Resource, Take};
+use kingcupford_route::{Begin, Check, Outcome, Quarantine, RequestKey};
+use tokio::time::Instant;
+
+use crate::{
+    engine::{Engine, OPEN_TENANT, Running},
+    request::{Admission, Reason, Refusal, RequestHead, ShownKey, Ticket},
+};
+
+/// Longest wait of a request for a loan of its tenant's rate.
+const MAX_RATE_WAIT: Duration = Duration::from_millis(250);
+
+/// Longest wait of a request that arrived around a pause.
+const MAX_CATCH_UP: Duration = Duration::from_secs(3);
+
+/// Time without a tick after which the process counts as paused.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// Time after which a request that arrived around a pause asks again.
+const PAUSE_RETRY: Duration = Duration::from_millis(20);
+
+/// Time after which a request that waits for a loan asks again.
+const RATE_RETRY: Duration = Duration::from_millis(10);
+
+impl Engine {
+    /// Decides whether a request may run; `waited` marks a repeated question after a wait.
+    pub fn admit(&mut self, head: &RequestHead, waited: bool, now: Instant) -> Admission {
+        match self.check(head, waited, now) {
+            Ok(it) => it,
+            Err(refusal) => Admission::Refused(refusal),
+        }
+    }
+
+    /// Checks a request in the order in which refusals matter to the caller.
+    fn check(
+        &mut self,
+        head: &RequestHead,
+        waited: bool,
+        now: Instant,
+    ) -> Result<Admission, Refusal> {
+        let snapshot = Arc::clone(&self.snapshot);
+        if snapshot.version.0 == 0 {
+            let retry = Duration::from_secs(1);
+            return Err(Refusal::new(Reason::NotReady).with_retry_after(retry));
+        }
+        if self.is_catching_up(now) {
+            let give_up = head.arrived + head.timeout.unwrap_or(MAX_CATCH_UP).min(MAX_CATCH_UP);
+            if now < give_up {
+                return Ok(Admission::Wait { until: now + PAUSE_RETRY });
+            }
+            let retry = Duration::from_secs(1);
+            return Err(Refusal::new(Reason::NotReady).with_retry_after(retry));
+        }
+        let service = snapshot.services.key(&head.service);
+        let service = service.ok_or(Refusal::new(Reason::UnknownService))?;
+        let path = head.path.split('?').next().unwrap_or_default();
+        let route_id = snapshot.route(service, &head.method, path);
+        let route_id = route_id.ok_or(Refusal::new(Reason::UnknownRoute))?;
+        let route = &snapshot.routes[route_id];
+        let tenant = if route.open { None } else { Some(self.authenticate(head, now)?) };
+        let limit = Duration::from_millis(route.timeout_ms);
+        let deadline = head.arrived + head.timeout.map_or(limit, |it| it.min(limit));
+        if now >= deadline {
+            return Err(Refusal::new(Reason::DeadlinePassed));
+        }
+        let tenant_name = tenant.map_or("", |it| snapshot.tenants[it].name.as_str());
+        let fingerprint = Quarantine::fingerprint(
+            tenant_name,
+            &head.method,
+            &format!("{}{}", head.service, head.path),
+            head.content_length,
+            &head.first_bytes,
+        );
+        if let Check::Quarantined { until } = self.quarantine.check(fingerprint, now) {
+            let retry = until.saturating_duration_since(now);
+            return Err(Refusal::new(Reason::Quarantined).with_retry_after(retry));
+        }
+        if let Some(tenant) = tenant
+            && let Some(wait) = self.take_rate(tenant, head, waited, deadline, now)?
+        {
+            return Ok(wait);
+        }
+        let key = if route.idempotent {
+            None
+        } else {
+            match self.begin(head, tenant.unwrap_or(OPEN_TENANT), now) {
+                Ok(it) => Some(it),
+                Err(refusal) => {
+                    if let Some(tenant) = tenant {
+                        self.holder.refund(Resource::TenantRate(tenant), 1.0, now);
+                    }
+                    return Err(refusal);
+                }
+            }
+        };
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        self.requests.push(Running {
+            ticket,
+            service,
+            route: route_id,
+            tenant,
+            idempotent: route.idempotent,
+            fingerprint,
+            key,
+            deadline,
+            wait_until: None,
+            attempts: 0,
+            may_have_run: false,
+            tried: Vec::new(),
+            placement: None,
+            ready: false,
+            queued: false,
+            pick: None,
+        });
+        self.services[usize::from(service.0)].retries.request(now);
+        Ok(Admission::Admitted(ticket))
+    }
+
+    /// Whether the process was paused and may have missed a revocation or a stop.
+    fn is_catching_up(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_tick) > PAUSE
+            || self.resync.is_some_and(|it| now < it.until)
+    }
+
+    /// Finds the tenant of the key that came with a request.
+    fn authenticate(&self, head: &RequestHead, now: Instant) -> Result<TenantId, Refusal> {
+        let key = match &head.key {
+            ShownKey::Missing => return Err(Refusal::new(Reason::KeyMissing)),
+            ShownKey::Malformed => return Err(Refusal::new(Reason::KeyInvalid)),
+            ShownKey::Key(it) => it,
+        };
+        let tenant = self.snapshot.authenticate(key).ok_or(Refusal::new(Reason::KeyInvalid))?;
+        let policy = self.snapshot.tenants[tenant].when_isolated;
+        if policy == IsolationPolicy::Refuse && self.fleet.isolated(now) {
+            return Err(Refusal::new(Reason::KeyUnconfirmed));
+        }
+        Ok(tenant)
+    }
+
+    /// Takes one request from the tenant's rate; answers a wait while a loan is pending.
+    fn take_rate(
+        &mut self,
+        tenant: TenantId,
+        head: &RequestHead,
+        waited: bool,
+        deadline: Instant,
+        now: Instant,
+    ) -> Result<Option<Admission>, Refusal> {
+        let resource = Resource::TenantRate(tenant);
+        let take = if waited {
+            self.holder.retry_take(resource, 1.0, now)
+        } else {
+            self.holder.take(resource, 1.0, now)
+        };
+        let Take::Empty { retry_after, loan_pending } = take else { return Ok(None) };
+        let give_up = deadline.min(head.arrived + MAX_RATE_WAIT);
+        let may_wait = loan_pending || now + retry_after <= give_up;
+        if may_wait && now < give_up {
+            let pause = if loan_pending { retry_after.min(RATE_RETRY) } else { retry_after };
+            let until = (now + pause.max(Duration::from_millis(1))).min(give_up);
+            return Ok(Some(Admission::Wait { until }));
+        }
+        Err(Refusal::new(Reason::TenantRate).with_retry_after(retry_after))
+    }
+
+    /// Takes up the request id of a request that is not idempotent.
+    fn begin(
+        &mut self,
+        head: &RequestHead,
+        tenant: TenantId,
+        now: Instant,
+    ) -> Result<RequestKey, Refusal> {
+        let binding = self.request_ids.binding(now);
+        let Some(text) = &head.request_id else {
+            return Err(Refusal::new(Reason::RequestIdMissing).with_binding(binding));
+        };
+        Err(match self.request_ids.begin(text, tenant, now) {
+            Begin::Run(key) => return Ok(key),
+            Begin::Running => Refusal::new(Reason::RequestIdRunning).with_outcome(Outcome::Unknown),
+            Begin::Executed { status } => Refusal::new(Reason::RequestIdExecuted)
+                .with_outcome(Outcome::Executed)
+                .with_detail(status.to_string()),
+            Begin::Unknown => Refusal::new(Reason::RequestIdUnknown).with_outcome(Outcome::Unknown),
+            Begin::Elsewhere { host } => Refusal::new(Reason::RequestIdElsewhere)
+                .with_outcome(Outcome::Unknown)
+                .with_detail(self.describe_host(&host)),
+            Begin::Void => Refusal::new(Reason::RequestIdVoid)
+                .with_outcome(Outcome::Unknown)
+                .with_binding(binding),
+            Begin::Full => Refusal::new(Reason::RequestIdsFull),
+            Begin::Malformed => Refusal::new(Reason::RequestIdMalformed).with_binding(binding),
+        })
+    }
+
+    /// Name and addresses of another host, as a caller needs them.
+    fn describe_host(&self, name: &str) -> String {
+        match self.fleet.member(name) {
+            Some(it) if it.state != MemberState::Gone => {
+                format!("{name} {}", it.public_addresses.join(" "))
+            }
+            _ => name.to_owned(),
+        }
+    }
+}
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Duration, Instant};
 
 use crate::{
-    engine::Engine,
+    engine::{Engine, Resync},
     message::{Envelope, Message},
 };
 
@@ -29,6 +29,9 @@
 /// Kind of the heartbeat section with the active configuration version.
 pub(crate) const CONFIG_SECTION: u16 = 2;
 
+/// Longest time without decisions after a pause, when no peer answers.
+const MAX_RESYNC: Duration = Duration::from_secs(2);
+
 /// Time between two messages with the evidence of open rollouts.
 const EVIDENCE_EVERY: Duration = Duration::from_millis(500);
 
@@ -70,8 +73,11 @@
         let version = self.snapshot.version.0.to_le_bytes().to_vec();
         self.fleet.set_section(CONFIG_SECTION, version);
         let messages = self.fleet.tick(now);
+        self.last_tick = now;
         if self.fleet.resumed_after_pause() {
             self.holder.resumed_after_pause(now);
+            let sequence = self.fleet.sequence();
+            self.resync = Some(Resync { sequence, until: now + MAX_RESYNC });
         }
         if self.fleet.sequence() != sequence {
             self.holder.heartbeat_sent(self.fleet.sequence(), now);
@@ -108,6 +114,10 @@
                     let own = self.fleet.identity().incarnation;
                     let heard = (beat.heard_incarnation == own).then_some(beat.heard_sequence);
                     self.holder.heard(from, beat.incarnation, heard, now);
+                    // A beat that confirms one sent after the pause compares the documents of now.
+                    if self.resync.is_some_and(|it| heard >= Some(it.sequence)) {
+                        self.resync = None;
+                    }
                     if beat.heard_incarnation != own {
                         let standing = self.quarantine.standing(now);
                         self.fleet_received(from, it, now, standing)
@@ -129,6 +139,10 @@
                 }
                 Vec::new()
             }
+            Message::Reports(it) => {
+                self.receive_reports(&it, now);
+                Vec::new()
+            }
             Message::RolloutEvidence(it) => {
                 self.rollouts.merge(&it, now);
                 Vec::new()
@@ -323,7 +337,7 @@
     }
 
     /// One envelope for each peer that is not gone.
-    fn to_all(&self, message: &Message) -> Vec<Envelope> {
+    pub(crate) fn to_all(&self, message: &Message) -> Vec<Envelope> {
         let peers = self.peers_by_nearness();
         peers.into_iter().map(|to| Envelope { to, message: message.clone() }).collect()
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,30 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use kingcupford_config::{
-    IsolationPolicy, RegionId, RouteId, ServiceId, Snapshot, TenantId, ZoneId,
-};
+use kingcupford_config::{RegionId, RouteId, ServiceId, Snapshot, TenantId, ZoneId};
 use kingcupford_fleet::{Candidate, Fleet, FleetSettings, HostIdentity, MemberState};
-use kingcupford_quota::{FairQueue, Holder, Resource, Take};
+use kingcupford_quota::{FairQueue, Holder};
 use kingcupford_route::{
-    AttemptFacts, AttemptOutcome, Balancer, Begin, BlockTable, Check, End, Fingerprint, HostTable,
-    Outcome, Quarantine, RequestIds, RequestKey, RetryBudget, RetryDecision, RetryRule,
+    Balancer, BlockTable, Fingerprint, HostTable, Quarantine, RequestIds, RequestKey, RetryBudget,
 };
 use tokio::time::Instant;
 
-use crate::{
-    caps,
-    lookup::NamedHost,
-    place::Placement,
-    request::{Admission, AttemptEnd, Next, Reason, Refusal, RequestHead, ShownKey, Ticket},
-    rollouts::Rollouts,
-};
-
-/// Longest wait of a request for a loan of its tenant's rate.
-const MAX_RATE_WAIT: Duration = Duration::from_millis(250);
-
-/// Time after which a request that waits for a loan asks again.
-const RATE_RETRY: Duration = Duration::from_millis(10);
+use crate::{caps, lookup::NamedHost, place::Placement, request::Ticket, rollouts::Rollouts};
 
 /// Tenant key of requests on open routes in fair queues.
 pub(crate) const OPEN_TENANT: TenantId = TenantId(u16::MAX);
@@ -92,13 +77,26 @@
     /// Credit of each shift by its key, in requests.
     pub(crate) shift_credit: Vec<f64>,
     /// Ticket of the next request.
-    next_ticket: u64,
+    pub(crate) next_ticket: u64,
     /// When each member was last told apart for lookups.
     pub(crate) hosts_refreshed: Option<Instant>,
     /// Whether this host takes no new work.
     pub(crate) draining: bool,
     /// Evidence of rollouts is sent again at this time.
     pub(crate) next_evidence: Instant,
+    /// Time of the last tick, from which a pause of the process is noticed.
+    pub(crate) last_tick: Instant,
+    /// Set after a pause until a peer has confirmed that this host's documents are compared again.
+    pub(crate) resync: Option<Resync>,
+}
+
+/// A pause after which decisions wait for newer documents.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Resync {
+    /// Heartbeat that a peer has to confirm.
+    pub(crate) sequence: u64,
+    /// When decisions are taken without a confirmation, since a partitioned host goes on serving.
+    pub(crate) until: Instant,
 }
 
 /// State of one service on this host.
@@ -216,6 +214,8 @@
             hosts_refreshed: None,
             draining: false,
             next_evidence: now,
+            last_tick: now,
+            resync: None,
             settings,
         }
     }
@@ -266,299 +266,6 @@
         self.fleet.set_draining(now);
     }
 
-    /// Decides whether a request may run; `waited` marks a repeated question after a wait.
-    pub fn admit(&mut self, head: &RequestHead, waited: bool, now: Instant) -> Admission {
-        match self.check(head, waited, now) {
-            Ok(it) => it,
-            Err(refusal) => Admission::Refused(refusal),
-        }
-    }
-
-    /// Checks a request in the order in which refusals matter to the caller.
-    fn check(
-        &mut self,
-        head: &RequestHead,
-        waited: bool,
-        now: Instant,
-    ) -> Result<Admission, Refusal> {
-        let snapshot = Arc::clone(&self.snapshot);
-        if snapshot.version.0 == 0 {
-            let retry = Duration::from_secs(1);
-            return Err(Refusal::new(Reason::NotReady).with_retry_after(retry));
-        }
-        let service = snapshot.services.key(&head.service);
-        let service = service.ok_or(Refusal::new(Reason::UnknownService))?;
-        let path = head.path.split('?').next().unwrap_or_default();
-        let route_id = snapshot.route(service, &head.method, path);
-        let route_id = route_id.ok_or(Refusal::new(Reason::UnknownRoute))?;
-        let route = &snapshot.routes[route_id];
-        let tenant = if route.open { None } else { Some(self.authenticate(head, now)?) };
-        let limit = Duration::from_millis(route.timeout_ms);
-        let deadline = head.arrived + head.timeout.map_or(limit, |it| it.min(limit));
-        if now >= deadline {
-            return Err(Refusal::new(Reason::DeadlinePassed));
-        }
-        let tenant_name = tenant.map_or("", |it| snapshot.tenants[it].name.as_str());
-        let fingerprint = Quarantine::fingerprint(
-            tenant_name,
-            &head.method,
-            &format!("{}{}", head.service, head.path),
-            head.content_length,
-            &head.first_bytes,
-        );
-        if let Check::Quarantined { until } = self.quarantine.check(fingerprint, now) {
-            let retry = until.saturating_duration_since(now);
-            return Err(Refusal::new(Reason::Quarantined).with_retry_after(retry));
-        }
-        if let Some(tenant) = tenant
-            && let Some(wait) = self.take_rate(tenant, head, waited, deadline, now)?
-        {
-            return Ok(wait);
-        }
-        let key = if route.idempotent {
-            None
-        } else {
-            match self.begin(head, tenant.unwrap_or(OPEN_TENANT), now) {
-                Ok(it) => Some(it),
-                Err(refusal) => {
-                    if let Some(tenant) = tenant {
-                        self.holder.refund(Resource::TenantRate(tenant), 1.0, now);
-                    }
-                    return Err(refusal);
-                }
-            }
-        };
-        let ticket = Ticket(self.next_ticket);
-        self.next_ticket += 1;
-        self.requests.push(Running {
-            ticket,
-            service,
-            route: route_id,
-            tenant,
-            idempotent: route.idempotent,
-            fingerprint,
-            key,
-            deadline,
-            wait_until: None,
-            attempts: 0,
-            may_have_run: false,
-            tried: Vec::new(),
-            placement: None,
-            ready: false,
-            queued: false,
-            pick: None,
-        });
-        self.services[usize::from(service.0)].retries.request(now);
-        Ok(Admission::Admitted(ticket))
-    }
-
-    /// Finds the tenant of the key that came with a request.
-    fn authenticate(&self, head: &RequestHead, now: Instant) -> Result<TenantId, Refusal> {
-        let key = match &head.key {
-            ShownKey::Missing => return Err(Refusal::new(Reason::KeyMissing)),
-            ShownKey::Malformed => return Err(Refusal::new(Reason::KeyInvalid)),
-            ShownKey::Key(it) => it,
-        };
-        let tenant = self.snapshot.authenticate(key).ok_or(Refusal::new(Reason::KeyInvalid))?;
-        let policy = self.snapshot.tenants[tenant].when_isolated;
-        if policy == IsolationPolicy::Refuse && self.fleet.isolated(now) {
-            return Err(Refusal::new(Reason::KeyUnconfirmed));
-        }
-        Ok(tenant)
-    }
-
-    /// Takes one request from the tenant's rate; answers a wait while a loan is pending.
-    fn take_rate(
-        &mut self,
-        tenant: TenantId,
-        head: &RequestHead,
-        waited: bool,
-        deadline: Instant,
-        now: Instant,
-    ) -> Result<Option<Admission>, Refusal> {
-        let resource = Resource::TenantRate(tenant);
-        let take = if waited {
-            self.holder.retry_take(resource, 1.0, now)
-        } else {
-            self.holder.take(resource, 1.0, now)
-        };
-        let Take::Empty { retry_after, loan_pending } = take else { return Ok(None) };
-        let give_up = deadline.min(head.arrived + MAX_RATE_WAIT);
-        let may_wait = loan_pending || now + retry_after <= give_up;
-        if may_wait && now < give_up {
-            let pause = if loan_pending { retry_after.min(RATE_RETRY) } else { retry_after };
-            let until = (now + pause.max(Duration::from_millis(1))).min(give_up);
-            return Ok(Some(Admission::Wait { until }));
-        }
-        Err(Refusal::new(Reason::TenantRate).with_retry_after(retry_after))
-    }
-
-    /// Takes up the request id of a request that is not idempotent.
-    fn begin(
-        &mut self,
-        head: &RequestHead,
-        tenant: TenantId,
-        now: Instant,
-    ) -> Result<RequestKey, Refusal> {
-        let binding = self.request_ids.binding(now);
-        let Some(text) = &head.request_id else {
-            return Err(Refusal::new(Reason::RequestIdMissing).with_binding(binding));
-        };
-        Err(match self.request_ids.begin(text, tenant, now) {
-            Begin::Run(key) => return Ok(key),
-            Begin::Running => Refusal::new(Reason::RequestIdRunning).with_outcome(Outcome::Unknown),
-            Begin::Executed { status } => Refusal::new(Reason::RequestIdExecuted)
-                .with_outcome(Outcome::Executed)
-                .with_detail(status.to_string()),
-            Begin::Unknown => Refusal::new(Reason::RequestIdUnknown).with_outcome(Outcome::Unknown),
-            Begin::Elsewhere { host } => Refusal::new(Reason::RequestIdElsewhere)
-                .with_outcome(Outcome::Unknown)
-                .with_detail(self.describe_host(&host)),
-            Begin::Void => Refusal::new(Reason::RequestIdVoid)
-                .with_outcome(Outcome::Unknown)
-                .with_binding(binding),
-            Begin::Full => Refusal::new(Reason::RequestIdsFull),
-            Begin::Malformed => Refusal::new(Reason::RequestIdMalformed).with_binding(binding),
-        })
-    }
-
-    /// Name and addresses of another host, as a caller needs them.
-    fn describe_host(&self, name: &str) -> String {
-        match self.fleet.member(name) {
-            Some(it) if it.state != MemberState::Gone => {
-                format!("{name} {}", it.public_addresses.join(" "))
-            }
-            _ => name.to_owned(),
-        }
-    }
-
-    /// Ends an attempt and decides what follows.
-    pub fn finish(&mut self, ticket: Ticket, end: AttemptEnd, now: Instant) -> Next {
-        let Some(at) = self.position(ticket) else { return Next::Done };
-        self.record_end(at, &end, now);
-        let request = &self.requests[at];
-        let was_suspect = self.quarantine.check(request.fingerprint, now) == Check::Suspect;
-        self.record_fingerprint(at, &end, now);
-        let request = &mut self.requests[at];
-        let service = usize::from(request.service.0);
-        let broke = matches!(end.outcome, AttemptOutcome::Broken { .. });
-        let budget_left = self.services[service].retries.allows(now);
-        let facts = AttemptFacts {
-            outcome: end.outcome,
-            idempotent: request.idempotent,
-            byte_sent: end.byte_sent,
-            earlier_may_have_run: request.may_have_run,
-            attempts: request.attempts,
-            budget_left: budget_left && !(broke && was_suspect),
-            remaining: request.deadline.saturating_duration_since(now),
-        };
-        request.may_have_run = facts.may_have_run();
-        let decision = RetryRule::decide(&facts);
-        let res = match decision {
-            RetryDecision::Retry if self.services[service].retries.withdraw(now) => {
-                return self.retry(at, now);
-            }
-            RetryDecision::Done => Next::Done,
-            RetryDecision::Fail(outcome) => Next::Failed(failure(&end, outcome)),
-            RetryDecision::Retry => {
-                let outcome = if facts.may_have_run() { Outcome::Unknown } else { Outcome::NotRun };
-                Next::Failed(failure(&end, outcome))
-            }
-        };
-        self.close(at, &end, now);
-        self.pump(now);
-        res
-    }
-
-    /// Gives up an admitted request that was not sent, such as one whose caller went away.
-    pub fn abandon(&mut self, ticket: Ticket, now: Instant) {
-        let Some(at) = self.position(ticket) else { return };
-        let latency = Duration::ZERO;
-        let end = AttemptEnd {
-            outcome: AttemptOutcome::Cancelled,
-            status: None,
-            byte_sent: false,
-            draining: false,
-            latency,
-        };
-        if self.requests[at].placement.is_some() {
-            self.record_end(at, &end, now);
-        }
-        self.close(at, &end, now);
-        self.pump(now);
-    }
-
-    /// Frees what the present attempt used and records what it observed.
-    fn record_end(&mut self, at: usize, end: &AttemptEnd, now: Instant) {
-        let request = &mut self.requests[at];
-        let Some(placement) = request.placement.take() else { return };
-        request.tried.push(placement.instance);
-        let pick = request.pick;
-        let (service, route) = (request.service, request.route);
-        self.holder.release_permit(Resource::RegionSlots(service, placement.region), now);
-        self.balancer.finished(placement.instance, end.outcome, end.latency, now);
-        if end.draining {
-            self.balancer.marked_draining(placement.instance, now + DRAIN_MARK);
-        }
-        if let Some(pick) = pick {
-            self.rollouts.observe(service, route, placement.instance, pick, end, now);
-        }
-    }
-
-    /// Records whether the request's content coincided with a lost connection.
-    fn record_fingerprint(&mut self, at: usize, end: &AttemptEnd, now: Instant) {
-        let request = &self.requests[at];
-        match end.outcome {
-            AttemptOutcome::Broken { .. } if end.byte_sent => {
-                let Some(instance) = request.tried.last() else { return };
-                let Some(instance) = self.snapshot.instances.value(*instance) else { return };
-                let name = instance.name.clone();
-                self.quarantine.lost(request.fingerprint, &name, now);
-            }
-            AttemptOutcome::Answered { .. } => self.quarantine.succeeded(request.fingerprint, now),
-            _ => {}
-        }
-    }
-
-    /// Prepares a request for its next attempt.
-    fn retry(&mut self, at: usize, now: Instant) -> Next {
-        let request = &mut self.requests[at];
-        request.wait_until = None;
-        request.ready = false;
-        request.pick = None;
-        let ticket = request.ticket;
-        self.pump(now);
-        Next::Retry(ticket)
-    }
-
-    /// Removes a request and records what became of its id and its rate.
-    pub(crate) fn close(&mut self, at: usize, end: &AttemptEnd, now: Instant) {
-        let request = self.requests.remove(at);
-        if request.queued {
-            let state = &mut self.services[usize::from(request.service.0)];
-            state.queue.retain(|it| *it != request.ticket);
-            if state.head == Some(request.ticket) {
-                state.head = None;
-            }
-        }
-        let ran = request.may_have_run || matches!(end.outcome, AttemptOutcome::Answered { .. });
-        if let Some(key) = request.key {
-            let record = match end.status {
-                // The head of an answer came, so it ran, even if the caller or the body was lost.
-                Some(status) => End::Executed { status },
-                _ if ran || end.byte_sent && request.attempts > 0 => End::Unknown,
-                _ => End::NotRun,
-            };
-            self.request_ids.end(key, record, now);
-        }
-        if let Some(tenant) = request.tenant
-            && !ran
-            && !end.byte_sent
-        {
-            self.holder.refund(Resource::TenantRate(tenant), 1.0, now);
-        }
-    }
-
     /// Where a request stands in the sorted list.
     pub(crate) fn position(&self, ticket: Ticket) -> Option<usize> {
         self.requests.binary_search_by_key(&ticket, |it| it.ticket).ok()
@@ -619,20 +326,3 @@
         }
     }
 }
-
-/// Time for which an instance that says it drains gets no new work.
-const DRAIN_MARK: Duration = Duration::from_secs(10);
-
-/// The refusal for a request that failed after an attempt.
-fn failure(end: &AttemptEnd, outcome: Outcome) -> Refusal {
-    let reason = match end.outcome {
-        AttemptOutcome::TimedOut => Reason::DeadlinePassed,
-        AttemptOutcome::Shed => Reason::ServiceBusy,
-        _ => Reason::UpstreamFailed,
-    };
-    let res = Refusal::new(reason).with_outcome(outcome);
-    match outcome {
-        Outcome::NotRun => res.with_retry_after(Duration::from_secs(1)),
-        Outcome::Executed | Outcome::Unknown => res,
-    }
-}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,11 +1,14 @@
 //! The policy of one entry host.
 
+mod admit;
 mod caps;
 mod control;
 mod engine;
 mod lookup;
 mod message;
+mod outcome;
 mod place;
+mod reports;
 mod request;
 mod rollouts;
 mod status;
@@ -15,6 +18,7 @@
     engine::{Engine, EngineSettings, Health, Status},
     lookup::{LookupAnswer, LookupQuery, NamedHost},
     message::{Envelope, Message},
+    reports::{InstanceReport, PollTarget},
     request::{
         Admission, Attempt, AttemptEnd, Next, Reason, Refusal, RequestHead, ShownKey, Start, Ticket,
     },
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -7,6 +7,8 @@
 };
 use kingcupford_rollout::{Evidence, Reason};
 
+use crate::reports::InstanceReport;
+
 /// Largest encoded message of this crate's own kinds.
 const MAX_BYTES: usize = 1_000_000;
 
@@ -32,6 +34,8 @@
     Quota(kingcupford_quota::Message),
     /// Suspected and quarantined fingerprints.
     Quarantine(Vec<kingcupford_route::Announcement>),
+    /// Load reports of instances that the sender has read.
+    Reports(Vec<InstanceReport>),
     /// Counters of a host's fault test.
     RolloutEvidence(Evidence),
     /// A host stopped sending requests to a new version.
@@ -56,6 +60,7 @@
             Self::Fleet(it) => it.kind(),
             Self::Quota(_) => 20,
             Self::Quarantine(_) => 21,
+            Self::Reports(_) => 22,
             Self::RolloutEvidence(_) => 30,
             Self::RolloutStop(_) => 31,
         }
@@ -72,6 +77,7 @@
             Self::Fleet(it) => it.encode(),
             Self::Quota(it) => bincode::encode_to_vec(it, CODEC),
             Self::Quarantine(it) => bincode::encode_to_vec(it, CODEC),
+            Self::Reports(it) => bincode::encode_to_vec(it, CODEC),
             Self::RolloutEvidence(it) => bincode::encode_to_vec(it, CODEC),
             Self::RolloutStop(it) => bincode::encode_to_vec(it, CODEC),
         }
@@ -82,6 +88,7 @@
         let message = match kind {
             20 => Self::Quota(decoded(payload)?),
             21 => Self::Quarantine(decoded(payload)?),
+            22 => Self::Reports(decoded(payload)?),
             30 => Self::RolloutEvidence(decoded(payload)?),
             31 => Self::RolloutStop(decoded(payload)?),
             _ => return Ok(kingcupford_fleet::Message::decode(kind, payload)?.map(Self::Fleet)),
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -2,7 +2,7 @@
 
 use std::{net::IpAddr, sync::Arc};
 
-use http::{StatusCode, header};
+use http::{HeaderValue, StatusCode, header};
 use kingcupford_engine::{LookupAnswer, LookupQuery, Reason, Refusal};
 use poem::{Addr, Body, Endpoint, Request, Response};
 use serde::Serialize;
@@ -97,7 +97,13 @@
         if request.uri().path() == "/v1/lookup" {
             return Ok(self.lookup(&request, client));
         }
-        Ok(forward::forward(&self.host, request, client).await)
+        let version = request.version();
+        let mut res = forward::forward(&self.host, request, client).await;
+        // A caller with an open connection would otherwise stay until the shutdown closes it.
+        if version < http::Version::HTTP_2 && self.host.engine.lock().is_draining() {
+            res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(res)
     }
 }
 
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -17,7 +17,10 @@
 };
 use tokio_util::task::TaskTracker;
 
-use crate::host::{Host, unix_ms};
+use crate::{
+    host::{Host, unix_ms},
+    reports,
+};
 
 /// Time between two ticks of the policy.
 const TICK: Duration = Duration::from_millis(50);
@@ -55,6 +58,7 @@
     spawn_loop(host, tasks, |it| async move { announce_loop(&it).await });
     spawn_loop(host, tasks, |it| async move { write_loop(&it).await });
     spawn_loop(host, tasks, |it| async move { status_loop(&it).await });
+    spawn_loop(host, tasks, |it| async move { reports::poll_loop(&it).await });
 }
 
 /// Runs a loop until the host stops.
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -30,10 +30,6 @@
 
 use crate::{admin::AdminApi, api::CallerApi, control, settings::Settings, upstream::Upstreams};
 
-/// Time for which a draining host still answers lookups and requests before it closes its
-/// listener, so that cached lookup answers that name it expire first.
-const DRAIN_NOTICE: Duration = Duration::from_secs(3);
-
 /// What the parts of one host share.
 pub(crate) struct Host {
     /// The settings.
@@ -181,13 +177,10 @@
         let deadline = Duration::from_millis(host.settings.shutdown_deadline_ms);
         let in_flight = host.engine.lock().in_flight();
         Event::DrainStarted.log(format_args!("{in_flight} requests run, deadline {deadline:?}"));
-        {
-            let mut engine = host.engine.lock();
-            engine.set_draining(Instant::now());
-            engine.leave(Instant::now());
-        }
+        host.engine.lock().set_draining(Instant::now());
         let finished = async {
-            tokio::time::sleep(DRAIN_NOTICE.min(deadline / 4)).await;
+            // Callers with a cached lookup answer still come and are served meanwhile.
+            tokio::time::sleep(Duration::from_millis(host.settings.drain_notice_ms)).await;
             self.listener.cancel();
             while host.engine.lock().in_flight() > 0 {
                 tokio::time::sleep(Duration::from_millis(20)).await;
@@ -206,6 +199,7 @@
         }
         self.listener.cancel();
         host.cut.cancel();
+        host.engine.lock().leave(Instant::now());
         self.hand_back().await;
         host.stopped.cancel();
         self.tasks.close();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod headers;
 mod host;
+mod reports;
 mod respond;
 mod settings;
 mod upstream;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -32,6 +32,9 @@
     pub peer_tls: PeerTls,
     /// Limits on connections of callers.
     pub limits: Limits,
+    /// Time between the start of a graceful shutdown and the end of the callers' listener; longer
+    /// than a lookup answer is valid, so that no caller is sent to a closed listener.
+    pub drain_notice_ms: u64,
     /// Longest time for a graceful shutdown.
     pub shutdown_deadline_ms: u64,
     /// Lowest level of log records that are written.
@@ -147,6 +150,7 @@
                 ca_file: String::new(),
             }),
             limits: reader.optional("limits").unwrap_or_default(),
+            drain_notice_ms: reader.optional("drain_notice_ms").unwrap_or(12_000),
             shutdown_deadline_ms: reader.optional("shutdown_deadline_ms").unwrap_or(60_000),
             log_level: reader.optional("log_level").unwrap_or_else(|| "info".to_owned()),
         };
@@ -188,6 +192,10 @@
             let hint = "use milliseconds from 1000 to 3600000";
             reader.check("shutdown_deadline_ms", "is out of range", hint);
         }
+        if self.drain_notice_ms >= self.shutdown_deadline_ms {
+            let hint = "use less than `shutdown_deadline_ms`; 12000 covers cached lookup answers";
+            reader.check("drain_notice_ms", "leaves no time for running requests", hint);
+        }
         if self.log_level.parse::<log::LevelFilter>().is_err() {
             reader.check("log_level", "is not a level", "use error, warn, info, debug or trace");
         }
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -1,16 +1,19 @@
 //! Connections to upstreams and how sendings to them end.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use anyhow::Context as _;
+use bytes::{Bytes, BytesMut};
 use futures_util::TryStreamExt as _;
 use http::{HeaderMap, HeaderValue, Method, header};
 use kingcupford_route::AttemptOutcome;
 use reqwest::{Client, Response, redirect};
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
-};
 
 use crate::{body::ReplayBody, headers};
 
@@ -20,6 +23,9 @@
 /// Time for which an unused connection is kept.
 const POOL_IDLE: Duration = Duration::from_secs(20);
 
+/// Longest report that is read.
+const MAX_REPORT_BYTES: usize = 16 * 1024;
+
 /// Connections to upstreams.
 pub(crate) struct Upstreams {
     /// Reuses connections.
@@ -74,6 +80,19 @@
         })
     }
 
+    /// Reads a report of an upstream, `None` when there is none in time.
+    pub(crate) async fn read_report(&self, url: &str, limit: Duration) -> Option<Bytes> {
+        let mut response = self.pooled.get(url).timeout(limit).send().await.ok()?;
+        let mut res = BytesMut::new();
+        while let Some(chunk) = response.chunk().await.ok()? {
+            res.extend_from_slice(&chunk);
+            if res.len() > MAX_REPORT_BYTES {
+                return None;
+            }
+        }
+        response.status().is_success().then(|| res.freeze())
+    }
+
     /// Sends a request; `started` turns true once a byte may have reached the upstream.
     pub(crate) async fn send(
         &self,
@@ -126,7 +145,7 @@
 /// The body of an answer as a stream of bytes.
 pub(crate) fn answer_stream(
     response: Response,
-) -> impl futures_util::Stream<Item = std::io::Result<bytes::Bytes>> + Send {
+) -> impl futures_util::Stream<Item = std::io::Result<Bytes>> + Send {
     response.bytes_stream().map_err(std::io::Error::other)
 }
 
