Lend soon after demand has moved, and repeat lost loan requests

A lender kept a reserve for a demand that had already moved to another host, because its estimate decays over a second. A silence that is unlikely at the estimated rate now lowers the estimate. An unanswered request is repeated under its id, and one loan for each peer grows instead of many small ones.

--- a/crates/quota/examples/moved_demand.rs
+++ b/crates/quota/examples/moved_demand.rs
@@ -13,7 +13,7 @@
 /// Index of the large tenant's rate (200/s, burst 100) in the model.
 const LARGE: usize = 0;
 
-/// One-way latency of 8 hosts: two in each of three zones and one in each of two more regions.
+/// One-way latency of 8 hosts in three regions of two zones, as Huskfutter has them.
 fn latency_ms(a: usize, b: usize) -> u64 {
     let region = |host: usize| host * 3 / 8;
     let zone = |host: usize| host * 6 / 8;
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -51,6 +51,8 @@
     pub(crate) units: u32,
     /// End of its use.
     pub(crate) until: Instant,
+    /// Whether the lender declined to renew it.
+    pub(crate) declined: bool,
     /// Time at which an ended loan of permits is forgotten, as the lender takes it back then.
     pub(crate) forget_at: Instant,
 }
@@ -82,8 +84,12 @@
     pub(crate) renews: Option<LoanId>,
     /// Requested units.
     pub(crate) units: u32,
-    /// Time of sending.
+    /// Whether it asks for more than the renewed loan has.
+    pub(crate) grows: bool,
+    /// Time of the first sending, from which a loan counts.
     pub(crate) sent: Instant,
+    /// Time of the last sending.
+    pub(crate) last_sent: Instant,
 }
 
 /// A peer that had too little to lend.
@@ -252,7 +258,7 @@
 
     /// Whether an answer of a peer may come soon.
     pub(crate) fn awaits_loan(&self, patience: Duration, now: Instant) -> bool {
-        self.pending.iter().any(|it| it.renews.is_none() && now < it.sent + patience)
+        self.pending.iter().any(|it| it.grows && now < it.last_sent + patience)
     }
 
     /// Usable part of the cap.
--- a/crates/quota/src/demand.rs
+++ b/crates/quota/src/demand.rs
@@ -10,6 +10,8 @@
 const SLOW: Duration = Duration::from_secs(1);
 /// Time for which refused spends count as unmet.
 const UNMET: Duration = Duration::from_millis(250);
+/// A silence of this many mean gaps has a probability of 5% under random arrivals.
+const UNLIKELY_GAPS: f64 = 3.0;
 /// Demand is recent for this long after the last spend.
 const RECENT: Duration = Duration::from_secs(2);
 
@@ -53,13 +55,18 @@
     }
 
     /// Amount per second; the fast sum without one amount, so that a single spend is no surge.
+    ///
+    /// A silence that is unlikely at the estimated rate lowers it, so that capacity is lent soon
+    /// after the demand has moved to another host.
     pub(crate) fn rate_per_s(&mut self, now: Instant) -> f64 {
         if !self.is_recent(now) {
             return 0.0;
         }
         self.decay(now);
         let fast = (self.fast - self.amount).max(0.0) / FAST.as_secs_f64();
-        fast.max(self.slow / SLOW.as_secs_f64())
+        let rate = fast.max(self.slow / SLOW.as_secs_f64());
+        let silence = self.last.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
+        rate.min(UNLIKELY_GAPS * self.amount / silence.as_secs_f64())
     }
 
     /// Amount refused a short time ago.
--- a/crates/quota/src/loan.rs
+++ b/crates/quota/src/loan.rs
@@ -153,9 +153,13 @@
         let pending = account.pending.iter().position(|it| it.id == id && it.peer == from);
         let Some(at) = pending else { return };
         let pending = account.pending.swap_remove(at);
-        if pending.renews.is_none() || grant.units == 0 {
-            let satisfied = grant.units >= pending.units;
-            account.note_answer(from, satisfied, grant.units > 0, now);
+        let held = account.borrowed.iter_mut().find(|it| Some(it.id) == pending.renews);
+        let before = held.as_ref().map_or(0, |it| it.units);
+        if let Some(loan) = held {
+            loan.declined = grant.units == 0;
+        }
+        if pending.grows {
+            account.note_answer(from, grant.units >= pending.units, grant.units > before, now);
         }
         let until = pending.sent + grant.duration;
         if grant.units == 0 || until <= now {
@@ -171,13 +175,8 @@
             }
             None => {
                 let lender = from.to_owned();
-                account.borrowed.push(Borrowed {
-                    id,
-                    lender,
-                    units: grant.units,
-                    until,
-                    forget_at,
-                });
+                let (units, declined) = (grant.units, false);
+                account.borrowed.push(Borrowed { id, lender, units, until, declined, forget_at });
             }
         }
         if grant.tokens.is_finite() {
@@ -242,20 +241,13 @@
                 let part = u64::from(units) * needed;
                 units = u32::try_from(part.div_ceil(u64::from(borrowed))).unwrap_or(UNITS);
             }
-            let waiting = account
-                .pending
-                .iter()
-                .any(|it| it.renews == Some(loan.id) && now < it.sent + RENEWAL_PATIENCE);
-            if !due || waiting || account.is_refusing(&loan.lender, now) {
+            if !due || loan.declined || account.is_asked(&loan.lender, now) {
                 continue;
             }
             let (peer, renews) = (loan.lender.clone(), Some(loan.id));
-            account.pending.retain(|it| it.renews != renews);
             self.last_request += 1;
             let id = LoanId { incarnation: self.incarnation, number: self.last_request };
-            account.pending.push(Pending { id, peer: peer.clone(), renews, units, sent: now });
-            let resource = account.name.clone();
-            out.push((peer, Message::LoanRequest { id, renews, resource, units }));
+            out.push(account.ask(id, &peer, renews, units, false, now));
         }
     }
 
@@ -269,17 +261,17 @@
     ) {
         let loan = self.settings.loan;
         let account = &mut self.accounts[index];
-        account.pending.retain(|it| now < it.sent + loan);
-        account.note_unanswered(now);
+        account.drop_unanswered(loan, now);
         if !account.demand.is_recent(now) {
             return;
         }
+        account.repeat_requests(now, out);
         let wanted = account.wanted_units(HEADROOM, now);
         let lacking = wanted.saturating_sub(account.units(&self.shares, now));
         if lacking == 0 || !account.runs_low(&self.shares, LOW_HORIZON, now) {
             return;
         }
-        let waiting = account.pending.iter().filter(|it| it.renews.is_none());
+        let waiting = account.pending.iter().filter(|it| it.grows);
         let waiting = waiting.filter(|it| now < it.sent + ANSWER_PATIENCE).count();
         let mut chosen = Vec::new();
         for peer in peers {
@@ -287,27 +279,22 @@
             if chosen.len() + waiting >= self.settings.fanout {
                 break;
             }
-            let pending = account.pending.iter().any(|it| it.renews.is_none() && it.peer == peer);
-            if peer != self.name && !pending && !account.is_refusing(peer, now) {
+            if peer != self.name && !account.is_asked(peer, now) && !account.is_refusing(peer, now)
+            {
                 chosen.push(peer);
             }
         }
         let asked = u32::try_from(chosen.len() + waiting).unwrap_or(UNITS).max(1);
         let units = (lacking / asked).saturating_mul(OVERASK).max(MIN_REQUEST);
-        let units = units.min(lacking.max(MIN_REQUEST)).min(UNITS);
+        let units = units.min(lacking.max(MIN_REQUEST));
         for peer in chosen {
+            // One loan for each peer grows, so that renewals stay few.
+            let live = |it: &&Borrowed| it.lender == peer && now < it.until && !it.declined;
+            let held = account.borrowed.iter().find(live).map(|it| (it.id, it.units));
+            let units = units.saturating_add(held.map_or(0, |it| it.1)).min(UNITS);
             self.last_request += 1;
             let id = LoanId { incarnation: self.incarnation, number: self.last_request };
-            account.pending.push(Pending {
-                id,
-                peer: peer.to_owned(),
-                renews: None,
-                units,
-                sent: now,
-            });
-            let resource = account.name.clone();
-            let request = Message::LoanRequest { id, renews: None, resource, units };
-            out.push((peer.to_owned(), request));
+            out.push(account.ask(id, peer, held.map(|it| it.0), units, true, now));
         }
     }
 }
@@ -351,15 +338,49 @@
         refusal.until = now + backoff.min(MAX_BACKOFF);
     }
 
-    /// Counts requests that were not answered in time as refusals of their peers.
-    fn note_unanswered(&mut self, now: Instant) {
-        let late = self.pending.iter().filter(|it| it.renews.is_none());
-        let late = late.filter(|it| now >= it.sent + ANSWER_PATIENCE);
-        let late: Vec<String> = late.map(|it| it.peer.clone()).collect();
-        for peer in late {
-            if !self.is_refusing(&peer, now) {
-                self.note_answer(&peer, false, false, now);
+    /// Whether a request to a peer may still be answered.
+    fn is_asked(&self, peer: &str, now: Instant) -> bool {
+        let mut asked = self.pending.iter().filter(|it| it.peer == peer);
+        asked.any(|it| it.renews.is_none() || now < it.sent + RENEWAL_PATIENCE)
+    }
+
+    /// Makes a request in place of an unanswered one to the same peer.
+    fn ask(
+        &mut self,
+        id: LoanId,
+        peer: &str,
+        renews: Option<LoanId>,
+        units: u32,
+        grows: bool,
+        now: Instant,
+    ) -> (String, Message) {
+        self.pending.retain(|it| it.peer != peer);
+        let pending =
+            Pending { id, peer: peer.to_owned(), renews, units, grows, sent: now, last_sent: now };
+        self.pending.push(pending);
+        let resource = self.name.clone();
+        (peer.to_owned(), Message::LoanRequest { id, renews, resource, units })
+    }
+
+    /// Sends unanswered requests for new loans again; the lender answers a repeated id alike, so a
+    /// lost answer does not leave the lent part unused.
+    fn repeat_requests(&mut self, now: Instant, out: &mut Vec<(String, Message)>) {
+        for pending in &mut self.pending {
+            if pending.renews.is_some() || now < pending.last_sent + ANSWER_PATIENCE {
+                continue;
             }
+            pending.last_sent = now;
+            let (id, units, resource) = (pending.id, pending.units, self.name.clone());
+            let request = Message::LoanRequest { id, renews: None, resource, units };
+            out.push((pending.peer.clone(), request));
+        }
+    }
+
+    /// Drops requests whose answer would be of no use, and counts them as refusals.
+    fn drop_unanswered(&mut self, loan: Duration, now: Instant) {
+        let late: Vec<_> = self.pending.extract_if(.., |it| now >= it.sent + loan).collect();
+        for pending in late.iter().filter(|it| it.grows) {
+            self.note_answer(&pending.peer, false, false, now);
         }
     }
 }
--- a/crates/quota/tests/model/mod.rs
+++ b/crates/quota/tests/model/mod.rs
@@ -16,12 +16,19 @@
 
 /// Holders, network and platform.
 pub(crate) struct World {
+    /// Current time.
     pub(crate) now: Instant,
+    /// Time of the first step.
     pub(crate) start: Instant,
+    /// Source of all randomness.
     pub(crate) rng: StdRng,
+    /// Settings of all holders.
     pub(crate) settings: Settings,
+    /// Names of the resources.
     pub(crate) snapshot: Snapshot,
+    /// The caps by index.
     pub(crate) caps: Vec<(Resource, Cap)>,
+    /// The hosts by index.
     pub(crate) hosts: Vec<Host>,
     /// One-way latency in ms between hosts by index.
     pub(crate) latency_ms: fn(usize, usize) -> u64,
@@ -31,22 +38,31 @@
     pub(crate) late: f64,
     /// Share of platform answers lost.
     pub(crate) answer_loss: f64,
+    /// Whether the platform answers.
     pub(crate) platform_up: bool,
+    /// Version and content of the ledger.
     pub(crate) object: Option<(u64, Ledger)>,
+    /// Loan requests sent so far.
     pub(crate) requests_sent: u64,
+    /// Writes that took effect.
     pub(crate) writes: u64,
     /// Level of a leaky bucket of the cap's rate by resource, which must stay below the burst.
     level: Vec<(f64, Instant)>,
     /// Requests that still run on permits: end, resource index and host with incarnation.
     running: Vec<(Instant, usize, usize, u64)>,
+    /// Messages on their way with arrival and recipient.
     packets: Vec<(Instant, usize, Packet)>,
 }
 
 /// One host.
 pub(crate) struct Host {
+    /// Name and peer address.
     pub(crate) name: String,
+    /// The holder of a running process.
     pub(crate) holder: Option<Holder>,
+    /// The process.
     pub(crate) incarnation: u64,
+    /// End of a pause.
     pub(crate) paused_until: Option<Instant>,
     /// Hosts with different numbers do not reach each other; only group 0 reaches the platform.
     pub(crate) group: u32,
@@ -54,13 +70,17 @@
     pub(crate) demand: Vec<f64>,
     /// Requests not yet offered by resource index.
     due: Vec<f64>,
+    /// Admitted requests.
     pub(crate) taken: u64,
+    /// Refused requests.
     pub(crate) refused: u64,
     /// Waiting requests: resource index and end of the wait.
     waiting: Vec<(usize, Instant)>,
     /// Longest wait of a request.
     pub(crate) patience: Duration,
+    /// Sequence of the last heartbeat.
     sequence: u64,
+    /// Time of the last tick.
     last_tick: Instant,
     /// Heartbeats received: host, incarnation, sequence.
     received: Vec<(usize, u64, u64)>,
@@ -69,28 +89,47 @@
 /// Something on its way.
 #[derive(Clone)]
 enum Packet {
+    /// A message between holders.
     Quota {
+        /// Sending host.
         from: usize,
+        /// The message.
         message: Message,
     },
+    /// A heartbeat.
     Heartbeat {
+        /// Sending host.
         from: usize,
+        /// Sending process.
         incarnation: u64,
+        /// Its number.
         sequence: u64,
+        /// Heartbeats that the sender received.
         received: Vec<(usize, u64, u64)>,
+        /// The sender's ledger.
         ledger: Option<(u64, Ledger)>,
     },
+    /// A conditional update on its way to the platform.
     Write {
+        /// Writing host.
         from: usize,
+        /// Writing process.
         incarnation: u64,
+        /// Time of sending.
         sent: Instant,
+        /// The update.
         proposal: Proposal,
+        /// Whether the answer will be lost.
         lost: bool,
     },
+    /// The platform's answer to an update.
     Answer {
+        /// The writing process.
         incarnation: u64,
+        /// The answer.
         outcome: WriteOutcome,
     },
+    /// A read of the ledger.
     Read,
 }
 
