--- a/crates/quota/tests/model/mod.rs
+++ b/crates/quota/tests/model/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test program uses a part of the model")]
 
+mod host;
+mod packet;
+
 use std::time::Duration;
 
 use kingcupford_config::{Region, Service, Snapshot, Tenant, VersionId};
@@ -11,17 +14,26 @@
 use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
 use tokio::time::Instant;
 
+use self::{host::Host, packet::Packet};
+
 /// Length of a step of the model.
 pub(crate) const STEP_MS: u64 = 10;
 
 /// Holders, network and platform.
 pub(crate) struct World {
+    /// Current time.
     pub(crate) now: Instant,
+    /// Time of the first step.
     pub(crate) start: Instant,
+    /// Source of all randomness.
     pub(crate) rng: StdRng,
+    /// Settings of all holders.
     pub(crate) settings: Settings,
+    /// Names of the resources.
     pub(crate) snapshot: Snapshot,
+    /// The caps by index.
     pub(crate) caps: Vec<(Resource, Cap)>,
+    /// The hosts by index.
     pub(crate) hosts: Vec<Host>,
     /// One-way latency in ms between hosts by index.
     pub(crate) latency_ms: fn(usize, usize) -> u64,
@@ -31,69 +43,22 @@
     pub(crate) late: f64,
     /// Share of platform answers lost.
     pub(crate) answer_loss: f64,
+    /// Whether the platform answers.
     pub(crate) platform_up: bool,
+    /// Version and content of the ledger.
     pub(crate) object: Option<(u64, Ledger)>,
+    /// Loan requests sent so far.
     pub(crate) requests_sent: u64,
+    /// Writes that took effect.
     pub(crate) writes: u64,
     /// Level of a leaky bucket of the cap's rate by resource, which must stay below the burst.
     level: Vec<(f64, Instant)>,
     /// Requests that still run on permits: end, resource index and host with incarnation.
     running: Vec<(Instant, usize, usize, u64)>,
+    /// Messages on their way with arrival and recipient.
     packets: Vec<(Instant, usize, Packet)>,
 }
 
-/// One host.
-pub(crate) struct Host {
-    pub(crate) name: String,
-    pub(crate) holder: Option<Holder>,
-    pub(crate) incarnation: u64,
-    pub(crate) paused_until: Option<Instant>,
-    /// Hosts with different numbers do not reach each other; only group 0 reaches the platform.
-    pub(crate) group: u32,
-    /// Requests per second by resource index.
-    pub(crate) demand: Vec<f64>,
-    /// Requests not yet offered by resource index.
-    due: Vec<f64>,
-    pub(crate) taken: u64,
-    pub(crate) refused: u64,
-    /// Waiting requests: resource index and end of the wait.
-    waiting: Vec<(usize, Instant)>,
-    /// Longest wait of a request.
-    pub(crate) patience: Duration,
-    sequence: u64,
-    last_tick: Instant,
-    /// Heartbeats received: host, incarnation, sequence.
-    received: Vec<(usize, u64, u64)>,
-}
-
-/// Something on its way.
-#[derive(Clone)]
-enum Packet {
-    Quota {
-        from: usize,
-        message: Message,
-    },
-    Heartbeat {
-        from: usize,
-        incarnation: u64,
-        sequence: u64,
-        received: Vec<(usize, u64, u64)>,
-        ledger: Option<(u64, Ledger)>,
-    },
-    Write {
-        from: usize,
-        incarnation: u64,
-        sent: Instant,
-        proposal: Proposal,
-        lost: bool,
-    },
-    Answer {
-        incarnation: u64,
-        outcome: WriteOutcome,
-    },
-    Read,
-}
-
 impl World {
     /// Hosts that have not started, with a tenant's rate, a second rate and region slots.
     pub(crate) fn new(hosts: usize, seed: u64, settings: Settings) -> Self {
@@ -127,6 +92,7 @@
             incarnation: 0,
             paused_until: None,
             group: 0,
+            reaches_platform: true,
             demand: vec![0.0; caps.len()],
             due: vec![0.0; caps.len()],
             taken: 0,
@@ -415,7 +381,7 @@
             self.packets.push((now + Duration::from_millis(STEP_MS), to, packet));
             return;
         }
-        let reaches = self.platform_up && self.hosts[to].group == 0;
+        let reaches = self.reaches_platform(to);
         let object = self.object.clone();
         let host = &mut self.hosts[to];
         let Some(holder) = &mut host.holder else { return };
@@ -464,7 +430,7 @@
         lost: bool,
     ) {
         let version = self.object.as_ref().map(|it| it.0);
-        let reached = self.platform_up && self.hosts[from].group == 0;
+        let reached = self.reaches_platform(from);
         let outcome = if !reached {
             WriteOutcome::Unknown
         } else if version == proposal.base_version {
@@ -510,6 +476,11 @@
         Duration::from_millis(if late { self.rng.random_range(0..3000) } else { 0 })
     }
 
+    /// Whether a host reaches the platform.
+    fn reaches_platform(&self, index: usize) -> bool {
+        self.platform_up && self.hosts[index].group == 0 && self.hosts[index].reaches_platform
+    }
+
     /// Whether a process is paused.
     fn is_paused(&self, index: usize) -> bool {
         self.hosts[index].paused_until.is_some_and(|it| self.now < it)
