--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -148,8 +148,8 @@
     /// Answers the write to make now, whose outcome must be reported before the next one.
     pub fn tick(&mut self, now: Instant, unix_ms: u64, view: &View<'_>) -> Option<Write> {
         self.see(view.rollout, view.document_version, now);
-        if let Some(retry) = self.resolve_pending(now) {
-            return view.platform_reachable.then_some(retry);
+        if let Some(retry) = self.resolve_pending(now, view.platform_reachable) {
+            return Some(retry);
         }
         if self.pending.is_some() {
             return None;
@@ -190,8 +190,11 @@
         Some(self.write(rollout, elapsed_ms, view, now))
     }
 
-    /// Takes over what became of the last write.
-    pub fn report(&mut self, outcome: WriteOutcome, now: Instant) {
+    /// Takes over what became of the write with `write_id`; a report on an earlier one is ignored.
+    pub fn report(&mut self, write_id: u64, outcome: WriteOutcome, now: Instant) {
+        if self.pending.as_ref().is_none_or(|it| it.write.rollout.write_id != write_id) {
+            return;
+        }
         match outcome {
             WriteOutcome::Written { version } => {
                 let Some(pending) = self.pending.take() else { return };
@@ -240,7 +243,7 @@
     }
 
     /// Finds out what became of a pending write, or answers it for repetition.
-    fn resolve_pending(&mut self, now: Instant) -> Option<Write> {
+    fn resolve_pending(&mut self, now: Instant, platform_reachable: bool) -> Option<Write> {
         let known = self.known.as_ref()?;
         let pending = self.pending.as_mut()?;
         if known.version > pending.write.expected_version {
@@ -255,7 +258,7 @@
         match pending.state {
             PendingState::Sent if now < pending.sent + LEASE => None,
             PendingState::Unknown { retry_at } if now < pending.sent + LEASE => {
-                if now < retry_at {
+                if now < retry_at || !platform_reachable {
                     return None;
                 }
                 pending.state = PendingState::Sent;
--- a/crates/rollout/src/suspicion.rs
+++ b/crates/rollout/src/suspicion.rs
@@ -7,14 +7,21 @@
 use crate::evidence::Tally;
 
 /// Least time in which half of the traffic goes to the old version for comparison.
-const MIN_SAMPLE: Duration = Duration::from_secs(10);
+const MIN_SAMPLE: Duration = Duration::from_secs(3);
 
 /// Longest such time, for routes with thin traffic.
 const MAX_SAMPLE: Duration = Duration::from_secs(60);
 
+/// Time after which an open sample keeps a rollout from being done only if it supports the
+/// suspicion; a route with thin traffic must not use up the time before the deadline.
+const DOUBT: Duration = Duration::from_secs(10);
+
 /// Requests to the new version that end a sample; 35 failures of 35 suffice for an alarm at 50%.
 const SAMPLE_REQUESTS: u64 = 50;
 
+/// Logarithm of the evidence in a sample that clears the new version with fewer requests.
+const CLEARED: f64 = -3.0;
+
 /// Time after a sample in which a new suspicion counts as a relapse.
 const RELAPSE_WITHIN: Duration = Duration::from_secs(10);
 
@@ -26,7 +33,7 @@
 const DOUBTFUL_RELAPSES: u32 = 2;
 
 /// Consecutive relapses that show a fault which only appears with all traffic.
-const FAULTY_RELAPSES: u32 = 3;
+const FAULTY_RELAPSES: u32 = 4;
 
 /// Time without suspicion after which relapses are forgotten.
 const CLEAR: Duration = Duration::from_secs(30);
@@ -34,6 +41,10 @@
 /// Logarithm of the evidence for a suspicion; a false one costs only a control sample.
 const THRESHOLD: f64 = 6.0;
 
+/// Largest logarithm of evidence from one second of slow responses, since one pause of one instance
+/// makes a burst of them.
+pub(crate) const SLOW_CAP_PER_S: f64 = 3.5;
+
 /// Responses of the old version after which older ones count half.
 const MEMORY: f64 = 2_000.0;
 
@@ -46,6 +57,12 @@
 pub(crate) struct Suspicion {
     /// Least fraction of bad responses that is expected.
     floor: f64,
+    /// Largest logarithm of evidence from one second.
+    cap_per_s: f64,
+    /// Start of the present second.
+    second: Option<Instant>,
+    /// Evidence of the present second.
+    gain: f64,
     /// Recent responses of the old version.
     old: f64,
     /// Bad ones among them.
@@ -56,6 +73,8 @@
     sample_start: Option<Instant>,
     /// Requests to the new version in the last control sample.
     sampled: u64,
+    /// Logarithm of the evidence in the last control sample.
+    sample_evidence: f64,
     /// End of the last control sample, `None` while it is open.
     sample_end: Option<Instant>,
     /// Requests with all traffic since the last control sample.
@@ -66,14 +85,18 @@
 
 impl Suspicion {
     /// No suspicion; `floor` is the fraction of bad responses that is always expected.
-    pub(crate) fn new(floor: f64) -> Self {
+    pub(crate) fn new(floor: f64, cap_per_s: f64) -> Self {
         Self {
             floor,
+            cap_per_s,
+            second: None,
+            gain: 0.0,
             old: 0.0,
             old_bad: 0.0,
             evidence: 0.0,
             sample_start: None,
             sampled: 0,
+            sample_evidence: 0.0,
             sample_end: None,
             after_sample: 0,
             relapses: 0,
@@ -95,13 +118,13 @@
             return;
         }
         self.after_sample += count;
-        let expected = 1.5 * (self.old_bad + 0.5) / (self.old + 100.0);
-        let null = expected.max(self.floor).min(0.6);
-        let alternative = (5.0 * null).clamp(0.05, 0.95);
-        let good = count.saturating_sub(bad) as f64;
-        let gain = bad as f64 * (alternative / null).ln()
-            + good * ((1.0 - alternative) / (1.0 - null)).ln();
-        self.evidence = (self.evidence + gain).max(0.0);
+        if self.second.is_none_or(|it| now >= it + Duration::from_secs(1)) {
+            self.second = Some(now);
+            self.gain = 0.0;
+        }
+        let capped = (self.gain + self.weight(count, bad)).min(self.cap_per_s);
+        self.evidence = (self.evidence + capped - self.gain).max(0.0);
+        self.gain = capped;
         if self.evidence < THRESHOLD {
             return;
         }
@@ -111,6 +134,7 @@
         self.relapses = if is_relapse { self.relapses + 1 } else { 0 };
         self.evidence = 0.0;
         self.sampled = 0;
+        self.sample_evidence = 0.0;
         self.after_sample = 0;
         self.sample_start = Some(now);
         self.sample_end = None;
@@ -118,9 +142,10 @@
         self.weigh(100.0);
     }
 
-    /// Counts requests to the new version during a control sample.
-    pub(crate) fn sample(&mut self, count: u64) {
+    /// Adds responses of the new version during a control sample.
+    pub(crate) fn sample(&mut self, count: u64, bad: u64) {
         self.sampled += count;
+        self.sample_evidence += self.weight(count, bad);
     }
 
     /// Whether a control sample is being taken, which is ended here when it suffices.
@@ -129,8 +154,8 @@
         if self.sample_end.is_some() {
             return false;
         }
-        let is_enough = self.sampled >= SAMPLE_REQUESTS && now >= start + MIN_SAMPLE;
-        if is_enough || now >= start + MAX_SAMPLE {
+        let is_enough = self.sampled >= SAMPLE_REQUESTS || self.sample_evidence <= CLEARED;
+        if is_enough && now >= start + MIN_SAMPLE || now >= start + MAX_SAMPLE {
             self.sample_end = Some(now);
             return false;
         }
@@ -141,16 +166,33 @@
     pub(crate) fn is_doubtful(&self, now: Instant) -> bool {
         match (self.sample_start, self.sample_end) {
             (None, _) => false,
-            (Some(_), None) => true,
-            (Some(_), Some(end)) => self.relapses >= DOUBTFUL_RELAPSES && now < end + CLEAR,
+            (Some(start), None) => {
+                now < start + DOUBT || self.sample_evidence > -CLEARED || self.is_chronic()
+            }
+            (Some(_), Some(end)) => self.is_chronic() && now < end + CLEAR,
         }
     }
 
+    /// Whether the fault came back after more than one sample.
+    fn is_chronic(&self) -> bool {
+        self.relapses >= DOUBTFUL_RELAPSES
+    }
+
     /// Whether the fault came back after so many samples that it depends on the load.
     pub(crate) fn depends_on_load(&self) -> bool {
         self.relapses >= FAULTY_RELAPSES
     }
 
+    /// Logarithm of the evidence in responses of the new version.
+    fn weight(&self, count: u64, bad: u64) -> f64 {
+        // Few responses of the old version leave room for a higher rate than the counted one.
+        let expected = 1.5 * (self.old_bad + 2.0) / (self.old + 40.0);
+        let null = expected.max(self.floor).min(0.6);
+        let alternative = (5.0 * null).clamp(0.05, 0.95);
+        let good = count.saturating_sub(bad) as f64;
+        bad as f64 * (alternative / null).ln() + good * ((1.0 - alternative) / (1.0 - null)).ln()
+    }
+
     /// Lowers the weight of the old version's responses to that of `to` responses.
     fn weigh(&mut self, to: f64) {
         if self.old > to {
