Add tests of membership and documents over a simulated network

The network loses, delays, doubles and cuts messages from one seed. Hosts that cease to be speakers ask for digests, since otherwise those that heard them directly took them for silent.

--- /dev/null
+++ b/crates/fleet/src/beat.rs
@@ -0,0 +1,180 @@
+//! What a fleet sends by itself: heartbeats, announcements and requests.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+use tokio::time::Instant;
+
+use crate::{
+    fleet::Fleet,
+    member::MemberState,
+    message::{Heartbeat, Message},
+    roster::profile,
+};
+
+/// Sent beats that are remembered to find out when a confirmed one was sent.
+const REMEMBERED_BEATS: usize = 64;
+
+/// Beats after which a host that is no speaker asks about hosts of which nobody tells it.
+const UNVOUCHED_BEATS: u64 = 4;
+
+impl Fleet {
+    /// Forgets what a pause made doubtful.
+    pub(crate) fn resume(&mut self, now: Instant) {
+        self.resumed = true;
+        self.awake_since = now;
+        self.changed_at = now;
+        self.next_beat = now;
+        self.platform_at = None;
+        self.versions_asked_at = None;
+        self.versions_heard = false;
+        for link in &mut self.links {
+            link.confirmed = None;
+            link.documents_hash = 0;
+            link.platform_at = None;
+            link.zones_heard = None;
+        }
+    }
+
+    /// Sends a heartbeat to every host that expects one.
+    pub(crate) fn beat(&mut self, now: Instant, res: &mut Vec<(String, Message)>) {
+        self.sequence += 1;
+        self.beats.push((self.sequence, now));
+        if self.beats.len() > REMEMBERED_BEATS {
+            self.beats.remove(0);
+        }
+        // Word that was lost, or sent while the sender took this host for a speaker, is asked for
+        // again.
+        if self.sequence % UNVOUCHED_BEATS == 0 && !self.is_speaker() {
+            self.digest_due |= (0..self.members.len()).any(|at| self.is_unvouched(at, now));
+        }
+        for (at, is_answer) in self.targets(now) {
+            let heartbeat = self.heartbeat(at, is_answer, now);
+            self.links[at].sent_at = Some(now);
+            res.push((self.members[at].name.clone(), Message::Heartbeat(heartbeat)));
+        }
+        for link in &mut self.links {
+            link.answer_due = false;
+        }
+    }
+
+    /// The members that the next beat goes to, and whether it is only an answer.
+    pub(crate) fn targets(&self, now: Instant) -> Vec<(usize, bool)> {
+        let probe = Duration::from_millis(self.settings.probe_ms);
+        let probe_due = |at: usize| {
+            self.links[at].sent_at.is_none_or(|it| now.saturating_duration_since(it) >= probe)
+        };
+        let own_zone = &self.identity.zone;
+        let mates = (0..self.members.len()).filter(|at| {
+            let member = &self.members[*at];
+            member.zone == *own_zone && (member.state != MemberState::Gone || probe_due(*at))
+        });
+        let mut res: Vec<(usize, bool)> = mates.map(|it| (it, false)).collect();
+        let mut remote = Vec::new();
+        if self.is_speaker() {
+            let zones = self.zones().into_iter().filter(|it| it != own_zone);
+            remote.extend(zones.flat_map(|zone| self.remote_targets(&zone, probe_due)));
+        }
+        // Between zones only every second beat is sent: the interval is twice that inside one.
+        if self.sequence % 2 == 1 {
+            res.extend(remote.iter().map(|it| (*it, false)));
+        }
+        // Two hosts whose views of the speakers differ still hear each other.
+        let answers = (0..self.links.len()).filter(|at| {
+            self.links[*at].answer_due
+                && self.members[*at].zone != *own_zone
+                && !remote.contains(at)
+        });
+        res.extend(answers.map(|it| (it, true)));
+        res.retain(|it| it.0 != self.own());
+        res
+    }
+
+    /// The members of another zone that a speaker sends heartbeats to.
+    pub(crate) fn remote_targets(
+        &self,
+        zone: &str,
+        probe_due: impl Fn(usize) -> bool,
+    ) -> Vec<usize> {
+        let positions =
+            |names: Vec<&str>| names.into_iter().filter_map(|it| self.position(it)).collect();
+        let speakers: Vec<usize> = positions(self.speakers(zone));
+        if !speakers.is_empty() {
+            return speakers;
+        }
+        // Nobody of the zone is known to live, so different hosts are tried in turn.
+        let turn = self.sequence / 10;
+        let mut tried: Vec<usize> = positions(self.ranked(zone, turn, |_| true));
+        tried.retain(|at| self.members[*at].state != MemberState::Gone || probe_due(*at));
+        tried
+    }
+
+    /// The heartbeat for one member.
+    pub(crate) fn heartbeat(&self, to: usize, is_answer: bool, now: Instant) -> Heartbeat {
+        let (member, link) = (&self.members[to], &self.links[to]);
+        let own = &self.members[self.own()];
+        let documents_hash = self.documents.versions_hash();
+        let known = link.documents_hash == documents_hash;
+        let lost = self.links.iter().zip(&self.members).filter(|it| it.0.failed_at.is_some());
+        let lost = lost.filter(|it| it.1.zone == member.zone).map(|it| it.1.name.clone());
+        let heard = member.last_heard.is_some();
+        Heartbeat {
+            incarnation: own.incarnation,
+            sequence: self.sequence,
+            state: own.state,
+            is_answer,
+            load_permille: own.load_permille,
+            heard_incarnation: if heard { member.incarnation } else { 0 },
+            heard_sequence: link.sequence,
+            reaches_platform: self.is_fresh(self.platform_at, now),
+            zones_heard: u16::try_from(self.own_zones_heard(now)).unwrap_or(u16::MAX),
+            documents_hash,
+            documents: if known { Vec::new() } else { self.documents.versions() },
+            lost: if member.zone == own.zone { lost.collect() } else { Vec::new() },
+            profile: (!link.has_profile).then(|| profile(own)),
+            sections: self.sections.clone(),
+        }
+    }
+
+    /// Announces new versions and asks for what peers have and this host lacks.
+    pub(crate) fn request_state(&mut self, now: Instant, res: &mut Vec<(String, Message)>) {
+        let has_requests = self.documents.has_requests();
+        if !self.announce && self.versions_heard && !has_requests {
+            return;
+        }
+        if std::mem::take(&mut self.announce) {
+            let versions = self.documents.versions();
+            let hash = self.documents.versions_hash();
+            let partners = self.partners(now);
+            let behind = partners.into_iter().filter(|it| self.links[*it].documents_hash != hash);
+            res.extend(
+                behind
+                    .map(|at| (self.members[at].name.clone(), Message::Versions(versions.clone()))),
+            );
+        }
+        // Peers in the own zone answer fastest, so they stand first.
+        let mut peers = self.partners(now);
+        peers.sort_by_key(|at| self.members[*at].zone != self.identity.zone);
+        let near = peers.iter().filter(|at| self.members[**at].zone == self.identity.zone).count();
+        if near > 1 {
+            // A random start spreads the requests of many hosts that learn of a change together.
+            let start = self.rng.random_range(0..near);
+            peers[..near].rotate_left(start);
+        }
+        let retry = Duration::from_millis(self.settings.retry_ms);
+        let asked = self.versions_asked_at;
+        let due = asked.is_none_or(|it| now.saturating_duration_since(it) >= retry);
+        if !self.versions_heard && due && !peers.is_empty() {
+            self.versions_asked_at = Some(now);
+            let asked = peers.iter().take(2);
+            res.extend(asked.map(|at| (self.members[*at].name.clone(), Message::VersionsRequest)));
+        }
+        let names: Vec<&str> = peers.iter().map(|at| self.members[*at].name.as_str()).collect();
+        res.extend(self.documents.requests(&names, now));
+    }
+
+    /// When an own beat was sent, `None` when it is too long ago.
+    pub(crate) fn beat_sent_at(&self, sequence: u64) -> Option<Instant> {
+        self.beats.iter().find(|it| it.0 == sequence).map(|it| it.1)
+    }
+}
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     fleet::Fleet,
-    member::MemberState,
+    link::Vouched,
+    member::{Member, MemberState},
     message::{Digest, DigestEntry, Message},
 };
 
@@ -53,7 +54,7 @@
 
     /// Takes the word of a speaker; whether it names a host that is not known here.
     pub(crate) fn take_digest(&mut self, from: usize, digest: &Digest, now: Instant) -> bool {
-        let from_zone = self.members[from].zone.clone();
+        let (by, from_zone) = (self.members[from].name.clone(), self.members[from].zone.clone());
         let own_zone = self.identity.zone.clone();
         // A speaker hears the speakers of other zones itself and needs no relayed word.
         if from_zone == own_zone && self.is_speaker() {
@@ -73,7 +74,8 @@
             let authoritative =
                 if from_zone == own_zone { *zone != own_zone } else { *zone == from_zone };
             if authoritative && at != from {
-                self.links[at].vouched = Some((now, entry.state));
+                let by = by.clone();
+                self.links[at].vouched = Some(Vouched { at: now, state: entry.state, by });
                 if self.members[at].last_heard.is_none_or(|it| !self.is_recent(it, now)) {
                     self.members[at].load_permille = u16::from(entry.load_percent) * 10;
                 }
@@ -83,6 +85,42 @@
         unknown
     }
 
+    /// What this host tells a peer as a speaker: its own zone to another one, the others to its own.
+    pub(crate) fn digest_for(&self, peer: &str) -> Option<Digest> {
+        let zone = &self.members[self.position(peer)?].zone;
+        if !self.is_speaker() {
+            return None;
+        }
+        let own_zone = &self.identity.zone;
+        if zone != own_zone {
+            return Some(self.digest(own_zone));
+        }
+        let others = self.zones().into_iter().filter(|it| it != own_zone);
+        Some(Digest { entries: others.flat_map(|it| self.digest(&it).entries).collect() })
+    }
+
+    /// Asks speakers about hosts that ceased to be heard: this host's own first speaker, or when
+    /// this host is a speaker, one of each zone concerned.
+    pub(crate) fn ask_for_digests(&mut self, now: Instant, res: &mut Vec<(String, Message)>) {
+        if !std::mem::take(&mut self.digest_due) {
+            return;
+        }
+        let own_zone = self.identity.zone.as_str();
+        let silent = |it: &&Member| it.state == MemberState::Suspected && it.zone != own_zone;
+        let mut zones: Vec<&str> = if self.is_speaker() {
+            self.members.iter().filter(silent).map(|it| it.zone.as_str()).collect()
+        } else {
+            vec![own_zone]
+        };
+        zones.dedup();
+        zones.sort_unstable();
+        zones.dedup();
+        let partners = self.partners(now);
+        let heard = |it: &&str| partners.iter().any(|at| self.members[*at].name == **it);
+        let asked = zones.iter().filter_map(|it| self.speakers(it).into_iter().find(heard));
+        res.extend(asked.map(|it| (it.to_owned(), Message::DigestRequest)));
+    }
+
     /// The digest of a zone when it differs from the last one sent or that one is old.
     fn due_digest(&mut self, zone: &str, now: Instant) -> Option<Digest> {
         let interval = Duration::from_millis(self.settings.digest_ms);
--- a/crates/fleet/src/document.rs
+++ b/crates/fleet/src/document.rs
@@ -140,7 +140,7 @@
 
     /// Whether some peer has a newer version of a document.
     pub fn is_behind(&self) -> bool {
-        !self.behind().is_empty()
+        self.announced.iter().any(|it| self.is_newer(it))
     }
 
     /// Names the chunks of a head; they are fetched when missing and never dropped for space.
@@ -183,6 +183,11 @@
         self.chunks.iter().map(|it| it.1.len()).sum()
     }
 
+    /// Whether something that peers have is missing here.
+    pub(crate) fn has_requests(&self) -> bool {
+        self.wanted.iter().any(|it| !self.has_chunk(it)) || self.is_behind()
+    }
+
     /// Notes what a peer has.
     pub(crate) fn note_versions(&mut self, peer: &str, versions: &[(String, u64)]) {
         for (name, version) in versions.iter().take(MAX_DOCUMENTS) {
@@ -271,14 +276,17 @@
 
     /// Documents of which some peer has a newer version.
     fn behind(&self) -> Vec<String> {
-        let newer = |it: &&(String, String, u64)| {
-            self.document(&it.0).is_none_or(|document| document.version < it.2)
-        };
-        let mut res: Vec<_> = self.announced.iter().filter(newer).map(|it| it.0.clone()).collect();
+        let newer = self.announced.iter().filter(|it| self.is_newer(it));
+        let mut res: Vec<_> = newer.map(|it| it.0.clone()).collect();
         res.dedup();
         res
     }
 
+    /// Whether an announced version is above the present one.
+    fn is_newer(&self, announced: &(String, String, u64)) -> bool {
+        self.document(&announced.0).is_none_or(|it| it.version < announced.2)
+    }
+
     /// The version that a peer announced.
     fn announced_by(&self, name: &str, peer: &str) -> u64 {
         let key = (name, peer);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,12 +1,16 @@
 //! Membership, heartbeats and documents whose versions only increase.
 
+mod beat;
 mod digest;
 mod document;
 mod fleet;
+mod link;
 mod member;
 mod message;
 mod receive;
+mod roster;
 mod settings;
+mod view;
 
 pub use crate::{
     document::{Document, Documents, Offered, chunk_name},
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -36,6 +36,8 @@
     VersionsRequest,
     /// A speaker's word about hosts that the receiver does not hear itself.
     Digest(Digest),
+    /// Asks a speaker for a digest.
+    DigestRequest,
     /// Asks for the profiles of all known hosts.
     RosterRequest,
     /// Profiles of hosts.
@@ -146,7 +148,7 @@
 
 impl Message {
     /// Kinds that the fleet uses; a transport hands frames of these kinds to [`Message::decode`].
-    pub const KINDS: std::ops::RangeInclusive<u16> = 1..=10;
+    pub const KINDS: std::ops::RangeInclusive<u16> = 1..=11;
 
     /// The kind number in frames, fixed for all versions of the system.
     pub fn kind(&self) -> u16 {
@@ -161,6 +163,7 @@
             Self::Digest(_) => 8,
             Self::RosterRequest => 9,
             Self::Roster(_) => 10,
+            Self::DigestRequest => 11,
         }
     }
 
@@ -180,7 +183,7 @@
             Self::Versions(it) => bincode::encode_to_vec(it, CODEC),
             Self::Digest(it) => bincode::encode_to_vec(it, CODEC),
             Self::Roster(it) => bincode::encode_to_vec(it, CODEC),
-            Self::VersionsRequest | Self::RosterRequest => Ok(Vec::new()),
+            Self::VersionsRequest | Self::RosterRequest | Self::DigestRequest => Ok(Vec::new()),
         }?;
         if payload.len() > MAX_MESSAGE_BYTES {
             return Err(EncodeError::Other("message is above the size limit"));
@@ -201,6 +204,7 @@
             8 => Self::Digest(decoded(payload)?),
             9 => Self::RosterRequest,
             10 => Self::Roster(decoded(payload)?),
+            11 => Self::DigestRequest,
             _ => return Ok(None),
         };
         Ok(Some(message))
--- a/crates/fleet/src/receive.rs
+++ b/crates/fleet/src/receive.rs
@@ -52,7 +52,18 @@
                     self.ask_for_roster(from, now, &mut res);
                 }
             }
-            Message::RosterRequest => answer(Message::Roster(self.roster())),
+            Message::DigestRequest => {
+                if let Some(digest) = self.digest_for(from) {
+                    answer(Message::Digest(digest));
+                }
+            }
+            Message::RosterRequest => {
+                answer(Message::Roster(self.roster()));
+                // The asker could not apply the last digest to hosts it did not know.
+                if let Some(digest) = self.digest_for(from) {
+                    answer(Message::Digest(digest));
+                }
+            }
             Message::Roster(it) => {
                 for profile in &it {
                     self.add_profile(profile, now);
@@ -120,23 +131,32 @@
             for name in &heartbeat.lost {
                 if let Some(lost) = self.position(name) {
                     self.links[lost].lost_by_peer = true;
+                    self.refresh_member(lost, now);
                 }
             }
         }
         self.documents.note_versions(from, &heartbeat.documents);
-        self.refresh(now);
+        self.refresh_member(at, now);
         if first {
             self.ask_for_roster(from, now, res);
         }
         self.request_state(now, res);
     }
 
-    /// Asks a peer for the hosts it knows, unless another was just asked.
-    fn ask_for_roster(&mut self, from: &str, now: Instant, res: &mut Vec<(String, Message)>) {
+    /// Asks a peer for the hosts it knows, later when another was just asked.
+    pub(crate) fn ask_for_roster(
+        &mut self,
+        from: &str,
+        now: Instant,
+        res: &mut Vec<(String, Message)>,
+    ) {
         let recent = |it: Instant| now.saturating_duration_since(it) < ROSTER_INTERVAL;
-        if !self.roster_asked_at.is_some_and(recent) {
-            self.roster_asked_at = Some(now);
-            res.push((from.to_owned(), Message::RosterRequest));
+        if self.roster_asked_at.is_some_and(recent) {
+            self.roster_due = Some(from.to_owned());
+            return;
         }
+        self.roster_due = None;
+        self.roster_asked_at = Some(now);
+        res.push((from.to_owned(), Message::RosterRequest));
     }
 }
--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,170 @@
+//! Judgement of the evidence about members.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    fleet::Fleet,
+    member::{Member, MemberState},
+};
+
+impl Fleet {
+    /// Recomputes the states of all members.
+    pub(crate) fn refresh(&mut self, now: Instant) {
+        for at in 0..self.members.len() {
+            self.refresh_member(at, now);
+        }
+    }
+
+    /// Recomputes the state of one member.
+    pub(crate) fn refresh_member(&mut self, at: usize, now: Instant) {
+        let state = self.evaluated(at, now);
+        if self.members[at].state == state {
+            return;
+        }
+        self.members[at].state = state;
+        self.changed_at = now;
+        if state == MemberState::Suspected && self.members[at].zone != self.identity.zone {
+            // It may only have ceased to be a speaker; those of its zone know.
+            self.digest_due = true;
+        }
+        if state == MemberState::Gone {
+            let name = self.members[at].name.clone();
+            self.documents.forget_peer(&name);
+            self.links[at].documents_hash = 0;
+        }
+    }
+
+    /// The state that the evidence about a member supports.
+    pub(crate) fn evaluated(&self, at: usize, now: Instant) -> MemberState {
+        let (member, link) = (&self.members[at], &self.links[at]);
+        if at == self.own() {
+            return member.state;
+        }
+        let zone_matches = member.zone == self.identity.zone;
+        let settings = &self.settings;
+        let suspect_ms =
+            if zone_matches { settings.suspect_ms } else { settings.suspect_remote_ms };
+        let suspect = Duration::from_millis(suspect_ms);
+        // Silence while this process was paused is not the member's.
+        let silent_since = member.last_heard.unwrap_or(link.added_at).max(self.awake_since);
+        let silence = now.saturating_duration_since(silent_since);
+        if member.last_heard.is_some() && silence < suspect && link.failed_at.is_none() {
+            let leaving = link.leaving && link.announced == MemberState::Live;
+            return if leaving { MemberState::Draining } else { link.announced };
+        }
+        if let Some(state) = self.vouched_state(at, now) {
+            return state;
+        }
+        let process_gone = link.failed_at.is_some() && link.lost_by_peer && zone_matches;
+        if process_gone || silence >= Duration::from_millis(settings.gone_ms) {
+            return MemberState::Gone;
+        }
+        MemberState::Suspected
+    }
+
+    /// The state that a speaker vouches for, while that speaker itself is heard.
+    fn vouched_state(&self, at: usize, now: Instant) -> Option<MemberState> {
+        let (member, link) = (&self.members[at], &self.links[at]);
+        let vouched = link.vouched.as_ref()?;
+        let age = now.saturating_duration_since(vouched.at);
+        // Word that is older than the own evidence says nothing new.
+        let newer = member.last_heard.is_none_or(|it| vouched.at > it)
+            && link.failed_at.is_none_or(|it| vouched.at > it);
+        let valid = newer && age < Duration::from_millis(self.settings.vouch_ms);
+        // Without this, a zone that is cut off would count as live until its last digest is old.
+        let by = self.position(&vouched.by).map(|it| &self.members[it])?;
+        let heard = self.heard_within(by, self.settings.suspect_remote_ms, now);
+        (valid && heard && member.zone != self.identity.zone).then_some(vouched.state)
+    }
+
+    /// Whether a host of another zone is silent here and no speaker says anything about it.
+    pub(crate) fn is_unvouched(&self, at: usize, now: Instant) -> bool {
+        let member = &self.members[at];
+        member.zone != self.identity.zone
+            && member.state >= MemberState::Suspected
+            && member.incarnation > 0
+            && self.vouched_state(at, now).is_none()
+    }
+
+    /// Members that this host heard lately and that are neither suspected nor gone.
+    pub(crate) fn partners(&self, now: Instant) -> Vec<usize> {
+        let usable = |at: &usize| {
+            let member = &self.members[*at];
+            *at != self.own()
+                && member.state < MemberState::Suspected
+                && self.heard_within(member, self.settings.suspect_remote_ms, now)
+        };
+        (0..self.members.len()).filter(usable).collect()
+    }
+
+    /// Other zones of which this host itself heard a host lately.
+    pub(crate) fn own_zones_heard(&self, now: Instant) -> usize {
+        let recent = |it: &&Member| self.is_fresh(it.last_heard, now);
+        let other = self.members.iter().filter(|it| it.zone != self.identity.zone);
+        let mut zones: Vec<&str> = other.filter(recent).map(|it| it.zone.as_str()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones.len()
+    }
+
+    /// Names of all zones with a known host.
+    pub(crate) fn zones(&self) -> Vec<String> {
+        let mut res: Vec<String> = self.members.iter().map(|it| it.zone.clone()).collect();
+        res.sort_unstable();
+        res.dedup();
+        res
+    }
+
+    /// The first hosts of a zone by rendezvous hashing among those that qualify.
+    pub(crate) fn ranked(
+        &self,
+        zone: &str,
+        turn: u64,
+        qualifies: impl Fn(&&Member) -> bool,
+    ) -> Vec<&str> {
+        let of_zone = self.members.iter().filter(|it| it.zone == zone);
+        let mut res: Vec<(u64, &str)> = of_zone
+            .filter(qualifies)
+            .map(|it| (xxh3_64(format!("{}/{turn}", it.name).as_bytes()), it.name.as_str()))
+            .collect();
+        res.sort_unstable();
+        res.truncate(self.settings.speakers_per_zone);
+        res.into_iter().map(|it| it.1).collect()
+    }
+
+    /// Whether a member is another host of the own zone.
+    pub(crate) fn is_mate(&self, member: &Member) -> bool {
+        member.zone == self.identity.zone && member.name != self.identity.name
+    }
+
+    /// Whether something happened within the time after which its absence means isolation.
+    pub(crate) fn is_fresh(&self, at: Option<Instant>, now: Instant) -> bool {
+        at.is_some_and(|it| now.saturating_duration_since(it) < self.isolated_after())
+    }
+
+    /// Whether a member was heard within a time.
+    pub(crate) fn heard_within(&self, member: &Member, time_ms: u64, now: Instant) -> bool {
+        let time = Duration::from_millis(time_ms);
+        member
+            .last_heard
+            .is_some_and(|it| now.saturating_duration_since(it.max(self.awake_since)) < time)
+    }
+
+    /// Time without news after which the host is isolated.
+    pub(crate) fn isolated_after(&self) -> Duration {
+        Duration::from_millis(self.settings.isolated_ms)
+    }
+
+    /// Position of this host.
+    pub(crate) fn own(&self) -> usize {
+        self.position(&self.identity.name).expect("the own host is always a member")
+    }
+
+    /// Where a host stands among the members.
+    pub(crate) fn position(&self, name: &str) -> Option<usize> {
+        self.members.binary_search_by(|it| it.name.as_str().cmp(name)).ok()
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/documents.rs
@@ -0,0 +1,248 @@
+//! Documents and chunks: they reach everybody, and versions never decrease.
+
+mod network;
+
+use std::time::Duration;
+
+use kingcupford_fleet::{Documents, MemberState, Message, Offered, chunk_name};
+use network::{Network, millis, secs};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+/// Three zones with hosts that are not speakers.
+const WIDE: [(&str, usize); 3] = [("a", 5), ("b", 5), ("c", 5)];
+
+/// Guards against a change that some zone learns of only with a later heartbeat.
+#[test]
+fn document_reaches_all_zones_within_a_second() {
+    for (seed, delay_ms) in [(1, 35), (2, 55)] {
+        let mut network = Network::new(&WIDE, seed);
+        network.zone_delay = millis(delay_ms);
+        network.until(secs(5), |it| it.converged());
+        for version in 1..=5 {
+            // Offered at a host that is no speaker, the longest way.
+            let host = network.hosts.iter().find(|it| it.zone == "a" && !it.fleet.is_speaker());
+            let host = host.expect("five hosts, two speakers").name.clone();
+            let offered = network.fleet(&host).offer("config/head", version, &[7; 4_000]);
+            assert_eq!(offered, Offered::Newer);
+            let time = network.until(secs(1), |it| everybody_has(it, version));
+            println!("version {version} is everywhere after {time:?} at {delay_ms} ms");
+            network.run(millis(730));
+        }
+    }
+}
+
+/// Guards against a change that is lost for good when its messages are.
+#[test]
+fn document_reaches_everybody_despite_loss() {
+    for seed in 0..5 {
+        let mut network = Network::new(&WIDE, seed);
+        network.until(secs(5), |it| it.converged());
+        network.loss = 0.3;
+        network.fleet("a-0").offer("config/head", 1, b"one");
+        let time = network.until(secs(6), |it| everybody_has(it, 1));
+        println!("everywhere after {time:?} with 30 % loss");
+    }
+}
+
+/// Guards against a fresh host that cannot start while the platform is away, and one that asks a
+/// silent peer for ever.
+#[test]
+fn fresh_host_starts_from_its_peers() {
+    let mut network = Network::new(&[("a", 4), ("b", 2)], 3);
+    network.until(secs(5), |it| it.converged());
+    let chunks: Vec<Vec<u8>> = (0..40_u8).map(|it| vec![it; 200_000]).collect();
+    let names: Vec<String> = chunks.iter().map(|it| chunk_name(it)).collect();
+    for host in &mut network.hosts {
+        host.fleet.offer("config/head", 3, b"head");
+        host.fleet.offer("quota/ledger", 8, b"ledger");
+        host.fleet.documents_mut().want_chunks(3, names.clone());
+        for chunk in &chunks {
+            host.fleet.documents_mut().insert_chunk(chunk);
+        }
+    }
+    network.run(secs(1));
+    network.platform = false;
+    network.kill("a-3");
+    network.run(secs(11));
+    network.restart("a-3", 2);
+    assert_eq!(network.fleet("a-3").documents().versions(), []);
+    let time = network.until(secs(2), |it| it.fleet("a-3").documents().versions().len() == 2);
+    println!("documents after {time:?}");
+    // One peer stops to answer just now; others have the chunks as well.
+    network.pause("a-1", secs(20));
+    network.fleet("a-3").documents_mut().want_chunks(3, names.clone());
+    let time = network.until(secs(4), |it| it.fleet("a-3").documents().missing_chunks().is_empty());
+    println!("40 chunks after {time:?}");
+    // The seeds name three hosts; the others are learned from them.
+    let known = network.fleet("a-3").members().len();
+    assert_eq!(known, 6);
+    network.until(secs(3), |it| it.state("a-3", "b-1") == MemberState::Live);
+}
+
+/// Guards against a chunk that is taken although its content is not what was asked for.
+#[test]
+fn chunk_with_wrong_content_is_refused() {
+    let mut network = Network::new(&[("a", 2)], 4);
+    network.until(secs(5), |it| it.converged());
+    let (now, name) = (network.now, chunk_name(b"right"));
+    network.fleet("a-0").documents_mut().want_chunks(1, vec![name.clone()]);
+    for bytes in [Some(b"wrong".to_vec()), None] {
+        let reply = kingcupford_fleet::ChunkReply { sha256: name.clone(), bytes };
+        network.fleet("a-0").receive("a-1", Message::Chunk(reply), now);
+        assert_eq!(network.fleet("a-0").documents().missing_chunks(), vec![name.clone()]);
+    }
+    let unasked = b"unasked".to_vec();
+    let reply =
+        kingcupford_fleet::ChunkReply { sha256: chunk_name(&unasked), bytes: Some(unasked) };
+    network.fleet("a-0").receive("a-1", Message::Chunk(reply), now);
+    assert_eq!(network.fleet("a-0").documents().chunk_bytes(), 0, "unasked chunks fill memory");
+}
+
+/// Guards against a chunk store that grows without bound or drops what the newest head needs.
+#[test]
+fn chunk_store_keeps_what_the_head_needs() {
+    let mut documents = Documents::new(1_000, Duration::from_millis(500));
+    let wanted: Vec<Vec<u8>> = (0..5_u8).map(|it| vec![it; 300]).collect();
+    documents.want_chunks(2, wanted.iter().map(|it| chunk_name(it)).collect());
+    for chunk in &wanted {
+        documents.insert_chunk(chunk);
+    }
+    for other in 100..120_u8 {
+        documents.insert_chunk(&[other; 300]);
+    }
+    assert!(documents.missing_chunks().is_empty(), "the head's chunks may exceed the bound");
+    assert_eq!(documents.chunk_bytes(), 1_500);
+    // A late, older head changes nothing; a newer one frees what it does not need.
+    documents.want_chunks(1, Vec::new());
+    assert_eq!(documents.chunk_bytes(), 1_500);
+    documents.want_chunks(3, vec![chunk_name(&wanted[4])]);
+    assert!(documents.chunk_bytes() <= 1_000);
+    assert!(documents.chunk(&chunk_name(&wanted[4])).is_some());
+}
+
+/// Guards against documents that no message can carry, which would be announced for ever.
+#[test]
+fn document_above_the_bound_is_refused() {
+    let mut documents = Documents::new(1_000, Duration::from_millis(500));
+    assert_eq!(documents.offer("config/head", 1, &vec![0; 1_000_000]), Offered::Older);
+    assert_eq!(documents.offer(&"n".repeat(300), 1, b""), Offered::Older);
+    assert_eq!(documents.offer("config/head", 2, b"a"), Offered::Newer);
+    assert_eq!(documents.offer("config/head", 2, b"b"), Offered::Known);
+    assert_eq!(documents.offer("config/head", 1, b"c"), Offered::Older);
+    assert_eq!(&*documents.document("config/head").expect("present").bytes, b"a");
+}
+
+/// One event of a random history.
+#[derive(Debug, Clone)]
+enum Event {
+    Offer { host: usize, version: u64 },
+    Restart { host: usize },
+    Cut { zone: usize },
+    Heal,
+    Pause { host: usize },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (0..5_usize, 1..60_u64).prop_map(|(host, version)| Event::Offer { host, version }),
+        2 => (0..5_usize).prop_map(|host| Event::Restart { host }),
+        1 => (0..3_usize).prop_map(|zone| Event::Cut { zone }),
+        1 => Just(Event::Heal),
+        1 => (0..5_usize).prop_map(|host| Event::Pause { host }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60,
+        rng_seed: RngSeed::Fixed(20_261),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a configuration that reverts: a process that goes back to an older version,
+    /// or hosts that end with different versions, whatever is lost, late, doubled or restarted.
+    #[test]
+    fn versions_never_decrease(events in prop::collection::vec(event(), 1..25), seed in 0..1_000_u64) {
+        let zones = [("a", 2), ("b", 2), ("c", 1)];
+        let mut network = Network::new(&zones, seed);
+        network.loss = 0.2;
+        network.duplication = 0.2;
+        network.jitter = secs(3);
+        let mut seen = [0_u64; 5];
+        let mut incarnation = 1;
+        let mut check = |network: &mut Network, restarted: Option<usize>| {
+            for (at, host) in network.hosts.iter().enumerate() {
+                let version = version_of(network, at);
+                if restarted == Some(at) {
+                    seen[at] = 0;
+                }
+                assert!(version >= seen[at], "{} went back from {} to {version}", host.name, seen[at]);
+                seen[at] = version;
+            }
+        };
+        for event in events {
+            let mut restarted = None;
+            match event {
+                Event::Offer { host, version } => {
+                    network.hosts[host].fleet.offer("config/head", version, &version.to_le_bytes());
+                }
+                Event::Restart { host } => {
+                    incarnation += 1;
+                    let name = network.hosts[host].name.clone();
+                    network.restart(&name, incarnation);
+                    restarted = Some(host);
+                }
+                Event::Cut { zone } => {
+                    network.cut_zones = vec![(zones[zone].0.to_owned(), "*".to_owned())];
+                }
+                Event::Heal => network.cut_zones.clear(),
+                Event::Pause { host } => {
+                    let name = network.hosts[host].name.clone();
+                    network.pause(&name, secs(3));
+                }
+            }
+            check(&mut network, restarted);
+            network.run_with(millis(700), |it| check(it, None));
+        }
+        // What some process still has at the end reaches everybody.
+        network.loss = 0.0;
+        network.cut_zones.clear();
+        network.jitter = Duration::ZERO;
+        let newest = (0..5).map(|at| version_of(&network, at)).max().unwrap_or(0);
+        network.run_with(secs(20), |it| check(it, None));
+        for at in 0..5 {
+            prop_assert_eq!(version_of(&network, at), newest);
+        }
+    }
+
+    /// Guards against bytes of a peer that end the process or allocate what they announce.
+    #[test]
+    fn message_of_random_bytes_is_refused_or_decodes(kind in 0..20_u16, bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(Some(message)) = Message::decode(kind, &bytes) {
+            let encoded = message.encode().expect("what decodes also encodes");
+            prop_assert_eq!(Message::decode(kind, &encoded).ok().flatten(), Some(message));
+        }
+    }
+}
+
+/// Guards against a newer version of the system that older ones cannot talk to.
+#[test]
+fn message_of_a_later_version_is_understood() {
+    let request = Message::ChunkRequest(kingcupford_fleet::ChunkRequest { sha256: "ab".into() });
+    let mut payload = request.encode().expect("encodes");
+    payload.extend_from_slice(b"a field of a later version");
+    assert_eq!(Message::decode(4, &payload).ok().flatten(), Some(request));
+    assert!(matches!(Message::decode(900, &payload), Ok(None)));
+    // A length of 2^60 bytes in a request of a few.
+    let huge = [253, 0, 0, 0, 0, 0, 0, 0, 16];
+    assert!(Message::decode(4, &huge).is_err());
+}
+
+fn version_of(network: &Network, at: usize) -> u64 {
+    network.hosts[at].fleet.document("config/head").map_or(0, |it| it.version)
+}
+
+fn everybody_has(network: &Network, version: u64) -> bool {
+    (0..network.hosts.len()).all(|at| version_of(network, at) == version)
+}
--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -70,7 +70,7 @@
             handshake_ms: 5_000,
             idle_ms: 30_000,
             stall_ms: 5_000,
-            ping_ms: 2_000,
+            ping_ms: 10_000,
             reconnect_min_ms: 50,
             reconnect_max_ms: 2_000,
             reload_ms: 10_000,
