Test the stand-ins and the configuration store over loopback

The tests found three faults. The HTTP server goes on with a request whose client has left, so the stand-ins now notice the end of the connection themselves; without that, cancellations were not seen and waiting watches were counted for ever. Half of the responses lost could exhaust the deadline for writing chunks, so that a lost response is now resolved by reading. A lagging load report could show the first load as if it had been there from the start.

--- a/crates/platform/src/chunk_store.rs
+++ b/crates/platform/src/chunk_store.rs
@@ -125,23 +125,32 @@
     mut retry: Retry,
 ) -> Result<(), ChunkFault> {
     let name = chunk_name(&hash);
-    let mut condition = Condition::Absent;
+    // The version of the chunk when it was first seen.
+    let mut seen = None;
     loop {
-        let wait_ms = match store.write(&name, bytes.clone(), condition).await {
+        let condition = seen.map_or(Condition::Absent, Condition::Version);
+        let mut wait_ms = 0;
+        let current = match store.write(&name, bytes.clone(), condition).await {
             WriteOutcome::Written { .. } => return Ok(()),
-            WriteOutcome::Conflict { current: Some(version) } => {
-                condition = Condition::Version(version);
-                continue;
-            }
-            WriteOutcome::Conflict { current: None } => {
-                condition = Condition::Absent;
-                0
-            }
+            WriteOutcome::Conflict { current } => current,
             WriteOutcome::TooLarge => return Err(ChunkFault::TooLarge),
-            WriteOutcome::Throttled { retry_after_ms } => retry_after_ms,
-            WriteOutcome::Unknown | WriteOutcome::Unavailable => 0,
+            WriteOutcome::Unknown => match store.read(&name).await {
+                Answer::Value(it) => it.map(|it| it.version),
+                Answer::Unavailable | Answer::Throttled { .. } => seen,
+            },
+            WriteOutcome::Throttled { retry_after_ms } => {
+                wait_ms = retry_after_ms;
+                seen
+            }
+            WriteOutcome::Unavailable => seen,
         };
-        if !retry.pause(wait_ms).await {
+        if seen.is_some() && current.is_some() && current != seen {
+            // It was written after it had been seen, by a lost attempt or by another writer.
+            return Ok(());
+        }
+        let is_first_sight = seen.is_none() && current.is_some();
+        seen = current;
+        if !is_first_sight && !retry.pause(wait_ms).await {
             return Err(ChunkFault::Unavailable);
         }
     }
--- a/crates/platform/src/head_write.rs
+++ b/crates/platform/src/head_write.rs
@@ -58,7 +58,12 @@
         let wait_ms = match store.write(&name, base.bytes.clone(), Condition::Absent).await {
             WriteOutcome::Written { .. } | WriteOutcome::Conflict { .. } => return true,
             WriteOutcome::Throttled { retry_after_ms } => retry_after_ms,
-            WriteOutcome::Unknown | WriteOutcome::Unavailable | WriteOutcome::TooLarge => 0,
+            WriteOutcome::Unknown => match store.read(&name).await {
+                Answer::Value(Some(_)) => return true,
+                Answer::Throttled { retry_after_ms } => retry_after_ms,
+                Answer::Value(None) | Answer::Unavailable => 0,
+            },
+            WriteOutcome::Unavailable | WriteOutcome::TooLarge => 0,
         };
         if !retry.pause(wait_ms).await {
             return false;
--- /dev/null
+++ b/crates/platform/tests/http_store.rs
@@ -0,0 +1,193 @@
+//! The object API over loopback sockets.
+
+mod common;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{object_store, platform, platform_with, with_timeouts};
+use kingcupford_platform::{
+    Answer, Condition, HostEntry, HostState, ObjectStore, Watched, WriteOutcome,
+};
+use kingcupford_standin::{Outage, PlatformFaults, PlatformLimits, PlatformSettings};
+
+const VALUE: Bytes = Bytes::from_static(b"value");
+
+/// Guards against lost updates: a condition that does not hold changes nothing.
+#[tokio::test]
+async fn write_condition() {
+    let platform = platform().await;
+    let store = object_store(&platform);
+    let name = "a b/c?d#é";
+    let WriteOutcome::Written { version } = store.write(name, VALUE, Condition::Absent).await
+    else {
+        panic!("not written");
+    };
+    let conflict = WriteOutcome::Conflict { current: Some(version) };
+    assert_eq!(store.write(name, Bytes::new(), Condition::Absent).await, conflict);
+    assert_eq!(store.write(name, Bytes::new(), Condition::Version(version + 1)).await, conflict);
+    assert_eq!(store.delete(name, Condition::Version(version + 1)).await, conflict);
+    let Answer::Value(Some(object)) = store.read(name).await else { panic!("not read") };
+    assert_eq!((object.version, object.bytes), (version, VALUE));
+    let deleted = store.delete(name, Condition::Version(version)).await;
+    assert!(matches!(deleted, WriteOutcome::Written { .. }));
+    let gone = WriteOutcome::Conflict { current: None };
+    assert_eq!(store.write(name, VALUE, Condition::Version(version)).await, gone);
+    assert_eq!(store.read(name).await, Answer::Value(None));
+}
+
+/// Guards against a deletion that destroys an object which was written again with equal content.
+#[tokio::test]
+async fn delete_after_equal_write() {
+    let platform = platform().await;
+    let store = object_store(&platform);
+    store.write("chunk/a", VALUE, Condition::Absent).await;
+    let Answer::Value(listed) = store.list("chunk/").await else { panic!("not listed") };
+    store.write("chunk/a", VALUE, Condition::Always).await;
+    let deleted = store.delete("chunk/a", Condition::Version(listed.objects[0].version)).await;
+    assert!(matches!(deleted, WriteOutcome::Conflict { current: Some(_) }));
+}
+
+/// Guards against taking a write that may have taken effect for one that certainly did not.
+#[tokio::test]
+async fn write_lost_answer() {
+    let platform = platform().await;
+    let store = object_store(&platform);
+    let faults = PlatformFaults { lose_next_write_answers: 1, ..PlatformFaults::default() };
+    platform.set_faults(faults);
+    assert_eq!(store.write("a", VALUE, Condition::Absent).await, WriteOutcome::Unknown);
+    assert!(matches!(store.read("a").await, Answer::Value(Some(_))));
+    platform.set_faults(PlatformFaults { lose_next_writes: 1, ..PlatformFaults::default() });
+    assert_eq!(store.write("b", VALUE, Condition::Absent).await, WriteOutcome::Unknown);
+    assert_eq!(store.read("b").await, Answer::Value(None));
+    let dropped = PlatformFaults { outage: Outage::Dropped, ..PlatformFaults::default() };
+    platform.set_faults(dropped);
+    assert_eq!(store.write("b", VALUE, Condition::Absent).await, WriteOutcome::Unknown);
+    assert_eq!(store.read("b").await, Answer::Unavailable);
+}
+
+/// Guards against reading back and repeating writes that certainly took no effect.
+#[tokio::test]
+async fn write_down() {
+    let platform = platform().await;
+    let store = object_store(&platform);
+    let down = PlatformFaults { outage: Outage::Unavailable, ..PlatformFaults::default() };
+    platform.set_faults(down);
+    assert_eq!(store.write("a", VALUE, Condition::Absent).await, WriteOutcome::Unavailable);
+    assert_eq!(store.read("a").await, Answer::Unavailable);
+    let store = object_store(&platform);
+    platform.stop().await;
+    assert_eq!(store.write("a", VALUE, Condition::Absent).await, WriteOutcome::Unavailable);
+}
+
+/// Guards against calls without end on a slow platform, and against taking a write that takes
+/// effect after its timeout for one that did not.
+#[tokio::test]
+async fn write_slow() {
+    let platform = platform().await;
+    let store = with_timeouts(&platform, 50);
+    platform.set_faults(PlatformFaults { delay_ms: 200, ..PlatformFaults::default() });
+    assert_eq!(store.read("a").await, Answer::Unavailable);
+    assert_eq!(store.write("a", VALUE, Condition::Absent).await, WriteOutcome::Unknown);
+    platform.set_faults(PlatformFaults::default());
+    assert_eq!(store.read("a").await, Answer::Value(None));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert!(matches!(store.read("a").await, Answer::Value(Some(_))));
+}
+
+/// Guards against values above the platform's limit being repeated as if it were unavailable.
+#[tokio::test]
+async fn write_too_large() {
+    let platform = platform().await;
+    let store = object_store(&platform);
+    let fits = Bytes::from(vec![0; 1_000_000]);
+    let exceeds = Bytes::from(vec![0; 1_000_001]);
+    assert!(matches!(
+        store.write("a", fits, Condition::Always).await,
+        WriteOutcome::Written { .. }
+    ));
+    assert_eq!(store.write("a", exceeds, Condition::Always).await, WriteOutcome::TooLarge);
+}
+
+/// Guards against a client that ignores the platform's limits, and against a waiting watch that
+/// is not counted as a call.
+#[tokio::test]
+async fn calls_throttled() {
+    let limits =
+        PlatformLimits { reads_per_s: 1.0, writes_per_s: 1.0, ..PlatformLimits::default() };
+    let platform = platform_with(PlatformSettings { limits, ..PlatformSettings::default() }).await;
+    let store = object_store(&platform);
+    assert!(matches!(
+        store.write("a", VALUE, Condition::Always).await,
+        WriteOutcome::Written { .. }
+    ));
+    let second = store.write("a", VALUE, Condition::Always).await;
+    assert!(matches!(second, WriteOutcome::Throttled { retry_after_ms: 1..=1000 }), "{second:?}");
+    let watch = tokio::spawn({
+        let store = store.clone();
+        async move { store.watch("b", 1, Duration::from_secs(3)).await }
+    });
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert!(matches!(store.read("a").await, Answer::Throttled { .. }));
+    watch.abort();
+    tokio::time::sleep(Duration::from_millis(1100)).await;
+    assert!(matches!(store.read("a").await, Answer::Throttled { .. } | Answer::Value(Some(_))));
+    assert_eq!(platform.calls().waiting_watches, 0);
+}
+
+/// Guards against missed changes: a watch answers changes that came before it, and says when it
+/// cannot.
+#[tokio::test]
+async fn watch_gap() {
+    let platform = platform().await;
+    let store = object_store(&platform);
+    for name in ["config/a", "other/a", "config/b"] {
+        store.write(name, VALUE, Condition::Always).await;
+    }
+    store.delete("config/a", Condition::Always).await;
+    let wait = Duration::from_millis(100);
+    let Answer::Value(Watched::Changes { revision, changes }) =
+        store.watch("config/", 0, wait).await
+    else {
+        panic!("no changes");
+    };
+    let changes: Vec<_> = changes.into_iter().map(|it| (it.name, it.version)).collect();
+    assert_eq!(revision, 4);
+    assert_eq!(changes, [("config/a".to_owned(), None), ("config/b".to_owned(), Some(3))]);
+    let quiet = Watched::Changes { revision: 4, changes: Vec::new() };
+    assert_eq!(store.watch("config/", 4, wait).await, Answer::Value(quiet));
+    platform.forget_changes();
+    assert_eq!(store.watch("config/", 3, wait).await, Answer::Value(Watched::TooOld));
+    // A revision from before the platform lost its state.
+    assert_eq!(store.watch("config/", 9, wait).await, Answer::Value(Watched::TooOld));
+}
+
+/// Guards against a host list that shows dead hosts for ever or announcements at once.
+#[tokio::test]
+async fn hosts_lag_and_expire() {
+    let limits =
+        PlatformLimits { host_lag_ms: 200, host_expiry_ms: 600, ..PlatformLimits::default() };
+    let platform = platform_with(PlatformSettings { limits, ..PlatformSettings::default() }).await;
+    let store = object_store(&platform);
+    let mut entry = HostEntry {
+        name: "h1".to_owned(),
+        zone: "north-1".to_owned(),
+        peer_address: "127.0.0.1:1".parse().unwrap(),
+        public_addresses: vec!["127.0.0.1:2".parse().unwrap()],
+        state: HostState::Live,
+    };
+    assert_eq!(store.announce(&entry).await, Answer::Value(()));
+    assert_eq!(store.hosts().await, Answer::Value(Vec::new()));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(store.hosts().await, Answer::Value(vec![entry.clone()]));
+    platform.set_faults(PlatformFaults { host_list_frozen: true, ..PlatformFaults::default() });
+    let live = entry.clone();
+    entry.state = HostState::Leaving;
+    store.announce(&entry).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(store.hosts().await, Answer::Value(vec![live]));
+    platform.set_faults(PlatformFaults::default());
+    assert_eq!(store.hosts().await, Answer::Value(vec![entry]));
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(store.hosts().await, Answer::Value(Vec::new()));
+}
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -84,7 +84,7 @@
         self.state.lock().connections.len()
     }
 
-    /// Cancelled when the connection of `peer` is dropped by the gate.
+    /// Cancelled when the connection of `peer` ends.
     pub(crate) fn token(&self, peer: Option<SocketAddr>) -> CancellationToken {
         let state = self.state.lock();
         let found = state.connections.iter().find(|it| Some(it.0) == peer);
@@ -162,8 +162,8 @@
             };
             let Some(token) = self.gate.admit(peer) else { continue };
             let gate = Arc::clone(&self.gate);
-            let dropped = Box::pin(token.cancelled_owned());
-            let stream = GatedStream { stream, peer, dropped, gate };
+            let dropped = Box::pin(token.clone().cancelled_owned());
+            let stream = GatedStream { stream, peer, token, dropped, gate };
             stream.stream.set_nodelay(true)?;
             let open_cost = self.gate.state.lock().open_cost;
             if !open_cost.is_zero() {
@@ -195,7 +195,9 @@
     stream: TcpStream,
     /// Address of the client.
     peer: SocketAddr,
-    /// Ready once the gate drops the connection.
+    /// Cancelled when the client leaves or the gate drops the connection.
+    token: CancellationToken,
+    /// Ready once the token is cancelled.
     dropped: Pin<Box<WaitForCancellationFutureOwned>>,
     /// The gate.
     gate: Arc<Gate>,
@@ -218,7 +220,18 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.check(cx)?;
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        let res = Pin::new(&mut self.stream).poll_read(cx, buf);
+        // The server goes on with a request whose client has left, so the end is passed on here.
+        let ended = match &res {
+            Poll::Ready(Ok(())) => buf.remaining() > 0 && buf.filled().len() == filled,
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        };
+        if ended {
+            self.token.cancel();
+        }
+        res
     }
 }
 
--- a/crates/standin/src/upstream/reports.rs
+++ b/crates/standin/src/upstream/reports.rs
@@ -37,8 +37,10 @@
 
     /// Records the state from `now` on.
     pub(crate) fn record(&mut self, sample: Sample, now: Instant) {
+        // The first sample stays, so that a lagging report shows the idle start.
+        let is_first = self.history.len() == 1;
         match self.history.back_mut() {
-            Some((at, last)) if now.duration_since(*at) < RESOLUTION => *last = sample,
+            Some((at, last)) if !is_first && now.duration_since(*at) < RESOLUTION => *last = sample,
             _ => self.history.push_back((now, sample)),
         }
         while self.history.len() > 1 && now.duration_since(self.history[1].0) > KEPT {
