Test undetermined changes and many racing operators

Neither an outage that begins behind a head update nor more than two operators were tried. An undetermined change that is repeated with its identifier makes no second version; 24 keys issued by 8 operators while a fifth of the responses is lost are all stored, one version each.

--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -19,25 +19,39 @@
     Answer, ChangeOutcome, ChangeRequest, Condition, ConfigStore, ConfigStoreSettings, HEAD_NAME,
     HostEntry, HttpObjectStore, Listing, LostRace, Object, ObjectStore, Watched, WriteOutcome,
 };
-use kingcupford_standin::{Outage, PlatformFaults};
+use kingcupford_standin::{Outage, PlatformFaults, PlatformStandin};
 
 const fn applied(version: u64) -> ChangeOutcome {
     ChangeOutcome::Applied { version }
 }
 
-/// Loses the response to one head update, around which another operator switches the preset.
+/// Loses the response to one head update, around which something else happens.
 struct Interfered {
     inner: HttpObjectStore,
     other: ConfigStore<HttpObjectStore>,
-    /// Whether the other change comes after the lost update, instead of taking its place.
-    other_after: bool,
+    interference: Interference,
     armed: AtomicBool,
 }
 
+/// What happens around the lost update.
+enum Interference {
+    /// Another operator switches the preset in its place.
+    OtherBefore,
+    /// Another operator switches the preset after it.
+    OtherAfter,
+    /// It takes effect and an outage begins.
+    OutageAfter(Arc<PlatformStandin>),
+}
+
 impl Interfered {
-    fn new(inner: HttpObjectStore, other_after: bool) -> Self {
+    fn new(inner: HttpObjectStore, interference: Interference) -> Self {
         let other = config_store(inner.clone(), 9);
-        Self { inner, other, other_after, armed: AtomicBool::new(true) }
+        Self { inner, other, interference, armed: AtomicBool::new(true) }
+    }
+
+    async fn switch_by_other(&self) {
+        let outcome = self.other.switch_preset("peak", "other").await;
+        assert!(matches!(outcome, ChangeOutcome::Applied { .. }));
     }
 }
 
@@ -50,13 +64,20 @@
         if name != HEAD_NAME || !self.armed.swap(false, Ordering::SeqCst) {
             return self.inner.write(name, value, condition).await;
         }
-        if self.other_after {
-            self.inner.write(name, value.clone(), condition).await;
-        }
-        let other = self.other.switch_preset("peak", "other").await;
-        assert!(matches!(other, ChangeOutcome::Applied { .. }));
-        if !self.other_after {
-            self.inner.write(name, value, condition).await;
+        match &self.interference {
+            Interference::OtherBefore => {
+                self.switch_by_other().await;
+                self.inner.write(name, value, condition).await;
+            }
+            Interference::OtherAfter => {
+                self.inner.write(name, value, condition).await;
+                self.switch_by_other().await;
+            }
+            Interference::OutageAfter(platform) => {
+                self.inner.write(name, value, condition).await;
+                let outage = Outage::Unavailable;
+                platform.set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
+            }
         }
         WriteOutcome::Unknown
     }
@@ -214,7 +235,7 @@
     let platform = platform().await;
     let inner = object_store(&platform);
     config_store(inner.clone(), 1).apply(&declarations(), &change("base")).await;
-    let store = config_store(Interfered::new(inner, true), 2);
+    let store = config_store(Interfered::new(inner, Interference::OtherAfter), 2);
     assert_eq!(store.apply(&moved_block("s2"), &change("a")).await, applied(2));
     let head = head(&store).await;
     assert_eq!((head.version, head.active_preset.as_str()), (3, "peak"));
@@ -228,7 +249,7 @@
     let platform = platform().await;
     let inner = object_store(&platform);
     config_store(inner.clone(), 1).apply(&declarations(), &change("base")).await;
-    let store = config_store(Interfered::new(inner, false), 2);
+    let store = config_store(Interfered::new(inner, Interference::OtherBefore), 2);
     assert_eq!(store.issue_key(&key("k1"), "a").await, applied(3));
     let head = head(&store).await;
     assert_eq!((head.version, head.active_preset.as_str()), (3, "peak"));
@@ -257,9 +278,9 @@
 }
 
 /// Guards against a change that never ends, or claims an unknown outcome, while the platform is
-/// down, and against a claim of no effect when the outcome is unknown.
+/// down or loses all writes.
 #[tokio::test]
-async fn apply_down() {
+async fn change_down() {
     let platform = platform().await;
     let settings = ConfigStoreSettings { deadline_ms: 500, ..ConfigStoreSettings::default() };
     let store = ConfigStore::new(Arc::new(object_store(&platform)), settings, 1);
@@ -267,14 +288,66 @@
     let down = PlatformFaults { outage: Outage::Unavailable, ..PlatformFaults::default() };
     platform.set_faults(down);
     assert_eq!(store.switch_preset("peak", "a").await, ChangeOutcome::Unavailable);
-    // Writes vanish without a response: the head's update stays undetermined.
+    // The replaced head cannot be kept, so that the head is never written.
     platform.set_faults(PlatformFaults { lose_next_writes: 1000, ..PlatformFaults::default() });
-    let outcome = store.switch_preset("peak", "a").await;
-    assert_eq!(outcome, ChangeOutcome::Unavailable, "the head was not written yet");
+    assert_eq!(store.switch_preset("peak", "a").await, ChangeOutcome::Unavailable);
     platform.set_faults(PlatformFaults::default());
     assert_eq!(head(&store).await.version, 1);
 }
 
+/// Guards against a claim of no effect when the outcome is unknown, and against a second version
+/// when the operator repeats the change.
+#[tokio::test]
+async fn change_undetermined() {
+    let platform = Arc::new(platform().await);
+    let inner = object_store(&platform);
+    config_store(inner.clone(), 1).apply(&declarations(), &change("base")).await;
+    let outage = Interference::OutageAfter(Arc::clone(&platform));
+    let settings = ConfigStoreSettings { deadline_ms: 500, ..ConfigStoreSettings::default() };
+    let store = ConfigStore::new(Arc::new(Interfered::new(inner, outage)), settings, 2);
+    assert_eq!(store.issue_key(&key("k1"), "a").await, ChangeOutcome::Undetermined);
+    platform.set_faults(PlatformFaults::default());
+    assert_eq!(store.issue_key(&key("k1"), "a").await, applied(2));
+    assert_eq!(head(&store).await.version, 2);
+}
+
+/// Guards against keys that are lost, or stored without being reported, when many operators race
+/// while responses are lost.
+#[tokio::test]
+async fn issue_key_many_operators() {
+    let platform = platform().await;
+    let first = config_store(object_store(&platform), 1);
+    first.apply(&declarations(), &change("base")).await;
+    let lose_write_answer_fraction = 0.2;
+    let faults =
+        PlatformFaults { delay_ms: 2, lose_write_answer_fraction, ..PlatformFaults::default() };
+    platform.set_faults(faults);
+    let mut operators = tokio::task::JoinSet::new();
+    for operator in 0..8 {
+        let store = Arc::new(object_store(&platform));
+        operators.spawn(async move {
+            let store = ConfigStore::new(store, ConfigStoreSettings::default(), operator);
+            let mut outcomes = Vec::new();
+            for at in 0..3 {
+                let id = format!("k-{operator}-{at}");
+                outcomes.push((id.clone(), store.issue_key(&key(&id), &id).await));
+            }
+            outcomes
+        });
+    }
+    let outcomes: Vec<_> = operators.join_all().await.into_iter().flatten().collect();
+    let head = head(&first).await;
+    let stored = first.read_declarations(&head).await.unwrap().keys;
+    let mut applied = 0;
+    for (id, outcome) in outcomes {
+        let is_applied = matches!(outcome, ChangeOutcome::Applied { .. });
+        applied += u64::from(is_applied);
+        assert_eq!(stored.iter().any(|it| it.id == id), is_applied, "{id}: {outcome:?}");
+    }
+    assert_eq!((head.version, stored.len() as u64), (1 + applied, applied));
+    assert_eq!(applied, 24, "every change was possible");
+}
+
 /// Guards against faulty configurations and repeated identifiers being accepted.
 #[tokio::test]
 async fn change_rejected() {
