--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -282,7 +282,7 @@
             let name = format!("{ROLLOUT_PREFIX}{}", write.rollout.service);
             self.platform_document(&name, version, &bytes, now);
         }
-        self.rollouts.written(&write.rollout.service, outcome, now);
+        self.rollouts.written(&write.rollout, outcome, now);
     }
 
     /// Starts the hand-back of this host's share.
--- a/crates/engine/src/rollouts.rs
+++ b/crates/engine/src/rollouts.rs
@@ -217,9 +217,9 @@
     }
 
     /// Reports what became of a write.
-    pub(crate) fn written(&mut self, service: &str, outcome: WriteOutcome, now: Instant) {
-        if let Some(it) = self.services.iter_mut().find(|it| it.name == service) {
-            it.controller.report(outcome, now);
+    pub(crate) fn written(&mut self, rollout: &Rollout, outcome: WriteOutcome, now: Instant) {
+        if let Some(it) = self.services.iter_mut().find(|it| it.name == rollout.service) {
+            it.controller.report(rollout.write_id, outcome, now);
         }
     }
 
