--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -105,9 +105,13 @@
         }
     }
 
-    /// Admits a connection, or counts it as refused.
+    /// Admits a connection, unless the limit is reached or a crash has begun.
     fn admit(&self, peer: SocketAddr) -> Option<CancellationToken> {
         let mut state = self.state.lock();
+        if state.listen_again_at.is_some() {
+            // It was accepted while the crash began.
+            return None;
+        }
         if state.connections.len() >= state.max_connections {
             state.counts.refused += 1;
             return None;
@@ -157,6 +161,7 @@
                 continue;
             };
             let (stream, peer) = tokio::select! {
+                biased;
                 () = self.gate.crashed.notified() => continue,
                 accepted = listener.accept() => accepted?,
             };
