Notice callers that leave, close idle and slow connections, reload certificates

Cause: the HTTP library goes on with a request whose caller has left, so cancellation did not reach the upstream; a caller that sent a head slowly kept its connection; certificates were read once. Change: an acceptor of our own keeps track of callers' connections; the certificate for callers is read again when its files change.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderValue, StatusCode, header};
 use kingcupford_engine::{LookupAnswer, LookupQuery, Reason, Refusal};
-use poem::{Addr, Body, Endpoint, Request, Response};
+use poem::{Body, Endpoint, Request, Response};
 use serde::Serialize;
 use tokio::time::Instant;
 
@@ -80,10 +80,9 @@
     type Output = Response;
 
     async fn call(&self, request: Request) -> poem::Result<Response> {
-        let client = match &request.remote_addr().0 {
-            Addr::SocketAddr(it) => it.ip(),
-            _ => IpAddr::from([127, 0, 0, 1]),
-        };
+        let caller = request.remote_addr().0.as_socket_addr().copied();
+        let client = caller.map_or(IpAddr::from([127, 0, 0, 1]), |it| it.ip());
+        let guard = self.host.connections.request(caller);
         let head_bytes: usize =
             request.headers().iter().map(|(k, v)| k.as_str().len() + v.len()).sum();
         if head_bytes + request.original_uri().path().len()
@@ -98,7 +97,12 @@
             return Ok(self.lookup(&request, client));
         }
         let version = request.version();
-        let mut res = forward::forward(&self.host, request, client).await;
+        let ended = guard.ended().clone();
+        let forwarded = forward::forward(&self.host, request, client, guard);
+        let Some(mut res) = ended.run_until_cancelled(forwarded).await else {
+            // Nobody reads this answer; dropping the work has cancelled it at the upstream.
+            return Ok(StatusCode::BAD_REQUEST.into());
+        };
         // A caller with an open connection would otherwise stay until the shutdown closes it.
         if version < http::Version::HTTP_2 && self.host.engine.lock().is_draining() {
             res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -22,11 +22,13 @@
 use kingcupford_telemetry::{OutcomeLabels, RefusalLabels, TenantLabels};
 use poem::{Body, Request, Response};
 use tokio::time::{Instant, sleep_until};
+use tokio_util::sync::WaitForCancellationFutureOwned;
 
 use crate::{
     body::ReplayBody,
     headers,
     host::Host,
+    listener::RequestGuard,
     respond,
     upstream::{self, SendFailure, Sending},
 };
@@ -47,7 +49,12 @@
 }
 
 /// Forwards a request and answers the caller.
-pub(crate) async fn forward(host: &Arc<Host>, mut request: Request, client: IpAddr) -> Response {
+pub(crate) async fn forward(
+    host: &Arc<Host>,
+    mut request: Request,
+    client: IpAddr,
+    connection: RequestGuard,
+) -> Response {
     let arrived = Instant::now();
     let path = request.uri().path_and_query().map_or("/", |it| it.as_str()).to_owned();
     let rest = path.trim_start_matches('/');
@@ -90,7 +97,7 @@
         }
     }
     match admit(host, &head).await {
-        Ok(ticket) => run(host, &incoming, &head, ticket).await,
+        Ok(ticket) => run(host, &incoming, &head, ticket, connection).await,
         Err(refusal) => refuse(host, &head, &refusal),
     }
 }
@@ -122,6 +129,7 @@
     incoming: &Incoming,
     head: &RequestHead,
     ticket: Ticket,
+    connection: RequestGuard,
 ) -> Response {
     let mut guard = TicketGuard::new(Arc::clone(host), ticket);
     loop {
@@ -133,7 +141,7 @@
             }
         };
         let failure = match send(host, incoming, &attempt, &guard).await {
-            Ok(response) => return answer(host, head, response, &attempt, guard),
+            Ok(response) => return answer(host, head, response, &attempt, guard, connection),
             Err(it) => it,
         };
         let end = AttemptEnd {
@@ -237,6 +245,7 @@
     response: reqwest::Response,
     attempt: &Attempt,
     guard: TicketGuard,
+    connection: RequestGuard,
 ) -> Response {
     let status = response.status();
     let mut headers = headers::to_caller(response.headers());
@@ -258,6 +267,8 @@
         guard: Some(guard),
         end,
         deadline: Box::pin(sleep_until(attempt.deadline)),
+        ended: Box::pin(connection.ended().clone().cancelled_owned()),
+        _connection: connection,
         paced,
         pause: None,
         held: None,
@@ -408,6 +419,10 @@
     end: AttemptEnd,
     /// Cuts the answer at the deadline.
     deadline: Pin<Box<tokio::time::Sleep>>,
+    /// Ready when the caller's connection ends.
+    ended: Pin<Box<WaitForCancellationFutureOwned>>,
+    /// Keeps the caller's connection from counting as idle.
+    _connection: RequestGuard,
     /// The link that the answer crosses.
     paced: Option<(RegionId, RegionId)>,
     /// Waits for the link's bandwidth.
@@ -456,6 +471,12 @@
     type Item = std::io::Result<Bytes>;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.ended.as_mut().poll(context).is_ready() {
+            let end = AttemptEnd { outcome: AttemptOutcome::Cancelled, ..self.end };
+            self.finish(end);
+            let error = std::io::ErrorKind::ConnectionAborted.into();
+            return Poll::Ready(Some(Err(error)));
+        }
         if self.deadline.as_mut().poll(context).is_ready() || self.host.cut.is_cancelled() {
             let cut = AttemptEnd { outcome: AttemptOutcome::TimedOut, ..self.end };
             self.finish(cut);
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -17,9 +17,7 @@
 use parking_lot::Mutex;
 use poem::{
     Server,
-    listener::{
-        Acceptor, AcceptorExt as _, Listener, RustlsCertificate, RustlsConfig, TcpListener,
-    },
+    listener::{Acceptor, AcceptorExt as _, Listener, TcpListener},
 };
 use rand::Rng as _;
 use tokio::{
@@ -28,7 +26,14 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{admin::AdminApi, api::CallerApi, control, settings::Settings, upstream::Upstreams};
+use crate::{
+    admin::AdminApi,
+    api::CallerApi,
+    certificate, control,
+    listener::{CallerAcceptor, Connections},
+    settings::Settings,
+    upstream::Upstreams,
+};
 
 /// What the parts of one host share.
 pub(crate) struct Host {
@@ -50,6 +55,8 @@
     pub(crate) placed: watch::Sender<Ticket>,
     /// Wakes the control loop when a request found a resource short.
     pub(crate) share_tick: Notify,
+    /// Connections of callers.
+    pub(crate) connections: Arc<Connections>,
     /// Ends the control loops.
     pub(crate) stopped: CancellationToken,
     /// Cuts requests that still run.
@@ -136,6 +143,10 @@
             transport,
             placed: watch::Sender::new(Ticket(0)),
             share_tick: Notify::new(),
+            connections: Connections::new(
+                settings.limits.idle_timeout(),
+                settings.limits.max_connections,
+            ),
             stopped: CancellationToken::new(),
             cut: CancellationToken::new(),
             settings,
@@ -272,12 +283,8 @@
     let acceptor = match &host.settings.tls {
         None => listener.into_acceptor().await?.boxed(),
         Some(tls) => {
-            let read = |path: &str| std::fs::read(path).with_context(|| path.to_owned());
-            let certificate = RustlsCertificate::new()
-                .cert(read(&tls.certificate_file)?)
-                .key(read(&tls.key_file)?);
-            let config = RustlsConfig::new().fallback(certificate);
-            listener.rustls(config).into_acceptor().await?.boxed()
+            let configurations = Box::pin(certificate::configurations(tls)?);
+            listener.rustls(configurations).into_acceptor().await?.boxed()
         }
     };
     let address = acceptor
@@ -285,8 +292,11 @@
         .first()
         .and_then(|it| it.as_socket_addr().copied())
         .context("listener has no address")?;
-    let server =
-        Server::new_with_acceptor(acceptor).idle_timeout(host.settings.limits.idle_timeout());
+    let connections = Arc::clone(&host.connections);
+    let stopped = host.stopped.clone();
+    let sweep = Arc::clone(&connections).sweep();
+    tasks.spawn(async move { stopped.run_until_cancelled(sweep).await });
+    let server = Server::new_with_acceptor(CallerAcceptor::new(acceptor, connections));
     let api = CallerApi::new(Arc::clone(host));
     let closed = closed.clone();
     let deadline = Duration::from_millis(host.settings.shutdown_deadline_ms);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,10 +3,12 @@
 mod admin;
 mod api;
 mod body;
+mod certificate;
 mod control;
 mod forward;
 mod headers;
 mod host;
+mod listener;
 mod reports;
 mod respond;
 mod settings;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -81,15 +81,23 @@
 pub struct Limits {
     /// Most bytes of a request's head.
     pub max_head_bytes: usize,
-    /// Time after which a connection without progress is closed.
+    /// Time without a request after which a connection is closed; an unfinished head does not
+    /// count as a request, so a caller that sends it too slowly is closed as well.
     pub idle_timeout_ms: u64,
+    /// Most connections at the same time.
+    pub max_connections: usize,
     /// Most requests at the same time on this host.
     pub max_in_flight: u32,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { max_head_bytes: 32 * 1024, idle_timeout_ms: 30_000, max_in_flight: 4096 }
+        Self {
+            max_head_bytes: 32 * 1024,
+            idle_timeout_ms: 30_000,
+            max_connections: 16_384,
+            max_in_flight: 4096,
+        }
     }
 }
 
@@ -207,6 +215,9 @@
             let hint = "use milliseconds from 100 to 600000";
             reader.check("limits.idle_timeout_ms", "is out of range", hint);
         }
+        if self.limits.max_connections == 0 {
+            reader.check("limits.max_connections", "is 0", "allow at least one connection");
+        }
         if self.limits.max_in_flight == 0 {
             reader.check("limits.max_in_flight", "is 0", "allow at least one request");
         }
--- a/crates/fleet/src/beat.rs
+++ b/crates/fleet/src/beat.rs
@@ -45,7 +45,7 @@
         }
         // Word that was lost, or sent while the sender took this host for a speaker, is asked for
         // again.
-        if self.sequence % UNVOUCHED_BEATS == 0 && !self.is_speaker() {
+        if self.sequence.is_multiple_of(UNVOUCHED_BEATS) && !self.is_speaker() {
             self.digest_due |= (0..self.members.len()).any(|at| self.is_unvouched(at, now));
         }
         for (at, is_answer) in self.targets(now) {
