Notice a pause when a message precedes the first tick

A resumed process could handle a heartbeat before its tick and keep confirmations from before the pause until then. Messages now check for the pause as well; a test guards it.

--- a/crates/fleet/src/beat.rs
+++ b/crates/fleet/src/beat.rs
@@ -19,6 +19,16 @@
 const UNVOUCHED_BEATS: u64 = 4;
 
 impl Fleet {
+    /// Starts over when the last tick is so long ago that the process must have been paused.
+    /// Messages may be handled before the first tick after a pause, so both call it.
+    pub(crate) fn notice_pause(&mut self, now: Instant) {
+        let late = now.saturating_duration_since(self.last_tick);
+        if late > Duration::from_millis(self.settings.pause_ms) {
+            self.last_tick = now;
+            self.resume(now);
+        }
+    }
+
     /// Forgets what a pause made doubtful.
     pub(crate) fn resume(&mut self, now: Instant) {
         self.resumed = true;
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -211,10 +211,7 @@
 
     /// Does what is due, to be called every 50 ms.
     pub fn tick(&mut self, now: Instant) -> Vec<(String, Message)> {
-        let late = now.saturating_duration_since(self.last_tick);
-        if late > Duration::from_millis(self.settings.pause_ms) {
-            self.resume(now);
-        }
+        self.notice_pause(now);
         self.last_tick = now;
         if now >= self.next_beat || now.saturating_duration_since(self.refreshed_at) >= REFRESH {
             self.refresh(now);
--- a/crates/fleet/src/receive.rs
+++ b/crates/fleet/src/receive.rs
@@ -20,6 +20,7 @@
         message: Message,
         now: Instant,
     ) -> Vec<(String, Message)> {
+        self.notice_pause(now);
         let mut res = Vec::new();
         let mut answer = |it| res.push((from.to_owned(), it));
         match message {
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -189,6 +189,22 @@
     network.until(secs(3), |it| it.converged());
 }
 
+/// Guards against a message that a resumed process handles before its first tick, and that confirms
+/// a beat of the time before the pause.
+#[test]
+fn host_paused_notices_it_by_a_message() {
+    let mut network = Network::new(&TODAY, 11);
+    network.until(secs(5), |it| it.converged());
+    network.run(secs(2));
+    let later = network.now + secs(3);
+    let sent = network.fleet("fb-0").tick(later);
+    let mut sent = sent.into_iter().filter(|it| it.0 == "fa-0");
+    let (_, heartbeat) = sent.next().expect("a beat is due");
+    network.fleet("fa-0").receive("fb-0", heartbeat, later);
+    assert!(network.fleet("fa-0").confirmation("fb-0").is_none());
+    assert!(network.fleet("fa-0").resumed_after_pause());
+}
+
 /// Guards against a share spent on a confirmation that is dated later than the beat it confirms.
 #[test]
 fn confirmation_is_dated_by_the_confirmed_beat() {
