--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    digest::SentDigest,
     document::{Document, Documents, Offered},
     link::Link,
     member::{Candidate, HostIdentity, Member, MemberState},
@@ -13,6 +14,9 @@
     settings::FleetSettings,
 };
 
+/// Longest time between two looks at all members, a small part of the time of a suspicion.
+const REFRESH: Duration = Duration::from_millis(100);
+
 /// One host's membership view and documents; it does no I/O and takes the time as an argument.
 #[derive(Debug)]
 pub struct Fleet {
@@ -24,6 +28,10 @@
     pub(crate) rng: SmallRng,
     /// All known hosts, this one included, sorted by name.
     pub(crate) members: Vec<Member>,
+    /// Position of this host among the members; a search for each use costs more than the uses.
+    pub(crate) own: usize,
+    /// When the states of all members were last recomputed.
+    pub(crate) refreshed_at: Instant,
     /// What only this host knows about each member, in the same order.
     pub(crate) links: Vec<Link>,
     /// Documents and chunks.
@@ -50,8 +58,8 @@
     pub(crate) platform_at: Option<Instant>,
     /// When membership last changed.
     pub(crate) changed_at: Instant,
-    /// What the last digests said and when they were sent, by zone.
-    pub(crate) digests_sent: Vec<(String, u64, Instant)>,
+    /// Digests last sent, by zone.
+    pub(crate) digests_sent: Vec<SentDigest>,
     /// Whether a host of another zone became suspected and its speakers are to be asked.
     pub(crate) digest_due: bool,
     /// The peer to ask for a roster as soon as the last request is old enough.
@@ -103,6 +111,8 @@
             settings,
             rng: SmallRng::seed_from_u64(seed),
             members: vec![own],
+            own: 0,
+            refreshed_at: now,
             links: vec![link],
             documents,
             newer: Vec::new(),
@@ -159,7 +169,7 @@
 
     /// Sets the load that heartbeats report, 1,000 for fully used.
     pub fn set_load(&mut self, load_permille: u16) {
-        let own = self.own();
+        let own = self.own;
         self.members[own].load_permille = load_permille;
     }
 
@@ -192,7 +202,7 @@
 
     /// Notes that a stream to a host failed or was refused.
     pub fn stream_failed(&mut self, host: &str, now: Instant) {
-        if let Some(at) = self.position(host).filter(|it| *it != self.own()) {
+        if let Some(at) = self.position(host).filter(|it| *it != self.own) {
             self.links[at].failed_at = Some(now);
             self.links[at].has_profile = false;
             self.refresh(now);
@@ -201,12 +211,11 @@
 
     /// Does what is due, to be called every 50 ms.
     pub fn tick(&mut self, now: Instant) -> Vec<(String, Message)> {
-        let late = now.saturating_duration_since(self.last_tick);
-        if late > Duration::from_millis(self.settings.pause_ms) {
-            self.resume(now);
-        }
+        self.notice_pause(now);
         self.last_tick = now;
-        self.refresh(now);
+        if now >= self.next_beat || now.saturating_duration_since(self.refreshed_at) >= REFRESH {
+            self.refresh(now);
+        }
         let mut res = Vec::new();
         if now >= self.next_beat {
             self.beat(now, &mut res);
@@ -216,7 +225,6 @@
             let spread = if self.sequence == 1 { self.rng.random_range(0.5..1.0) } else { 1.0 };
             let next = self.next_beat + interval.mul_f64(spread);
             self.next_beat = if next > now { next } else { now + interval };
-            self.send_digests(now, &mut res);
             self.forget_members(now);
         }
         self.ask_for_digests(now, &mut res);
@@ -341,7 +349,7 @@
 
     /// Sets the state of this host, which the next tick tells everybody.
     fn set_own_state(&mut self, state: MemberState, now: Instant) {
-        let own = self.own();
+        let own = self.own;
         if self.members[own].state != state {
             self.members[own].state = state;
             self.changed_at = now;
@@ -351,7 +359,7 @@
 
     /// State of this host.
     fn own_state(&self) -> MemberState {
-        self.members[self.own()].state
+        self.members[self.own].state
     }
 }
 
--- a/crates/fleet/src/receive.rs
+++ b/crates/fleet/src/receive.rs
@@ -20,6 +20,7 @@
         message: Message,
         now: Instant,
     ) -> Vec<(String, Message)> {
+        self.notice_pause(now);
         let mut res = Vec::new();
         let mut answer = |it| res.push((from.to_owned(), it));
         match message {
@@ -47,7 +48,8 @@
             }
             Message::VersionsRequest => answer(Message::Versions(self.documents.versions())),
             Message::Digest(it) => {
-                let unknown = self.position(from).is_some_and(|at| self.take_digest(at, &it, now));
+                let unknown =
+                    self.position(from).is_some_and(|at| self.take_digest(at, &it.entries, now));
                 if unknown {
                     self.ask_for_roster(from, now, &mut res);
                 }
@@ -90,7 +92,7 @@
             Some(it) => self.add_profile(it, now),
             None => self.position(from),
         };
-        let Some(at) = at.filter(|it| *it != self.own()) else { return };
+        let Some(at) = at.filter(|it| *it != self.own) else { return };
         if heartbeat.incarnation != self.members[at].incarnation {
             // A heartbeat of an unknown process without its profile; the answer, which does not
             // name the process as heard, makes the sender add the profile.
@@ -137,7 +139,8 @@
         }
         self.documents.note_versions(from, &heartbeat.documents);
         self.refresh_member(at, now);
-        if first {
+        let unknown = !heartbeat.digest.is_empty() && self.take_digest(at, &heartbeat.digest, now);
+        if first || unknown {
             self.ask_for_roster(from, now, res);
         }
         self.request_state(now, res);
