Make the test of held permits sensitive to their absence

With permits of 21 and requests up to 4 s, rounding and the reclaim margin hid a missing hold of reclaimed permits.

--- a/crates/quota/tests/faults.rs
+++ b/crates/quota/tests/faults.rs
@@ -224,10 +224,13 @@
 #[test]
 fn partition_running_requests() {
     let mut world = settled(3);
+    // Many permits, so that rounding to whole ones does not hide a double use.
+    world.set_cap(SLOTS, Cap::Permits { permits: 2_100 });
     for host in &mut world.hosts {
-        host.demand[SLOTS] = 30.0;
+        host.demand[SLOTS] = 200.0;
     }
-    world.run(5_000);
+    world.longest_ms = 20_000;
+    world.run(20_000);
     world.hosts[1].group = 1;
     world.run(30_000);
     assert!(units(&world, 0) + units(&world, 2) > 800_000, "nothing was reclaimed");
--- a/crates/quota/tests/model/mod.rs
+++ b/crates/quota/tests/model/mod.rs
@@ -37,6 +37,8 @@
     pub(crate) hosts: Vec<Host>,
     /// One-way latency in ms between hosts by index.
     pub(crate) latency_ms: fn(usize, usize) -> u64,
+    /// Longest time of a request that holds a permit.
+    pub(crate) longest_ms: u64,
     /// Share of messages lost and of messages sent twice.
     pub(crate) loss: f64,
     /// Share of messages delayed by up to 3 s.
@@ -104,6 +106,7 @@
             received: Vec::new(),
         };
         Self {
+            longest_ms: (settings.longest_request.as_millis() as u64).min(4_000),
             now,
             start: now,
             rng: StdRng::seed_from_u64(seed),
@@ -329,8 +332,7 @@
                 }
             }
             if permits {
-                let longest = self.settings.longest_request.as_millis() as u64;
-                let length = Duration::from_millis(self.rng.random_range(20..longest.min(4000)));
+                let length = Duration::from_millis(self.rng.random_range(20..self.longest_ms));
                 self.running.push((now + length, at, index, host.incarnation));
             } else {
                 self.count(at);
