Run scenarios over fakes and the real policy

The scenario crate reads scenario files and writes summaries and reports; the load crate runs eight engines under a paused clock over small fakes of upstreams, callers, links and the platform, and the baseline over the same demand.

--- /dev/null
+++ b/crates/load/src/network.rs
@@ -0,0 +1,90 @@
+//! Latencies and partitions.
+
+use kingcupford_config::{Snapshot, ZoneId};
+use kingcupford_scenario::Network as Latencies;
+
+/// One-way latency inside a zone.
+const INSIDE_ZONE_US: u64 = 200;
+
+/// The paths between zones and to the platform.
+#[derive(Debug)]
+pub(crate) struct Network {
+    /// One-way latency by zone and zone.
+    latency_us: Vec<Vec<u64>>,
+    /// Between a caller and its zone.
+    client_us: u64,
+    /// Zone of the platform.
+    platform: usize,
+    /// Cuts in force: the fault, one side, the other side, and whether the first side is cut off
+    /// from the platform.
+    cuts: Vec<(usize, Vec<usize>, Vec<usize>, bool)>,
+}
+
+impl Network {
+    /// The paths of a deployment; the platform is in the first zone that is declared.
+    pub(crate) fn new(snapshot: &Snapshot, latencies: Latencies, platform: usize) -> Self {
+        let zones = snapshot.zones.slot_count();
+        let us = |ms: f64| (ms * 1000.0) as u64;
+        let latency = |a: usize, b: usize| {
+            let key = |it: usize| ZoneId(it as u16);
+            let (low, high) = (snapshot.region_of(key(a)), snapshot.region_of(key(b)));
+            if a == b {
+                INSIDE_ZONE_US
+            } else if low == high {
+                us(latencies.zone_latency_ms)
+            } else {
+                snapshot.link(low, high).map_or(100_000, |it| us(it.latency_ms))
+            }
+        };
+        Self {
+            latency_us: (0..zones).map(|a| (0..zones).map(|b| latency(a, b)).collect()).collect(),
+            client_us: us(latencies.client_latency_ms),
+            platform,
+            cuts: Vec::new(),
+        }
+    }
+
+    /// One-way latency between two zones.
+    pub(crate) fn latency_us(&self, a: usize, b: usize) -> u64 {
+        self.latency_us[a][b]
+    }
+
+    /// One-way latency between a caller of a zone and a host in another.
+    pub(crate) fn client_us(&self, caller: usize, host: usize) -> u64 {
+        self.client_us + self.latency_us[caller][host]
+    }
+
+    /// One-way latency to the platform.
+    pub(crate) fn platform_us(&self, zone: usize) -> u64 {
+        self.latency_us[zone][self.platform]
+    }
+
+    /// Whether two zones hear each other.
+    pub(crate) fn connected(&self, a: usize, b: usize) -> bool {
+        let cuts = |(_, side, other, _): &(usize, Vec<usize>, Vec<usize>, bool)| {
+            side.contains(&a) && other.contains(&b) || side.contains(&b) && other.contains(&a)
+        };
+        a == b || !self.cuts.iter().any(cuts)
+    }
+
+    /// Whether a zone hears the platform.
+    pub(crate) fn hears_platform(&self, zone: usize) -> bool {
+        !self.cuts.iter().any(|(_, side, _, platform)| *platform && side.contains(&zone))
+    }
+
+    /// Cuts zones off.
+    pub(crate) fn cut(
+        &mut self,
+        fault: usize,
+        side: Vec<usize>,
+        other: Vec<usize>,
+        platform: bool,
+    ) {
+        self.cuts.push((fault, side, other, platform));
+    }
+
+    /// Ends the cuts of a fault.
+    pub(crate) fn heal(&mut self, fault: usize) {
+        self.cuts.retain(|it| it.0 != fault);
+    }
+}
--- /dev/null
+++ b/crates/load/src/operator.rs
@@ -0,0 +1,181 @@
+//! Operators: configurations, keys, presets, drains and rollouts.
+
+use kingcupford_config::{CallerKey, Declarations, DrainDecl, Head, KeyDecl, PresetDecl, split};
+use kingcupford_rollout::{Rollout, StartRequest};
+use kingcupford_scenario::DrainWhat;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+
+use crate::world::World;
+
+/// Keys of each tenant.
+const KEYS_PER_TENANT: usize = 2;
+
+/// What operators declared last.
+#[derive(Debug)]
+pub(crate) struct Operator {
+    /// The declarations with keys.
+    declarations: Declarations,
+    /// The active preset.
+    preset: String,
+    /// Number of the newest version.
+    pub(crate) version: u64,
+    /// Keys by tenant.
+    keys: Vec<Vec<CallerKey>>,
+    /// Preset that was active before a switch, by fault.
+    former_presets: Vec<(usize, String)>,
+}
+
+impl Operator {
+    /// Operators of a deployment, who issue keys to its tenants.
+    pub(crate) fn new(declarations: &Declarations, seed: u64) -> anyhow::Result<Self> {
+        let mut declarations = declarations.clone();
+        let mut rng = SmallRng::seed_from_u64(seed ^ 0x6e75);
+        let preset = declarations.initial_preset.clone().or_else(|| {
+            let first = declarations.presets.first()?;
+            Some(first.name.clone())
+        });
+        let mut keys = Vec::new();
+        for tenant in &declarations.tenants {
+            let issue =
+                |at: usize| CallerKey::new(&format!("{}-{}", tenant.name, at), rng.random());
+            let issued: Vec<CallerKey> = (0..KEYS_PER_TENANT).map(issue).collect();
+            declarations.keys.extend(issued.iter().map(|it| KeyDecl {
+                id: it.id().to_owned(),
+                tenant: tenant.name.clone(),
+                sha256: it.hash(),
+            }));
+            keys.push(issued);
+        }
+        declarations.sort();
+        let preset = preset.ok_or_else(|| anyhow::anyhow!("no preset is declared"))?;
+        Ok(Self { declarations, preset, version: 0, keys, former_presets: Vec::new() })
+    }
+
+    /// What is declared.
+    pub(crate) fn declarations(&self) -> &Declarations {
+        &self.declarations
+    }
+
+    /// The active preset.
+    pub(crate) fn preset(&self) -> &str {
+        &self.preset
+    }
+
+    /// A key of a tenant.
+    pub(crate) fn key(&self, tenant: usize, key: usize) -> &CallerKey {
+        &self.keys[tenant][key]
+    }
+
+    /// The active preset's declaration.
+    fn active(&mut self) -> Option<&mut PresetDecl> {
+        let name = &self.preset;
+        self.declarations.presets.iter_mut().find(|it| it.name == *name)
+    }
+}
+
+impl World {
+    /// Writes the first configuration.
+    pub(crate) fn write_first_config(&mut self) {
+        self.write_config();
+    }
+
+    /// Writes what is declared as a new version.
+    fn write_config(&mut self) {
+        let chunks = match split(&self.operator.declarations) {
+            Ok(it) => it,
+            Err(error) => unreachable!("checked declarations cannot be split: {error:#}"),
+        };
+        for chunk in &chunks {
+            let name = format!("chunk/{}", chunk.name.sha256);
+            self.platform.write(&name, &chunk.bytes, None);
+        }
+        self.operator.version += 1;
+        let head = Head {
+            version: self.operator.version,
+            change_id: format!("change-{}", self.operator.version),
+            source_revision: "scenario".to_owned(),
+            active_preset: self.operator.preset.clone(),
+            chunks: chunks.into_iter().map(|it| it.name).collect(),
+        };
+        let bytes = serde_json::to_vec(&head).unwrap_or_default();
+        let current = self.platform.object("config/head").map(|it| it.version);
+        self.platform.write("config/head", &bytes, current);
+        for host in &mut self.hosts {
+            host.behind_since_us = None;
+        }
+        self.wake_watches();
+    }
+
+    /// Removes a tenant's first key.
+    pub(crate) fn revoke_key(&mut self, tenant: &str) {
+        let id = format!("{tenant}-0");
+        self.operator.declarations.keys.retain(|it| it.id != id);
+        self.write_config();
+        let now_us = self.clock.now_us();
+        if let Some(tenant) = self.snapshot.tenants.key(tenant) {
+            self.observer.revoked(usize::from(tenant.0), now_us);
+        }
+    }
+
+    /// Adds a drain to the active preset, or takes it back.
+    pub(crate) fn set_drain(&mut self, target: &DrainWhat, drains: bool) {
+        let drain = DrainDecl { target: target.kind, name: target.name.clone() };
+        if let Some(preset) = self.operator.active() {
+            preset.drains.retain(|it| *it != drain);
+            if drains {
+                preset.drains.push(drain);
+            }
+        }
+        self.write_config();
+        self.observe_drains();
+    }
+
+    /// Switches to another preset, or back to the one before.
+    pub(crate) fn set_preset(&mut self, fault: usize, name: Option<&str>) {
+        let next = match name {
+            Some(name) => {
+                let former = self.operator.preset.clone();
+                self.operator.former_presets.push((fault, former));
+                name.to_owned()
+            }
+            None => {
+                let at = self.operator.former_presets.iter().position(|it| it.0 == fault);
+                let Some(at) = at else { return };
+                self.operator.former_presets.remove(at).1
+            }
+        };
+        self.operator.preset = next;
+        self.write_config();
+        self.observe_drains();
+    }
+
+    /// Starts a rollout.
+    pub(crate) fn start_rollout(&mut self, service: &str, to: &str, deadline_s: f64) {
+        let Some(key) = self.snapshot.services.key(service) else { return };
+        let active = self.snapshot.services[key].active_version;
+        let name = format!("rollout/{service}");
+        let object = self.platform.object(&name).cloned();
+        let current: Option<Rollout> =
+            object.as_ref().and_then(|it| serde_json::from_slice(&it.bytes).ok());
+        let now_unix_ms = self.clock.unix_ms();
+        let request = StartRequest {
+            service: service.to_owned(),
+            from: self.snapshot.versions[active].name.clone(),
+            to: to.to_owned(),
+            now_unix_ms,
+            deadline_unix_ms: now_unix_ms + (deadline_s * 1000.0) as u64,
+            write_id: self.seed ^ self.clock.now_us(),
+        };
+        if let Ok(rollout) = kingcupford_rollout::start(current.as_ref(), &request) {
+            let bytes = serde_json::to_vec(&rollout).unwrap_or_default();
+            self.platform.write(&name, &bytes, object.map(|it| it.version));
+            self.wake_watches();
+        }
+    }
+
+    /// The key of a service's version.
+    pub(crate) fn version_key(&self, service: &str, version: &str) -> Option<usize> {
+        let key = self.snapshot.versions.key(&format!("{service}/{version}"))?;
+        Some(key.0 as usize)
+    }
+}
