--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -482,7 +482,7 @@
             SendingResult::Broken => self.unknown(id, true),
             SendingResult::Refused(refusal) => match refusal.outcome {
                 Outcome::Executed => self.end_op(id, OpEnd::Done),
-                Outcome::Unknown => self.unknown(id, false),
+                Outcome::Unknown => self.refused_unknown(id, &refusal),
                 Outcome::NotRun => self.not_run(id, &refusal),
             },
         }
@@ -510,6 +510,19 @@
         self.clock.after(retry.as_micros() as u64, Event::Repeat { op: id });
     }
 
+    /// A caller is told that its request may have run.
+    fn refused_unknown(&mut self, id: OpId, refusal: &Refusal) {
+        let op = &mut self.callers.ops[id];
+        // A void id is never run, so the first sending of an operation under one did not run.
+        if let (Reason::RequestIdVoid, Some(binding), false) =
+            (refusal.reason, &refusal.binding, op.uncertain)
+        {
+            op.request_id = Some(format!("{binding}.{id}"));
+            return self.send(id);
+        }
+        self.unknown(id, false);
+    }
+
     /// A caller does not know whether its request ran.
     fn unknown(&mut self, id: OpId, host_failed: bool) {
         let op = &mut self.callers.ops[id];
