Let a request wait for a loan before it goes to a farther region

A host that found no permit of its own region sent the request to another region at once. A request now waits up to 20 ms while a loan is pending.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -131,6 +131,8 @@
     pub(crate) key: Option<RequestKey>,
     /// When it must be finished.
     pub(crate) deadline: Instant,
+    /// When it first asked for a slot.
+    pub(crate) asked: Option<Instant>,
     /// When it gives up waiting for a slot.
     pub(crate) wait_until: Option<Instant>,
     /// Attempts so far.
@@ -339,6 +341,7 @@
             fingerprint,
             key,
             deadline,
+            asked: None,
             wait_until: None,
             attempts: 0,
             may_have_run: false,
--- a/crates/engine/src/place.rs
+++ b/crates/engine/src/place.rs
@@ -1,6 +1,6 @@
 //! Placement of admitted requests: region, version and instance.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use kingcupford_config::{InstanceId, RegionId, ServiceId, ShiftId, VersionId};
 use kingcupford_quota::{Resource, Take};
@@ -13,6 +13,10 @@
     request::{Attempt, AttemptEnd, Reason, Refusal, Start, Ticket},
 };
 
+/// Time for which a request waits for a loan of its nearest region's slots before it goes to a
+/// farther one, where it would hold a slot for the way there and back as well.
+const SPILL_AFTER: Duration = Duration::from_millis(20);
+
 /// Where an attempt runs.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Placement {
@@ -24,6 +28,17 @@
     pub(crate) region: RegionId,
 }
 
+/// Whether a region serves a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Placing {
+    /// It does.
+    Placed,
+    /// No permit is free, but a loan may come soon.
+    AwaitsLoan,
+    /// It does not.
+    Full,
+}
+
 /// A region that may serve a request.
 #[derive(Debug, Clone, Copy)]
 struct Choice {
@@ -70,7 +85,7 @@
         to: RegionId,
         bytes: usize,
         now: Instant,
-    ) -> Option<std::time::Duration> {
+    ) -> Option<Duration> {
         if from == to || self.snapshot.link(from, to).is_none() {
             return None;
         }
@@ -109,10 +124,10 @@
             status: None,
             byte_sent: request.may_have_run,
             draining: false,
-            latency: std::time::Duration::ZERO,
+            latency: Duration::ZERO,
         };
         self.close(at, &end, now);
-        let retry = std::time::Duration::from_secs(1);
+        let retry = Duration::from_secs(1);
         Start::Refused(Refusal::new(reason).with_outcome(outcome).with_retry_after(retry))
     }
 
@@ -161,9 +176,12 @@
             _ => split.old,
         };
         self.requests[at].pick = pick;
+        let asked = *self.requests[at].asked.get_or_insert(now);
         for choice in self.regions(service) {
-            if self.place_in(at, version, choice, waited, now) {
-                return true;
+            match self.place_in(at, version, choice, waited, now) {
+                Placing::Placed => return true,
+                Placing::AwaitsLoan if now < asked + SPILL_AFTER => return false,
+                Placing::AwaitsLoan | Placing::Full => {}
             }
         }
         false
@@ -177,8 +195,8 @@
         choice: Choice,
         waited: bool,
         now: Instant,
-    ) -> bool {
-        let Some((home_zone, home_region)) = self.home() else { return false };
+    ) -> Placing {
+        let Some((home_zone, home_region)) = self.home() else { return Placing::Full };
         let request = &self.requests[at];
         let service = request.service;
         let slots = Resource::RegionSlots(service, choice.region);
@@ -187,8 +205,10 @@
         } else {
             self.holder.acquire_permit(slots, now)
         };
-        if taken != Take::Taken {
-            return false;
+        match taken {
+            Take::Taken => {}
+            Take::Empty { loan_pending: true, .. } => return Placing::AwaitsLoan,
+            Take::Empty { .. } => return Placing::Full,
         }
         let share_slots = self.holder.allowance(slots, now).0 as u32;
         let regions = [AllowedRegion { region: choice.region, share_slots }];
@@ -205,19 +225,19 @@
         });
         let Some(instance) = instance else {
             self.holder.release_permit(slots, now);
-            return false;
+            return Placing::Full;
         };
         if let Some(shift) = choice.shift
             && self.holder.take(Resource::Shift(shift), 1.0, now) != Take::Taken
         {
             self.holder.release_permit(slots, now);
-            return false;
+            return Placing::Full;
         }
         self.balancer.started(instance, now);
         let request = &mut self.requests[at];
         request.attempts += 1;
         request.placement = Some(Placement { instance, version, region: choice.region });
-        true
+        Placing::Placed
     }
 
     /// Regions that may serve a service, in the order of preference.
