Tell callers to repeat within a second when a tenant's rate is spent

The time told came from the host's own refill, which is up to 60 s while its share is lent to peers, although other hosts may have tokens at once.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -27,6 +27,10 @@
 /// Time after which a request that waits for a loan asks again.
 const RATE_RETRY: Duration = Duration::from_millis(10);
 
+/// Longest time told to a request whose tenant's rate is spent; a host's own refill may be slow
+/// only because its share is lent, and other hosts may have tokens.
+const MAX_RATE_RETRY: Duration = Duration::from_secs(1);
+
 /// Tenant key of requests on open routes in fair queues.
 pub(crate) const OPEN_TENANT: TenantId = TenantId(u16::MAX);
 
@@ -393,6 +397,8 @@
             let until = (now + pause.max(Duration::from_millis(1))).min(give_up);
             return Ok(Some(Admission::Wait { until }));
         }
+        let one_token = Duration::from_secs_f64(1.0 / self.snapshot.tenants[tenant].rate_per_s);
+        let retry_after = retry_after.min(MAX_RATE_RETRY.max(one_token));
         Err(Refusal::new(Reason::TenantRate).with_retry_after(retry_after))
     }
 
