--- a/crates/scenario/src/check.rs
+++ b/crates/scenario/src/check.rs
@@ -46,9 +46,10 @@
             self.check_fault(&place, &fault.what, &names)?;
         }
         for (at, bound) in self.bounds.iter().enumerate() {
-            if bound.max.is_none() && bound.min.is_none() {
-                let problem = format!("`{}` has neither `max` nor `min`", bound.figure);
-                return Err((format!("bounds[{at}]"), problem, "add one of them".to_owned()));
+            if bound.max.or(bound.min).or(bound.max_of_baseline).is_none() {
+                let problem = format!("`{}` has no limit", bound.figure);
+                let hint = "add `max`, `min` or `max_of_baseline`".to_owned();
+                return Err((format!("bounds[{at}]"), problem, hint));
             }
         }
         Ok(())
--- a/crates/scenario/src/scenario.rs
+++ b/crates/scenario/src/scenario.rs
@@ -161,6 +161,9 @@
     /// Smallest allowed value.
     #[serde(default)]
     pub min: Option<f64>,
+    /// Largest allowed multiple of the baseline's value.
+    #[serde(default)]
+    pub max_of_baseline: Option<f64>,
 }
 
 /// Why a scenario cannot be run.
--- a/crates/scenario/src/summary.rs
+++ b/crates/scenario/src/summary.rs
@@ -103,6 +103,11 @@
             if let Some(max) = bound.max.filter(|it| value > it) {
                 res.push(format!("{} is {value}, more than {max}", bound.figure));
             }
+            let baseline = self.baseline.figures.get(&bound.figure).copied().unwrap_or_default();
+            let of_baseline = bound.max_of_baseline.map(|it| it * baseline);
+            if let Some(max) = of_baseline.filter(|it| value > it) {
+                res.push(format!("{} is {value}, more than {max} by the baseline", bound.figure));
+            }
             if let Some(min) = bound.min.filter(|it| value < it) {
                 res.push(format!("{} is {value}, less than {min}", bound.figure));
             }
