--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -389,7 +389,7 @@
             settled: false,
         });
         let host_zone = self.hosts[host].zone;
-        if !self.network.connected(op.zone, host_zone) {
+        if !self.network.reaches(op.zone, host_zone) {
             let result = SendingResult::NotSent;
             self.clock.after(CONNECT_TIMEOUT_US, Event::AtCaller { sending, result });
             return;
@@ -417,7 +417,7 @@
         nearest.sort_by_key(|it| self.network.latency_us(zone, self.hosts[*it].zone));
         let host = nearest[tries % nearest.len()];
         let host_zone = self.hosts[host].zone;
-        if !self.network.connected(zone, host_zone) {
+        if !self.network.reaches(zone, host_zone) {
             let event = Event::LookupAnswered { op: id, answer: None };
             self.clock.after(CONNECT_TIMEOUT_US, event);
             return;
@@ -552,7 +552,7 @@
         let (to, id) = (state.to, state.op);
         let zone = self.callers.ops[id].zone;
         let host_zone = self.hosts[to.host].zone;
-        if self.network.connected(zone, host_zone) {
+        if self.network.reaches(zone, host_zone) {
             let way_us = self.network.client_us(zone, host_zone);
             self.clock.after(way_us, Event::CancelAtHost { to, sending });
         }
--- a/crates/load/src/faults.rs
+++ b/crates/load/src/faults.rs
@@ -72,6 +72,10 @@
             }
             FaultKind::RegionLoss { region } => {
                 let Some(region) = self.snapshot.regions.key(region) else { return };
+                let zones = self.snapshot.regions[region].zones.iter();
+                let zones = zones.map(|it| usize::from(it.0)).collect();
+                // Before the processes end, so that no broken connection tells of it.
+                self.network.lose(fault, zones);
                 for host in self.hosts_in(usize::from(region.0)) {
                     self.crash_host(host);
                 }
@@ -132,6 +136,7 @@
             }
             FaultKind::RegionLoss { region } => {
                 let Some(region) = self.snapshot.regions.key(region) else { return };
+                self.network.heal(fault);
                 for host in self.hosts_in(usize::from(region.0)) {
                     self.host_starts(host);
                 }
@@ -250,10 +255,15 @@
             }
             if let Some((_, execution, _)) = state.attempt.take() {
                 let zone = self.upstreams[self.executions[execution].instance].zone;
-                let way_us = self.network.latency_us(host_zone, zone);
-                self.clock.after(way_us, Event::ExecutionCancelled { execution });
+                if self.network.connected(host_zone, zone) {
+                    let way_us = self.network.latency_us(host_zone, zone);
+                    self.clock.after(way_us, Event::ExecutionCancelled { execution });
+                }
             }
             let caller_zone = self.callers.ops[state.op].zone;
+            if !self.network.reaches(caller_zone, host_zone) {
+                continue;
+            }
             let way_us = self.network.client_us(caller_zone, host_zone);
             let result = SendingResult::Broken;
             self.clock.after(way_us, Event::AtCaller { sending, result });
--- a/crates/load/src/forward.rs
+++ b/crates/load/src/forward.rs
@@ -267,7 +267,7 @@
         }
         let host_zone = self.hosts[to.host].zone;
         let caller_zone = self.callers.ops[op].zone;
-        if self.network.connected(host_zone, caller_zone) {
+        if self.network.reaches(caller_zone, host_zone) {
             let way_us = self.network.client_us(caller_zone, host_zone);
             self.clock.after(way_us, Event::AtCaller { sending, result });
         }
--- a/crates/load/src/network.rs
+++ b/crates/load/src/network.rs
@@ -18,6 +18,8 @@
     /// Cuts in force: the fault, one side, the other side, and whether the first side is cut off
     /// from the platform.
     cuts: Vec<(usize, Vec<usize>, Vec<usize>, bool)>,
+    /// Zones whose machines are lost, by fault; their callers are elsewhere.
+    lost: Vec<(usize, Vec<usize>)>,
 }
 
 impl Network {
@@ -41,6 +43,7 @@
             client_us: us(latencies.client_latency_ms),
             platform,
             cuts: Vec::new(),
+            lost: Vec::new(),
         }
     }
 
@@ -59,8 +62,23 @@
         self.latency_us[zone][self.platform]
     }
 
-    /// Whether two zones hear each other.
+    /// Whether the machines of two zones hear each other.
     pub(crate) fn connected(&self, a: usize, b: usize) -> bool {
+        !self.is_lost(a) && !self.is_lost(b) && self.has_path(a, b)
+    }
+
+    /// Whether callers of a zone reach the machines of another.
+    pub(crate) fn reaches(&self, caller: usize, host: usize) -> bool {
+        !self.is_lost(host) && self.has_path(caller, host)
+    }
+
+    /// Whether the machines of a zone are lost.
+    fn is_lost(&self, zone: usize) -> bool {
+        self.lost.iter().any(|it| it.1.contains(&zone))
+    }
+
+    /// Whether no partition lies between two zones.
+    fn has_path(&self, a: usize, b: usize) -> bool {
         let cuts = |(_, side, other, _): &(usize, Vec<usize>, Vec<usize>, bool)| {
             side.contains(&a) && other.contains(&b) || side.contains(&b) && other.contains(&a)
         };
@@ -69,7 +87,8 @@
 
     /// Whether a zone hears the platform.
     pub(crate) fn hears_platform(&self, zone: usize) -> bool {
-        !self.cuts.iter().any(|(_, side, _, platform)| *platform && side.contains(&zone))
+        !self.is_lost(zone)
+            && !self.cuts.iter().any(|(_, side, _, platform)| *platform && side.contains(&zone))
     }
 
     /// Cuts zones off.
@@ -83,8 +102,14 @@
         self.cuts.push((fault, side, other, platform));
     }
 
-    /// Ends the cuts of a fault.
+    /// Loses the machines of zones, without any sign to their peers.
+    pub(crate) fn lose(&mut self, fault: usize, zones: Vec<usize>) {
+        self.lost.push((fault, zones));
+    }
+
+    /// Ends the cuts and losses of a fault.
     pub(crate) fn heal(&mut self, fault: usize) {
         self.cuts.retain(|it| it.0 != fault);
+        self.lost.retain(|it| it.0 != fault);
     }
 }
