--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,16 @@
 //! The operators' command line.
 
-fn main() {}
+use std::{
+    io::{stderr, stdout},
+    process::ExitCode,
+};
+
+use kingcupford_ctl::{Console, run};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = std::env::args_os().skip(1).collect();
+    let mut console = Console::new(Box::new(stdout()), Box::new(stderr()));
+    let exit = run(args, &mut console).await;
+    ExitCode::from(exit.code())
+}
