--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -240,7 +240,7 @@
         messages = syntax_faults(folder);
     }
     let hint = "correct the files and plan again";
-    Err(Failure::new(Exit::Usage, messages.join("\nerror: "), hint))
+    Err(Failure::new(Exit::Usage, messages.join("\n"), hint))
 }
 
 /// The syntax faults of all files of a folder.
--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -188,6 +188,13 @@
         for it in &self.faults {
             res.push(format!("error: {}: {} (hint: {})", it.place, it.problem, it.hint));
         }
+        for host in self.confirmation.iter().flat_map(|it| &it.lost_hosts) {
+            res.push(format!(
+                "warning: host {host} is gone in the view of its zone but holds a share, so it may \
+                 run cut off with an older version (hint: if its machine is lost, the share is \
+                 reclaimed after 31 min)"
+            ));
+        }
         match self.exit {
             Exit::Unconfirmed => {
                 let Some(it) = &self.confirmation else { return res };
--- a/crates/ctl/src/confirm.rs
+++ b/crates/ctl/src/confirm.rs
@@ -22,6 +22,8 @@
     pub(crate) zones: Vec<String>,
     /// Zones that did not.
     pub(crate) unconfirmed: Vec<Unconfirmed>,
+    /// Hosts of confirmed zones that are gone in the view of their zone, but may run cut off.
+    pub(crate) lost_hosts: Vec<String>,
 }
 
 /// A zone that has not confirmed a version.
@@ -46,6 +48,7 @@
                     confirmed: false,
                     time_ms: 0,
                     zones: Vec::new(),
+                    lost_hosts: Vec::new(),
                     unconfirmed: vec![Unconfirmed {
                         zone: "all".to_owned(),
                         problem: "the platform does not tell the zones' states".to_owned(),
@@ -72,11 +75,19 @@
             *topology = Some(session.declared(&head.head, &[ChunkKind::Topology]).await.ok()?);
         }
         let zones = reader.read(session, topology.as_ref()?).await.ok()?;
-        let mut res =
-            Self { confirmed: true, time_ms: 0, zones: Vec::new(), unconfirmed: Vec::new() };
+        let mut res = Self {
+            confirmed: true,
+            time_ms: 0,
+            zones: Vec::new(),
+            unconfirmed: Vec::new(),
+            lost_hosts: Vec::new(),
+        };
         for zone in zones.iter().filter(|it| it.has_hosts()) {
             match zone.unconfirmed(version) {
-                None => res.zones.push(zone.name.clone()),
+                None => {
+                    res.zones.push(zone.name.clone());
+                    res.lost_hosts.extend(zone.lost_hosts().map(str::to_owned));
+                }
                 Some(problem) => {
                     res.unconfirmed.push(Unconfirmed { zone: zone.name.clone(), problem });
                 }
--- a/crates/ctl/src/console.rs
+++ b/crates/ctl/src/console.rs
@@ -93,7 +93,13 @@
             let text = serde_json::to_string_pretty(failure).expect("failures are plain JSON");
             self.line(&text);
         }
-        self.error(&format!("error: {} (hint: {})", failure.message, failure.hint));
+        let mut lines = failure.message.lines().peekable();
+        while let Some(line) = lines.next() {
+            match lines.peek() {
+                Some(_) => self.error(&format!("error: {line}")),
+                None => self.error(&format!("error: {line} (hint: {})", failure.hint)),
+            }
+        }
         failure.exit
     }
 }
--- a/crates/ctl/src/zones.rs
+++ b/crates/ctl/src/zones.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use kingcupford_config::Declarations;
-use kingcupford_engine::{ZONE_STATUS_PREFIX, ZoneStatus};
+use kingcupford_engine::{LEDGER, ZONE_STATUS_PREFIX, ZoneStatus};
 use kingcupford_platform::{HostEntry, ObjectStore as _};
+use kingcupford_quota::Ledger;
 
 use crate::{console::Failure, session::Session};
 
@@ -22,6 +23,8 @@
     pub(crate) status: Option<(ZoneStatus, u64)>,
     /// Hosts of the zone in the platform's list.
     pub(crate) listed: Vec<String>,
+    /// Hosts of its last state that hold a share of the ledger.
+    pub(crate) holders: Vec<String>,
 }
 
 /// Reads zones again and again, and only the states that changed.
@@ -33,14 +36,19 @@
 
 impl Zone {
     /// Whether the zone has, or may still have, running entry hosts.
+    ///
+    /// A host that shuts down hands its share back, and without a share a host admits nothing, so
+    /// a silent zone without holders is not cut off but gone.
     pub(crate) fn has_hosts(&self) -> bool {
-        let Some((status, age_ms)) = &self.status else { return !self.listed.is_empty() };
-        if *age_ms <= SILENT_MS || !self.listed.is_empty() {
-            return true;
-        }
-        // A zone whose last hosts shut down leaves its last state behind.
-        let may_run = status.hosts.iter().any(|it| it.state != "draining" && it.state != "gone");
-        self.region.is_some() && may_run
+        let is_fresh = self.status.as_ref().is_some_and(|it| it.1 <= SILENT_MS);
+        is_fresh || !self.listed.is_empty() || !self.holders.is_empty()
+    }
+
+    /// Hosts that are gone in the view of their zone but hold a share, so that they may run cut off.
+    pub(crate) fn lost_hosts(&self) -> impl Iterator<Item = &str> {
+        let hosts = self.status.iter().flat_map(|it| &it.0.hosts);
+        let lost = hosts.filter(|it| it.state == "gone" && self.holders.contains(&it.name));
+        lost.map(|it| it.name.as_str())
     }
 
     /// Whether the zone's state is missing or old.
@@ -59,7 +67,10 @@
         let behind = status.hosts.iter();
         let behind = behind.filter(|it| it.state != "gone" && it.config_version < version);
         let behind: Vec<String> = behind
-            .map(|it| format!("host {} ({}) has version {}", it.name, it.state, it.config_version))
+            .map(|it| match it.config_version {
+                0 => format!("host {} ({}) has told no version", it.name, it.state),
+                version => format!("host {} ({}) has version {version}", it.name, it.state),
+            })
             .collect();
         if behind.is_empty() {
             return None;
@@ -104,11 +115,25 @@
             let zone = zones.entry(status.zone.clone()).or_insert_with(|| new_zone(&status.zone));
             zone.status = Some((status.clone(), object.age_ms));
         }
+        let ledger = session.json::<Ledger>(LEDGER).await?.map(|it| it.1).unwrap_or_default();
+        let holds = |name: &str| {
+            ledger.holders.iter().any(|it| it.name == name && (it.floor > 0 || it.main > 0))
+        };
+        for zone in zones.values_mut() {
+            let hosts = zone.status.iter().flat_map(|it| &it.0.hosts).map(|it| &it.name);
+            zone.holders = hosts.filter(|it| holds(it)).cloned().collect();
+        }
         Ok(zones.into_values().collect())
     }
 }
 
 /// A zone of which nothing is known.
 fn new_zone(name: &str) -> Zone {
-    Zone { name: name.to_owned(), region: None, status: None, listed: Vec::new() }
+    Zone {
+        name: name.to_owned(),
+        region: None,
+        status: None,
+        listed: Vec::new(),
+        holders: Vec::new(),
+    }
 }
