--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -32,6 +32,9 @@
     pub peer_tls: PeerTls,
     /// Limits on connections of callers.
     pub limits: Limits,
+    /// Time between the start of a graceful shutdown and the end of the callers' listener; longer
+    /// than a lookup answer is valid, so that no caller is sent to a closed listener.
+    pub drain_notice_ms: u64,
     /// Longest time for a graceful shutdown.
     pub shutdown_deadline_ms: u64,
     /// Lowest level of log records that are written.
@@ -78,15 +81,23 @@
 pub struct Limits {
     /// Most bytes of a request's head.
     pub max_head_bytes: usize,
-    /// Time after which a connection without progress is closed.
+    /// Time without a request after which a connection is closed; an unfinished head does not
+    /// count as a request, so a caller that sends it too slowly is closed as well.
     pub idle_timeout_ms: u64,
+    /// Most connections at the same time.
+    pub max_connections: usize,
     /// Most requests at the same time on this host.
     pub max_in_flight: u32,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { max_head_bytes: 32 * 1024, idle_timeout_ms: 30_000, max_in_flight: 4096 }
+        Self {
+            max_head_bytes: 32 * 1024,
+            idle_timeout_ms: 30_000,
+            max_connections: 16_384,
+            max_in_flight: 4096,
+        }
     }
 }
 
@@ -147,6 +158,7 @@
                 ca_file: String::new(),
             }),
             limits: reader.optional("limits").unwrap_or_default(),
+            drain_notice_ms: reader.optional("drain_notice_ms").unwrap_or(12_000),
             shutdown_deadline_ms: reader.optional("shutdown_deadline_ms").unwrap_or(60_000),
             log_level: reader.optional("log_level").unwrap_or_else(|| "info".to_owned()),
         };
@@ -188,6 +200,10 @@
             let hint = "use milliseconds from 1000 to 3600000";
             reader.check("shutdown_deadline_ms", "is out of range", hint);
         }
+        if self.drain_notice_ms >= self.shutdown_deadline_ms {
+            let hint = "use less than `shutdown_deadline_ms`; 12000 covers cached lookup answers";
+            reader.check("drain_notice_ms", "leaves no time for running requests", hint);
+        }
         if self.log_level.parse::<log::LevelFilter>().is_err() {
             reader.check("log_level", "is not a level", "use error, warn, info, debug or trace");
         }
@@ -199,6 +215,9 @@
             let hint = "use milliseconds from 100 to 600000";
             reader.check("limits.idle_timeout_ms", "is out of range", hint);
         }
+        if self.limits.max_connections == 0 {
+            reader.check("limits.max_connections", "is 0", "allow at least one connection");
+        }
         if self.limits.max_in_flight == 0 {
             reader.check("limits.max_in_flight", "is 0", "allow at least one request");
         }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -34,8 +34,10 @@
     Versions(Vec<(String, u64)>),
     /// Asks for `Versions`.
     VersionsRequest,
-    /// A speaker's word about hosts that the receiver does not hear itself.
+    /// Answers a digest request with a speaker's whole word.
     Digest(Digest),
+    /// Asks a speaker for a digest.
+    DigestRequest,
     /// Asks for the profiles of all known hosts.
     RosterRequest,
     /// Profiles of hosts.
@@ -73,6 +75,9 @@
     pub profile: Option<Profile>,
     /// Small sums of other crates, by kind.
     pub sections: Vec<(u16, Vec<u8>)>,
+    /// A speaker's word about hosts that the receiver does not hear itself, where it changed; sent
+    /// with heartbeats, since a frame of its own costs more than its content.
+    pub digest: Vec<DigestEntry>,
 }
 
 /// What does not change during the life of a process.
@@ -146,7 +151,7 @@
 
 impl Message {
     /// Kinds that the fleet uses; a transport hands frames of these kinds to [`Message::decode`].
-    pub const KINDS: std::ops::RangeInclusive<u16> = 1..=10;
+    pub const KINDS: std::ops::RangeInclusive<u16> = 1..=11;
 
     /// The kind number in frames, fixed for all versions of the system.
     pub fn kind(&self) -> u16 {
@@ -161,6 +166,7 @@
             Self::Digest(_) => 8,
             Self::RosterRequest => 9,
             Self::Roster(_) => 10,
+            Self::DigestRequest => 11,
         }
     }
 
@@ -180,7 +186,7 @@
             Self::Versions(it) => bincode::encode_to_vec(it, CODEC),
             Self::Digest(it) => bincode::encode_to_vec(it, CODEC),
             Self::Roster(it) => bincode::encode_to_vec(it, CODEC),
-            Self::VersionsRequest | Self::RosterRequest => Ok(Vec::new()),
+            Self::VersionsRequest | Self::RosterRequest | Self::DigestRequest => Ok(Vec::new()),
         }?;
         if payload.len() > MAX_MESSAGE_BYTES {
             return Err(EncodeError::Other("message is above the size limit"));
@@ -201,6 +207,7 @@
             8 => Self::Digest(decoded(payload)?),
             9 => Self::RosterRequest,
             10 => Self::Roster(decoded(payload)?),
+            11 => Self::DigestRequest,
             _ => return Ok(None),
         };
         Ok(Some(message))
--- a/crates/fleet/src/receive.rs
+++ b/crates/fleet/src/receive.rs
@@ -20,6 +20,7 @@
         message: Message,
         now: Instant,
     ) -> Vec<(String, Message)> {
+        self.notice_pause(now);
         let mut res = Vec::new();
         let mut answer = |it| res.push((from.to_owned(), it));
         match message {
@@ -47,12 +48,24 @@
             }
             Message::VersionsRequest => answer(Message::Versions(self.documents.versions())),
             Message::Digest(it) => {
-                let unknown = self.position(from).is_some_and(|at| self.take_digest(at, &it, now));
+                let unknown =
+                    self.position(from).is_some_and(|at| self.take_digest(at, &it.entries, now));
                 if unknown {
                     self.ask_for_roster(from, now, &mut res);
                 }
             }
-            Message::RosterRequest => answer(Message::Roster(self.roster())),
+            Message::DigestRequest => {
+                if let Some(digest) = self.digest_for(from) {
+                    answer(Message::Digest(digest));
+                }
+            }
+            Message::RosterRequest => {
+                answer(Message::Roster(self.roster()));
+                // The asker could not apply the last digest to hosts it did not know.
+                if let Some(digest) = self.digest_for(from) {
+                    answer(Message::Digest(digest));
+                }
+            }
             Message::Roster(it) => {
                 for profile in &it {
                     self.add_profile(profile, now);
@@ -79,7 +92,7 @@
             Some(it) => self.add_profile(it, now),
             None => self.position(from),
         };
-        let Some(at) = at.filter(|it| *it != self.own()) else { return };
+        let Some(at) = at.filter(|it| *it != self.own) else { return };
         if heartbeat.incarnation != self.members[at].incarnation {
             // A heartbeat of an unknown process without its profile; the answer, which does not
             // name the process as heard, makes the sender add the profile.
@@ -120,23 +133,33 @@
             for name in &heartbeat.lost {
                 if let Some(lost) = self.position(name) {
                     self.links[lost].lost_by_peer = true;
+                    self.refresh_member(lost, now);
                 }
             }
         }
         self.documents.note_versions(from, &heartbeat.documents);
-        self.refresh(now);
-        if first {
+        self.refresh_member(at, now);
+        let unknown = !heartbeat.digest.is_empty() && self.take_digest(at, &heartbeat.digest, now);
+        if first || unknown {
             self.ask_for_roster(from, now, res);
         }
         self.request_state(now, res);
     }
 
-    /// Asks a peer for the hosts it knows, unless another was just asked.
-    fn ask_for_roster(&mut self, from: &str, now: Instant, res: &mut Vec<(String, Message)>) {
+    /// Asks a peer for the hosts it knows, later when another was just asked.
+    pub(crate) fn ask_for_roster(
+        &mut self,
+        from: &str,
+        now: Instant,
+        res: &mut Vec<(String, Message)>,
+    ) {
         let recent = |it: Instant| now.saturating_duration_since(it) < ROSTER_INTERVAL;
-        if !self.roster_asked_at.is_some_and(recent) {
-            self.roster_asked_at = Some(now);
-            res.push((from.to_owned(), Message::RosterRequest));
+        if self.roster_asked_at.is_some_and(recent) {
+            self.roster_due = Some(from.to_owned());
+            return;
         }
+        self.roster_due = None;
+        self.roster_asked_at = Some(now);
+        res.push((from.to_owned(), Message::RosterRequest));
     }
 }
