Test an outage before the confirmation and that pages list every field

Cause: an outage between acceptance and confirmation must not read as an unchanged configuration, and fields of declarations and settings could be missing from their pages.

Change: a test for each.

Conclusion: no change of the program was needed.

--- a/crates/ctl/tests/it/catalogue.rs
+++ b/crates/ctl/tests/it/catalogue.rs
@@ -69,3 +69,26 @@
         assert!(unit_ms >= settings.shutdown_deadline_ms + 10_000, "{name}");
     }
 }
+
+/// Guards against fields of declarations and settings that operators cannot look up.
+#[test]
+fn pages_list_every_field() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    for (source, name) in
+        [("config/src/declare.rs", "configuration.md"), ("entry/src/settings.rs", "settings.md")]
+    {
+        let text = fs::read_to_string(crates.join(source)).unwrap();
+        let page = page(name);
+        // Faults of settings are not settings.
+        let text = text.split("/// One fault").next().unwrap();
+        let fields = text.lines().filter_map(|it| it.strip_prefix("    pub ")?.split_once(": "));
+        let fields: Vec<_> = fields.map(|it| it.0).filter(|it| !it.contains(' ')).collect();
+        assert!(fields.len() > 10, "{source} has only {fields:?}");
+        for field in fields {
+            // Keys are never declared in folders.
+            if !matches!(field, "keys" | "id" | "tenant" | "sha256") {
+                assert!(page.contains(field), "docs/{name} lacks `{field}` of {source}");
+            }
+        }
+    }
+}
--- a/crates/ctl/tests/it/outages.rs
+++ b/crates/ctl/tests/it/outages.rs
@@ -151,3 +151,25 @@
         error: rollout/katalog: the answer was lost and the change may have taken effect (hint: `rollout list` shows whether it did)
     "#]].assert_eq(&run.golden());
 }
+
+/// Guards against a change that is reported as not made because its confirmation cannot be read.
+#[tokio::test]
+async fn switch_before_an_outage_is_changed_and_not_confirmed() {
+    let bench = Bench::with_config().await;
+    bench.zone("alpen-a", "entry-1", 1).await;
+    bench.platform.set_faults(PlatformFaults { delay_ms: 20, ..PlatformFaults::default() });
+    let lose_platform = async {
+        while bench.get("config/head").await["version"] != 2 {}
+        bench.platform.set_faults(away());
+    };
+    let args = ["--timeout-s", "1", "--confirm-s", "1", "preset", "switch", "dawn"];
+    let (run, ()) = tokio::join!(bench.ctl(&args), lose_platform);
+    expect![[r#"
+        exit 7
+        --- out
+        preset dawn is active in version 2
+        --- err
+        error: not confirmed within <n> ms (hint: such a zone goes on with the former preset until it hears of this one; `status` shows when it has)
+        error: zone all: the platform does not tell the zones' states
+    "#]].assert_eq(&run.golden());
+}
