End the work of callers that leave behind unread bytes, deliver the end of answers

Cause: the end of a caller's connection was seen only when the HTTP server read it. A server does not read while a body waits for a slot or for a slow upstream, so such requests kept their place in the queue or their slot. And a shutdown waited for running requests only: the end of an answer that the upstream has sent whole can still wait in the host for its caller.

A shutdown also waits until the server has closed every connection that carried a request. Deployments of the demonstration claim a loopback network each instead of deriving it from the process id, which collided after 15 deployments in one process.

A caller that closes in order while its own bytes cannot be delivered stays unnoticed, since its end stands behind them in its socket.

--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -2,8 +2,8 @@
 
 use std::{
     fs,
-    net::{Ipv4Addr, SocketAddr},
-    path::PathBuf,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
     sync::{
         Arc,
         atomic::{AtomicU16, Ordering},
@@ -23,9 +23,12 @@
 
 use crate::{certificates::Certificates, declarations::demo_declarations};
 
-/// Numbers the deployments of this process, so that their addresses differ.
+/// Numbers the deployments of this process, so that their folders differ.
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
+/// Port that is bound on the first address of a loopback network while a deployment uses it.
+const CLAIM_PORT: u16 = 7399;
+
 /// Where an entry host stands.
 #[derive(Debug, Clone)]
 pub struct HostSlot {
@@ -63,6 +66,8 @@
     pub drain_notice_ms: u64,
     /// Longest time for a graceful shutdown of a host.
     pub shutdown_deadline_ms: u64,
+    /// Settings of every upstream; those of its slot take precedence.
+    pub upstream: UpstreamSettings,
 }
 
 impl Default for DeploymentSettings {
@@ -93,6 +98,7 @@
             upstreams,
             drain_notice_ms: 500,
             shutdown_deadline_ms: 30_000,
+            upstream: UpstreamSettings::default(),
         }
     }
 }
@@ -115,8 +121,8 @@
     pub config: ConfigStore<HttpObjectStore>,
     /// The platform as operators reach it.
     pub store: Arc<HttpObjectStore>,
-    /// Distinguishes the addresses of this deployment.
-    number: u16,
+    /// Loopback network of the hosts.
+    network: Network,
 }
 
 impl Deployment {
@@ -146,7 +152,7 @@
                 version: slot.version.clone(),
                 slots: slot.slots as usize,
                 service_time_ms: slot.service_time_ms,
-                ..UpstreamSettings::default()
+                ..settings.upstream.clone()
             };
             upstreams.push(UpstreamStandin::bind(any, upstream).await?);
         }
@@ -162,7 +168,7 @@
             folder,
             config,
             store,
-            number,
+            network: Network::claim()?,
         })
     }
 
@@ -283,13 +289,14 @@
         Ok(format!("http://{}", host.caller_address()))
     }
 
+    /// Folder of the certificates, removed with the deployment.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// A loopback address of its own for each host, so that ports cannot collide.
     fn host_ip(&self, at: usize) -> Ipv4Addr {
-        let process = std::process::id();
-        let second = 16 + (process / 251 % 200) as u8;
-        let third = (process % 251) as u8 + 1;
-        let fourth = (usize::from(self.number) * 16 + at) % 250 + 2;
-        Ipv4Addr::new(127, second, third, fourth as u8)
+        self.network.address(at)
     }
 }
 
@@ -303,6 +310,34 @@
     }
 }
 
+/// A loopback network that no other deployment on this machine uses.
+struct Network {
+    /// Second and third byte of its addresses.
+    bytes: [u8; 2],
+    /// Keeps other deployments away from it.
+    _claim: TcpListener,
+}
+
+impl Network {
+    /// Takes a free network.
+    fn claim() -> anyhow::Result<Self> {
+        for _ in 0..100 {
+            let [second, third, ..] = rand_id().to_le_bytes();
+            let bytes = [second.max(16), third];
+            let address = Ipv4Addr::new(127, bytes[0], bytes[1], 1);
+            if let Ok(claim) = TcpListener::bind((address, CLAIM_PORT)) {
+                return Ok(Self { bytes, _claim: claim });
+            }
+        }
+        bail!("no loopback network is free at port {CLAIM_PORT}")
+    }
+
+    /// Address of a host.
+    fn address(&self, at: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.bytes[0], self.bytes[1], (at % 250 + 2) as u8)
+    }
+}
+
 /// The version of an applied change.
 fn applied(outcome: ChangeOutcome) -> anyhow::Result<u64> {
     match outcome {
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -30,7 +30,7 @@
     admin::AdminApi,
     api::CallerApi,
     certificate, control,
-    listener::{CallerAcceptor, Connections},
+    listener::{CallerListener, Connections},
     settings::Settings,
     upstream::Upstreams,
 };
@@ -193,7 +193,8 @@
             // Callers with a cached lookup answer still come and are served meanwhile.
             tokio::time::sleep(Duration::from_millis(host.settings.drain_notice_ms)).await;
             self.listener.cancel();
-            while host.engine.lock().in_flight() > 0 {
+            // The end of an answer can wait for a slow caller after its request has ended.
+            while host.engine.lock().in_flight() > 0 || host.connections.undelivered() > 0 {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         };
@@ -203,7 +204,10 @@
             () = hurry => false,
             () = tokio::time::sleep(deadline) => false,
         };
-        let cut = if in_time { 0 } else { host.engine.lock().in_flight() };
+        let running = host.engine.lock().in_flight();
+        let undelivered =
+            if self.listener.is_cancelled() { host.connections.undelivered() } else { 0 };
+        let cut = if in_time { 0 } else { running + undelivered };
         if cut > 0 {
             host.metrics.cut.inc_by(cut as u64);
             Event::RequestsCut.log(format_args!("{cut} requests"));
@@ -279,7 +283,8 @@
     tasks: &TaskTracker,
     closed: &CancellationToken,
 ) -> anyhow::Result<SocketAddr> {
-    let listener = TcpListener::bind(host.settings.listen);
+    let connections = Arc::clone(&host.connections);
+    let listener = CallerListener::bind(host.settings.listen, Arc::clone(&connections));
     let acceptor = match &host.settings.tls {
         None => listener.into_acceptor().await?.boxed(),
         Some(tls) => {
@@ -292,11 +297,10 @@
         .first()
         .and_then(|it| it.as_socket_addr().copied())
         .context("listener has no address")?;
-    let connections = Arc::clone(&host.connections);
     let stopped = host.stopped.clone();
-    let sweep = Arc::clone(&connections).sweep();
+    let sweep = connections.sweep();
     tasks.spawn(async move { stopped.run_until_cancelled(sweep).await });
-    let server = Server::new_with_acceptor(CallerAcceptor::new(acceptor, connections));
+    let server = Server::new_with_acceptor(acceptor);
     let api = CallerApi::new(Arc::clone(host));
     let closed = closed.clone();
     let deadline = Duration::from_millis(host.settings.shutdown_deadline_ms);
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -2,27 +2,31 @@
 
 use std::{
     io,
-    net::SocketAddr,
+    net::{Shutdown, SocketAddr},
     pin::Pin,
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
+use futures_util::FutureExt as _;
 use http::uri::Scheme;
 use parking_lot::Mutex;
 use poem::{
-    listener::Acceptor,
+    listener::{Acceptor, Listener, TcpAcceptor, TcpListener},
     web::{LocalAddr, RemoteAddr},
 };
+use socket2::SockRef;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
+    net::TcpStream,
     time::{Instant, interval},
 };
 use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
 
-/// Time between two sweeps for idle connections.
-const SWEEP_EVERY: Duration = Duration::from_millis(500);
+/// Time between two sweeps for connections that are idle or whose caller left; work of a caller
+/// that left has to end within a second.
+const SWEEP_EVERY: Duration = Duration::from_millis(250);
 
 /// The open connections of callers.
 #[derive(Debug)]
@@ -40,10 +44,14 @@
 struct Connection {
     /// Address of the caller.
     caller: SocketAddr,
+    /// The socket, on which the sweep sees that the caller left.
+    stream: Arc<TcpStream>,
     /// Cancelled when the connection ends.
     ended: CancellationToken,
     /// Requests that run.
     in_flight: usize,
+    /// Whether it carried a request.
+    was_used: bool,
     /// Since when no request runs; bytes of an unfinished head do not count as progress.
     idle_since: Instant,
 }
@@ -61,13 +69,22 @@
             let mut open = self.open.lock();
             if let Ok(at) = open.binary_search_by_key(&caller, |it| it.caller) {
                 open[at].in_flight += 1;
+                open[at].was_used = true;
                 ended = open[at].ended.clone();
             }
         }
         RequestGuard { connections: Arc::clone(self), caller, ended }
     }
 
-    /// Closes idle connections until it is dropped.
+    /// Connections without a running request whose answers may not be delivered whole.
+    ///
+    /// This is so only once the server was told to stop: it then closes each connection as soon as
+    /// its last answer is written.
+    pub(crate) fn undelivered(&self) -> usize {
+        self.open.lock().iter().filter(|it| it.was_used && it.in_flight == 0).count()
+    }
+
+    /// Closes idle connections and ends the work of callers that left, until it is dropped.
     pub(crate) async fn sweep(self: Arc<Self>) {
         let mut ticks = interval(SWEEP_EVERY);
         loop {
@@ -75,7 +92,11 @@
             let now = Instant::now();
             for connection in self.open.lock().iter() {
                 let idle = now.saturating_duration_since(connection.idle_since);
-                if connection.in_flight == 0 && idle >= self.idle_timeout {
+                let is_over = match connection.in_flight {
+                    0 => idle >= self.idle_timeout,
+                    _ => connection.has_left(),
+                };
+                if is_over {
                     connection.ended.cancel();
                 }
             }
@@ -83,14 +104,20 @@
     }
 
     /// Admits a connection below the limit.
-    fn admit(&self, caller: SocketAddr) -> Option<CancellationToken> {
+    fn admit(&self, caller: SocketAddr, stream: &Arc<TcpStream>) -> Option<CancellationToken> {
         let mut open = self.open.lock();
         if open.len() >= self.max_connections {
             return None;
         }
         let ended = CancellationToken::new();
-        let connection =
-            Connection { caller, ended: ended.clone(), in_flight: 0, idle_since: Instant::now() };
+        let connection = Connection {
+            caller,
+            stream: Arc::clone(stream),
+            ended: ended.clone(),
+            in_flight: 0,
+            was_used: false,
+            idle_since: Instant::now(),
+        };
         match open.binary_search_by_key(&caller, |it| it.caller) {
             Ok(at) => open[at] = connection,
             Err(at) => open.insert(at, connection),
@@ -104,6 +131,17 @@
     }
 }
 
+impl Connection {
+    /// Whether the caller closed the connection.
+    ///
+    /// The HTTP server does not read while a body waits for its upstream, so the end of the stream
+    /// can stand behind bytes that nobody reads.
+    fn has_left(&self) -> bool {
+        let ready = self.stream.ready(Interest::READABLE).now_or_never();
+        ready.is_some_and(|it| it.is_ok_and(|it| it.is_read_closed()))
+    }
+}
+
 /// A running request of a connection.
 #[derive(Debug)]
 pub(crate) struct RequestGuard {
@@ -133,36 +171,51 @@
     }
 }
 
-/// Accepts connections of callers and keeps track of them.
-pub(crate) struct CallerAcceptor<A> {
-    /// Accepts plain or encrypted connections.
-    inner: A,
+/// Listens for connections of callers and keeps track of them.
+pub(crate) struct CallerListener {
+    /// The address.
+    address: SocketAddr,
     /// The open connections.
     connections: Arc<Connections>,
 }
 
-impl<A> CallerAcceptor<A> {
-    /// Keeps track of the connections that `inner` accepts.
-    pub(crate) fn new(inner: A, connections: Arc<Connections>) -> Self {
-        Self { inner, connections }
+impl CallerListener {
+    /// Listens on an address.
+    pub(crate) fn bind(address: SocketAddr, connections: Arc<Connections>) -> Self {
+        Self { address, connections }
+    }
+}
+
+impl Listener for CallerListener {
+    type Acceptor = CallerAcceptor;
+
+    async fn into_acceptor(self) -> io::Result<CallerAcceptor> {
+        let inner = TcpListener::bind(self.address).into_acceptor().await?;
+        Ok(CallerAcceptor { inner, connections: self.connections })
     }
 }
 
-impl<A: Acceptor> Acceptor for CallerAcceptor<A>
-where
-    A::Io: Unpin,
-{
-    type Io = CallerStream<A::Io>;
+/// Accepts connections of callers and keeps track of them; encryption comes on top of it.
+pub(crate) struct CallerAcceptor {
+    /// Accepts connections.
+    inner: TcpAcceptor,
+    /// The open connections.
+    connections: Arc<Connections>,
+}
+
+impl Acceptor for CallerAcceptor {
+    type Io = CallerStream;
 
     fn local_addr(&self) -> Vec<LocalAddr> {
         self.inner.local_addr()
     }
 
-    async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
+    async fn accept(&mut self) -> io::Result<(CallerStream, LocalAddr, RemoteAddr, Scheme)> {
         loop {
             let (stream, local, remote, scheme) = self.inner.accept().await?;
             let Some(caller) = remote.0.as_socket_addr().copied() else { continue };
-            let Some(ended) = self.connections.admit(caller) else { continue };
+            let stream = Arc::new(stream);
+            let Some(ended) = self.connections.admit(caller, &stream) else { continue };
             let closed = Box::pin(ended.clone().cancelled_owned());
             let connections = Arc::clone(&self.connections);
             let stream = CallerStream { stream, caller, ended, closed, connections };
@@ -172,9 +225,9 @@
 }
 
 /// A connection of a caller.
-pub(crate) struct CallerStream<S> {
-    /// The connection.
-    stream: S,
+pub(crate) struct CallerStream {
+    /// The connection, shared with the sweep.
+    stream: Arc<TcpStream>,
     /// Address of the caller.
     caller: SocketAddr,
     /// Cancelled when the connection ends.
@@ -185,7 +238,7 @@
     connections: Arc<Connections>,
 }
 
-impl<S> CallerStream<S> {
+impl CallerStream {
     /// Fails when the connection has to end.
     fn check(&mut self, context: &mut Context<'_>) -> io::Result<()> {
         match self.closed.as_mut().poll(context) {
@@ -195,48 +248,55 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for CallerStream<S> {
+impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.check(context)?;
-        let filled = buffer.filled().len();
-        let res = Pin::new(&mut self.stream).poll_read(context, buffer);
-        // The HTTP server goes on with the request of a caller that left, so the end is noted here.
-        let has_ended = match &res {
-            Poll::Ready(Ok(())) => buffer.remaining() > 0 && buffer.filled().len() == filled,
-            Poll::Ready(Err(_)) => true,
-            Poll::Pending => false,
+        let res = loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read(buffer.initialize_unfilled()) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                res => break res,
+            }
         };
-        if has_ended {
+        // The HTTP server goes on with the request of a caller that left, so the end is noted here.
+        if res.as_ref().map_or(true, |it| *it == 0 && buffer.remaining() > 0) {
             self.ended.cancel();
         }
-        res
+        buffer.advance(res?);
+        Poll::Ready(Ok(()))
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for CallerStream<S> {
+impl AsyncWrite for CallerStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.check(context)?;
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match self.stream.try_write(buffer) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                res => return Poll::Ready(res),
+            }
+        }
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
 
-impl<S> Drop for CallerStream<S> {
+impl Drop for CallerStream {
     fn drop(&mut self) {
         self.ended.cancel();
         self.connections.remove(self.caller);
