Refuse paths that read as another route, pass on an upstream's unknown outcome

Cause: /open/..%5ca passed the check of dot segments because the escaped backslash was decoded without splitting again, and a path such as //open or /%6fpen was checked as another route than the one that an upstream which merges slashes or decodes escapes serves. An answer by which an upstream reports that it stopped a request at its deadline was passed on and recorded as executed.

The outcome unknown of an upstream reaches the caller and the record of request ids.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -29,7 +29,7 @@
     headers,
     host::Host,
     listener::RequestGuard,
-    respond,
+    path, respond,
     upstream::{self, SendFailure, Sending},
 };
 
@@ -60,9 +60,9 @@
     let rest = path.trim_start_matches('/');
     let (service, rest) = rest.split_at(rest.find(['/', '?']).unwrap_or(rest.len()));
     let rest = if rest.starts_with('/') { rest.to_owned() } else { format!("/{rest}") };
-    if has_dot_segment(&rest) {
-        let detail = "the path has a dot segment".to_owned();
-        return respond::refusal(&Refusal::new(Reason::BadRequest).with_detail(detail));
+    if let Err(detail) = check_path(host, service, request.method(), &rest) {
+        let refusal = Refusal::new(Reason::BadRequest).with_detail(detail.to_owned());
+        return respond::refusal(&refusal);
     }
     let length = upstream::content_length(request.headers());
     // HTTP/2 sends bodies without either header, so only an absent method body is known here.
@@ -249,12 +249,14 @@
 ) -> Response {
     let status = response.status();
     let mut headers = headers::to_caller(response.headers());
-    headers.insert(headers::OUTCOME, HeaderValue::from_static("executed"));
+    // An upstream that stopped a request at its deadline knows only that it may have run.
+    let outcome = if upstream::is_unknown(&response) { "unknown" } else { "executed" };
+    headers.insert(headers::OUTCOME, HeaderValue::from_static(outcome));
     let latency = guard.sent_at.elapsed();
-    record_answer(host, head, attempt, latency);
+    record_answer(host, head, attempt, latency, outcome);
     let end = AttemptEnd {
         outcome: AttemptOutcome::Answered { failed: status.is_server_error() },
-        status: Some(status.as_u16()),
+        status: (outcome == "executed").then_some(status.as_u16()),
         byte_sent: true,
         draining: upstream::is_draining(response.headers()),
         latency,
@@ -279,14 +281,20 @@
 }
 
 /// Counts an answer.
-fn record_answer(host: &Host, head: &RequestHead, attempt: &Attempt, latency: Duration) {
+fn record_answer(
+    host: &Host,
+    head: &RequestHead,
+    attempt: &Attempt,
+    latency: Duration,
+    outcome: &str,
+) {
     let snapshot = host.snapshot.load();
     let tenant = attempt.tenant.and_then(|it| snapshot.tenants.value(it));
     let tenant = tenant.map_or("open", |it| it.name.as_str()).to_owned();
     let service = head.service.clone();
     let labels = TenantLabels { tenant: tenant.clone(), service: service.clone() };
     host.metrics.latency.get_or_create(&labels).observe(latency.as_secs_f64());
-    let labels = OutcomeLabels { tenant, service, outcome: "executed".to_owned() };
+    let labels = OutcomeLabels { tenant, service, outcome: outcome.to_owned() };
     host.metrics.requests.get_or_create(&labels).inc();
 }
 
@@ -324,14 +332,17 @@
     }
 }
 
-/// Whether a path has a segment `.` or `..`, escaped or not, which would reach another route at the
-/// upstream than the one that was checked.
-fn has_dot_segment(path: &str) -> bool {
+/// Whether every reading of a path leads to the same route.
+fn check_path(host: &Host, service: &str, method: &Method, path: &str) -> Result<(), &'static str> {
+    let plain = path::plain(path)?;
+    let snapshot = host.snapshot.load();
+    let Some(service) = snapshot.services.key(service) else { return Ok(()) };
+    let route = |path: &str| snapshot.route(service, method.as_str(), path);
     let path = path.split('?').next().unwrap_or_default();
-    path.split(['/', '\\']).any(|it| {
-        let plain = it.to_ascii_lowercase().replace("%2e", ".").replace("%5c", "/");
-        plain == "." || plain == ".." || plain.contains("%2f")
-    })
+    if route(path) != route(&plain) {
+        return Err("the path can be read as another route's");
+    }
+    Ok(())
 }
 
 /// A header as text.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod headers;
 mod host;
 mod listener;
+mod path;
 mod reports;
 mod respond;
 mod settings;
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -137,6 +137,11 @@
     }
 }
 
+/// Whether an upstream says that the request may have run only in part.
+pub(crate) fn is_unknown(response: &Response) -> bool {
+    response.headers().get(headers::OUTCOME).is_some_and(|it| it.as_bytes() == b"unknown")
+}
+
 /// Whether an upstream says that it drains.
 pub(crate) fn is_draining(headers: &HeaderMap) -> bool {
     headers.get(headers::DRAINING).is_some_and(|it| it.as_bytes() == b"true")
