--- /dev/null
+++ b/crates/entry/tests/it/main.rs
@@ -0,0 +1,8 @@
+//! Tests over real sockets and real entry processes.
+
+mod support;
+
+mod outcomes;
+mod limits;
+mod forwarding;
+mod shutdown;
--- /dev/null
+++ b/crates/entry/tests/it/support.rs
@@ -0,0 +1,452 @@
+//! A deployment of real entry processes over stand-ins on loopback.
+
+use std::{
+    fs::{self, File},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use anyhow::{Context as _, bail, ensure};
+use kingcupford_config::Declarations;
+use kingcupford_demo::{Deployment, DeploymentSettings, HostSlot, UpstreamSlot};
+use kingcupford_entry::Settings;
+use kingcupford_standin::{ExecutionRecord, UpstreamSettings};
+use reqwest::{Client, RequestBuilder, Response};
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    time::{Instant, sleep},
+};
+
+/// Time within which a deployment is ready on a machine with other load.
+const SETTLE_LIMIT: Duration = Duration::from_secs(40);
+
+/// A debug assertion of `hyper` that does not concern this system.
+const HYPER_ASSERTION: &str = "assertion failed: !self.can_read_head() && !self.can_read_body()";
+
+/// Zones of hosts in their order.
+const ZONES: [&str; 4] = ["fukuoka-a", "fukuoka-b", "kumamoto-a", "kagoshima-a"];
+
+/// Runs a test with a time limit.
+pub(crate) fn run(test: impl Future<Output = anyhow::Result<()>>) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    let limited = async { tokio::time::timeout(Duration::from_secs(120), test).await };
+    match runtime.block_on(limited) {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => panic!("{error:?}"),
+        Err(_) => panic!("the test did not end within its time limit"),
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn wait_until<F: Future<Output = bool>>(
+    what: &str,
+    limit: Duration,
+    mut condition: impl FnMut() -> F,
+) -> anyhow::Result<Duration> {
+    let started = Instant::now();
+    while !condition().await {
+        ensure!(started.elapsed() < limit, "not within {limit:?}: {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+    Ok(started.elapsed())
+}
+
+/// Settings with a number of hosts and one instance of each service in each of the given sites.
+pub(crate) fn settings(hosts: usize, sites: &[&str], slots: u32) -> DeploymentSettings {
+    let hosts = ZONES
+        .iter()
+        .take(hosts)
+        .enumerate()
+        .map(|(at, zone)| HostSlot { name: format!("entry-{}", at + 1), zone: (*zone).to_owned() });
+    let mut upstreams = Vec::new();
+    for service in ["ledger-view", "deposit-desk", "photo-drop"] {
+        for version in ["v1", "v2"] {
+            for site in sites {
+                upstreams.push(UpstreamSlot {
+                    name: format!("{service}-{version}-{site}"),
+                    service: service.to_owned(),
+                    version: version.to_owned(),
+                    site: (*site).to_owned(),
+                    slots,
+                    service_time_ms: 2.0,
+                });
+            }
+        }
+    }
+    DeploymentSettings {
+        hosts: hosts.collect(),
+        upstreams,
+        drain_notice_ms: 300,
+        shutdown_deadline_ms: 30_000,
+        upstream: UpstreamSettings::default(),
+    }
+}
+
+/// Entry processes over stand-ins; dropping it ends the processes that it started.
+pub(crate) struct Fleet {
+    /// Stand-ins, certificates and the operators' access.
+    pub(crate) deployment: Deployment,
+    /// The processes, `None` while one is stopped.
+    pub(crate) hosts: Vec<Option<EntryProcess>>,
+    /// Client of callers.
+    pub(crate) client: Client,
+}
+
+impl Fleet {
+    /// Starts stand-ins and hosts with the demonstration's declarations.
+    pub(crate) async fn start(settings: DeploymentSettings) -> anyhow::Result<Self> {
+        Self::start_with(settings, |_| {}).await
+    }
+
+    /// Starts stand-ins and hosts with changed declarations.
+    pub(crate) async fn start_with(
+        settings: DeploymentSettings,
+        change: impl FnOnce(&mut Declarations),
+    ) -> anyhow::Result<Self> {
+        let deployment = Deployment::start_standins(settings).await?;
+        let mut declarations = deployment.declarations();
+        change(&mut declarations);
+        deployment.apply(&declarations, "test").await?;
+        let hosts = deployment.hosts.iter().map(|_| None).collect();
+        let client = Client::builder().no_proxy().build()?;
+        let mut res = Self { deployment, hosts, client };
+        for at in 0..res.hosts.len() {
+            res.start_host(at)?;
+        }
+        res.settle(1).await?;
+        Ok(res)
+    }
+
+    /// Starts the process of a host.
+    pub(crate) fn start_host(&mut self, at: usize) -> anyhow::Result<()> {
+        let settings = self.deployment.host_settings(at)?;
+        self.start_host_with(at, &settings)
+    }
+
+    /// Starts the process of a host with the given settings.
+    pub(crate) fn start_host_with(&mut self, at: usize, it: &Settings) -> anyhow::Result<()> {
+        let file = self.deployment.folder().join(format!("{}.yaml", it.name));
+        fs::write(&file, settings_text(it))?;
+        self.hosts[at] = Some(EntryProcess::start(file, it.listen, it.admin_listen)?);
+        Ok(())
+    }
+
+    /// A running host.
+    pub(crate) fn host(&self, at: usize) -> &EntryProcess {
+        self.hosts[at].as_ref().expect("the host runs")
+    }
+
+    /// Waits until every running host uses at least a version and sees every other one.
+    pub(crate) async fn settle(&self, version: u64) -> anyhow::Result<()> {
+        let running = self.hosts.iter().flatten().count();
+        let started = Instant::now();
+        loop {
+            let mut settled = 0;
+            for host in self.hosts.iter().flatten() {
+                let Ok(status) = self.status(host).await else { continue };
+                let members = status["members"]
+                    .as_array()
+                    .map_or(0, |members| members.iter().filter(|it| it[2] == "live").count());
+                let ready = status["config_version"].as_u64() >= Some(version)
+                    && members >= running
+                    && status["main_share"] == true;
+                settled += usize::from(ready);
+            }
+            if settled == running {
+                return Ok(());
+            }
+            if started.elapsed() > SETTLE_LIMIT {
+                let logs: Vec<_> = self.hosts.iter().flatten().map(EntryProcess::log).collect();
+                bail!("hosts have not settled on version {version}:\n{}", logs.join("\n"));
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// What operators see of a host.
+    pub(crate) async fn status(&self, host: &EntryProcess) -> anyhow::Result<Value> {
+        let url = format!("http://{}/status", host.admin);
+        let request = self.client.get(url).timeout(Duration::from_secs(2));
+        Ok(request.send().await?.json().await?)
+    }
+
+    /// Waits until every running host uses at least a version, and answers how long it took.
+    pub(crate) async fn active_everywhere(&self, version: u64) -> anyhow::Result<Duration> {
+        wait_until("the version is active", Duration::from_secs(30), || async {
+            for host in self.hosts.iter().flatten() {
+                let status = self.status(host).await.unwrap_or_default();
+                if status["config_version"].as_u64() < Some(version) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await
+    }
+
+    /// Issues a key, waits until it is active and answers the header that shows it.
+    pub(crate) async fn key(&self, id: &str, tenant: &str) -> anyhow::Result<String> {
+        let (key, version) = self.deployment.issue_key(id, tenant).await?;
+        self.active_everywhere(version).await?;
+        Ok(format!("Bearer {}", key.reveal()))
+    }
+
+    /// URL of a path at a host.
+    pub(crate) fn url(&self, at: usize, path: &str) -> String {
+        format!("http://{}{path}", self.host(at).caller)
+    }
+
+    /// A read at a host.
+    pub(crate) fn get(&self, at: usize, path: &str, key: &str) -> RequestBuilder {
+        self.client.get(self.url(at, path)).header("authorization", key)
+    }
+
+    /// A deposit at a host with a tag.
+    pub(crate) fn deposit(&self, at: usize, key: &str, id: &str, tag: &str) -> RequestBuilder {
+        self.client
+            .post(self.url(at, "/deposit-desk/deposits"))
+            .header("authorization", key)
+            .header("kingcupford-request-id", id)
+            .header("x-request-tag", tag)
+            .body("{\"yen\":500}")
+    }
+
+    /// The present binding of a host.
+    pub(crate) async fn binding(&self, at: usize, key: &str) -> anyhow::Result<String> {
+        let request = self.client.post(self.url(at, "/deposit-desk/deposits"));
+        let response = request.header("authorization", key).body("{}").send().await?;
+        let binding = response.headers().get("kingcupford-binding").context("no binding")?;
+        Ok(binding.to_str()?.to_owned())
+    }
+
+    /// Executions with a tag at all upstreams.
+    pub(crate) fn executions(&self, tag: &str) -> Vec<ExecutionRecord> {
+        let upstreams = self.deployment.upstreams.iter();
+        let records = upstreams.flat_map(|it| it.executions());
+        records.filter(|it| it.tag.as_deref() == Some(tag)).collect()
+    }
+
+    /// Requests admitted and not finished at a host.
+    pub(crate) async fn in_flight(&self, at: usize) -> u64 {
+        let status = self.status(self.host(at)).await.unwrap_or_default();
+        status["in_flight"].as_u64().unwrap_or(u64::MAX)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for host in self.hosts.iter().flatten() {
+            // `poem` polls a connection once more after it failed, at which a debug assertion of
+            // `hyper` fires on the connection's task; release builds have no such assertion.
+            let log = host.log();
+            let panics = log.matches("panicked").count();
+            if panics > log.matches(HYPER_ASSERTION).count() && !std::thread::panicking() {
+                panic!("a task of a host panicked:\n{log}");
+            }
+        }
+    }
+}
+
+/// A running entry process; dropping it ends it.
+pub(crate) struct EntryProcess {
+    /// The process.
+    child: Child,
+    /// File with its log.
+    log_file: PathBuf,
+    /// Where callers are accepted.
+    pub(crate) caller: SocketAddr,
+    /// Where the status is served.
+    pub(crate) admin: SocketAddr,
+}
+
+impl EntryProcess {
+    /// Starts a process.
+    fn start(file: PathBuf, caller: SocketAddr, admin: SocketAddr) -> anyhow::Result<Self> {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let log_file = file.with_extension(format!("{number}.log"));
+        let child = Command::new(env!("CARGO_BIN_EXE_kingcupford-entry"))
+            .arg("--settings")
+            .arg(file)
+            .stdout(Stdio::null())
+            .stderr(File::create(&log_file)?)
+            .spawn()?;
+        Ok(Self { child, log_file, caller, admin })
+    }
+
+    /// Sends a signal, such as `STOP`.
+    pub(crate) fn signal(&self, signal: &str) -> anyhow::Result<()> {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", signal, &id]).status()?;
+        ensure!(status.success(), "signal {signal} was not sent to {id}");
+        Ok(())
+    }
+
+    /// Ends it as a crash does.
+    pub(crate) fn kill(mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for its end.
+    pub(crate) async fn wait(&mut self, limit: Duration) -> anyhow::Result<ExitStatus> {
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            ensure!(started.elapsed() < limit, "the process runs on:\n{}", self.log());
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Its log so far.
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(&self.log_file).unwrap_or_default()
+    }
+
+    /// Bytes of its memory that are resident.
+    pub(crate) fn resident_bytes(&self) -> anyhow::Result<u64> {
+        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = text.lines().find(|it| it.starts_with("VmRSS:")).context("no VmRSS")?;
+        let kib = line.split_whitespace().nth(1).context("no value")?;
+        Ok(kib.parse::<u64>()? * 1024)
+    }
+}
+
+impl Drop for EntryProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Settings as the text of a file; JSON is valid YAML.
+pub(crate) fn settings_text(it: &Settings) -> String {
+    let seeds = it
+        .seeds
+        .iter()
+        .map(|it| json!({ "name": it.name, "zone": it.zone, "peer_address": it.peer_address }));
+    let mut res = json!({
+        "name": it.name,
+        "zone": it.zone,
+        "listen": it.listen,
+        "public_addresses": it.public_addresses,
+        "admin_listen": it.admin_listen,
+        "peer_listen": it.peer_listen,
+        "peer_address": it.peer_address,
+        "platform_url": it.platform_url,
+        "seeds": seeds.collect::<Vec<_>>(),
+        "peer_tls": {
+            "certificate_file": it.peer_tls.certificate_file,
+            "key_file": it.peer_tls.key_file,
+            "ca_file": it.peer_tls.ca_file,
+        },
+        "limits": {
+            "max_head_bytes": it.limits.max_head_bytes,
+            "idle_timeout_ms": it.limits.idle_timeout_ms,
+        },
+        "drain_notice_ms": it.drain_notice_ms,
+        "shutdown_deadline_ms": it.shutdown_deadline_ms,
+        "log_level": it.log_level,
+    });
+    if let Some(tls) = &it.tls {
+        res["tls"] = json!({ "certificate_file": tls.certificate_file, "key_file": tls.key_file });
+    }
+    res.to_string()
+}
+
+/// The outcome that a caller was told and the reason of a refusal.
+pub(crate) async fn told(response: Response) -> anyhow::Result<(u16, String, String)> {
+    let status = response.status().as_u16();
+    let outcome = response.headers().get("kingcupford-outcome").context("no outcome")?;
+    let outcome = outcome.to_str()?.to_owned();
+    let body: Value = response.json().await.unwrap_or_default();
+    let reason = body["reason"].as_str().unwrap_or_default().to_owned();
+    Ok((status, outcome, reason))
+}
+
+/// An upstream whose answers are written byte by byte by the test.
+pub(crate) struct RawUpstream {
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// Heads of requests that it received.
+    pub(crate) heads: Arc<std::sync::Mutex<Vec<String>>>,
+}
+
+impl RawUpstream {
+    /// Serves each connection by `serve`, which gets the head of the first request; `/load` and
+    /// `/health` are refused.
+    pub(crate) async fn start<F>(
+        serve: impl Fn(TcpStream, String) -> F + Send + Sync + 'static,
+    ) -> anyhow::Result<Self>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let heads = Arc::new(std::sync::Mutex::new(Vec::new()));
+        let log = Arc::clone(&heads);
+        let serve = Arc::new(serve);
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let (log, serve) = (Arc::clone(&log), Arc::clone(&serve));
+                tokio::spawn(async move {
+                    let Some(head) = read_head(&mut stream).await else { return };
+                    if head.starts_with("GET /load") || head.starts_with("GET /health") {
+                        return;
+                    }
+                    log.lock().expect("no test panics with the lock").push(head.clone());
+                    serve(stream, head).await;
+                });
+            }
+        });
+        Ok(Self { address, heads })
+    }
+
+    /// Number of requests that it received.
+    pub(crate) fn received(&self) -> usize {
+        self.heads.lock().expect("no test panics with the lock").len()
+    }
+}
+
+/// Reads the head of a request or answer byte by byte, so that nothing behind it is consumed.
+pub(crate) async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut res = Vec::new();
+    while !res.ends_with(b"\r\n\r\n") {
+        res.push(stream.read_u8().await.ok()?);
+    }
+    String::from_utf8(res).ok()
+}
+
+/// Sends bytes on a new connection and reads the answer to its end or for a limited time.
+pub(crate) async fn raw_exchange(address: SocketAddr, bytes: &[u8]) -> anyhow::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(bytes).await?;
+    let mut res = Vec::new();
+    let _ = tokio::time::timeout(Duration::from_secs(3), stream.read_to_end(&mut res)).await;
+    Ok(String::from_utf8_lossy(&res).into_owned())
+}
+
+/// Replaces the address of every instance of a service.
+pub(crate) fn redirect(declarations: &mut Declarations, service: &str, address: SocketAddr) {
+    for it in declarations.services.iter_mut().filter(|it| it.name == service) {
+        for version in &mut it.versions {
+            for instance in &mut version.instances {
+                instance.address = address;
+            }
+        }
+    }
+}
