Hold permits for the longest request of their own service

Cause: one bound of 60 s for all services was shorter than an upload may run and longer than a read, so permits of uploads could be used twice after a partition, and a restarted host had no permits of its own for a minute. Change: each cap of permits carries the longest request time of its service. Conclusion: uploads hold their permits as long as they may run.

--- a/crates/engine/src/caps.rs
+++ b/crates/engine/src/caps.rs
@@ -1,5 +1,7 @@
 //! The caps that a snapshot declares.
 
+use std::time::Duration;
+
 use kingcupford_config::{RegionId, ServiceId, Snapshot, VersionId};
 use kingcupford_quota::{Cap, Resource};
 
@@ -30,7 +32,8 @@
     for (service, _) in snapshot.services.iter() {
         for (region, _) in snapshot.regions.iter() {
             let permits = region_permits(snapshot, service, region, split(service));
-            res.push((Resource::RegionSlots(service, region), Cap::Permits { permits }));
+            let cap = Cap::Permits { permits, longest_request: longest_request(snapshot, service) };
+            res.push((Resource::RegionSlots(service, region), cap));
         }
     }
     for link in &snapshot.links {
@@ -48,6 +51,13 @@
     res
 }
 
+/// Longest time that a request of a service may run.
+fn longest_request(snapshot: &Snapshot, service: ServiceId) -> Duration {
+    let routes = snapshot.services[service].routes.iter();
+    let longest_ms = routes.map(|it| snapshot.routes[*it].timeout_ms).max().unwrap_or_default();
+    Duration::from_millis(longest_ms)
+}
+
 /// Requests of a service that a region runs at the same time, as the versions' shares allow.
 fn region_permits(snapshot: &Snapshot, service: ServiceId, region: RegionId, split: Split) -> u32 {
     let slots = |version: VersionId| -> f64 {
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -122,6 +122,15 @@
         }
     }
 
+    /// Time for which a permit may be in use after its holder stops starting requests, zero for
+    /// rates.
+    pub(crate) fn hold(&self) -> Duration {
+        match self.cap {
+            Some(Cap::Permits { longest_request, .. }) => longest_request,
+            Some(Cap::Rate { .. }) | None => Duration::ZERO,
+        }
+    }
+
     /// Whether the cap counts permits.
     pub(crate) fn is_permits(&self) -> bool {
         matches!(self.cap, Some(Cap::Permits { .. }))
@@ -150,7 +159,7 @@
     pub(crate) fn units(&self, shares: &Shares, at: Instant) -> u32 {
         let borrowed: u32 =
             self.borrowed.iter().filter(|it| at < it.until).map(|it| it.units).sum();
-        let own = shares.units(self.is_permits(), at) + borrowed;
+        let own = shares.units(self.hold(), at) + borrowed;
         own.saturating_sub(self.lent_units(at))
     }
 
@@ -169,7 +178,7 @@
     pub(crate) fn units_for(&self, amount: f64) -> u32 {
         let whole = match self.cap {
             Some(Cap::Rate { burst, .. }) => burst,
-            Some(Cap::Permits { permits }) => f64::from(permits),
+            Some(Cap::Permits { permits, .. }) => f64::from(permits),
             None => 0.0,
         };
         fraction_to_units(amount / whole)
@@ -238,14 +247,14 @@
 
     /// Whole permits of a number of units.
     pub(crate) fn permits(&self, units: u32) -> u32 {
-        let Some(Cap::Permits { permits }) = self.cap else { return 0 };
+        let Some(Cap::Permits { permits, .. }) = self.cap else { return 0 };
         let res = u64::from(permits) * u64::from(units) / u64::from(UNITS);
         u32::try_from(res).unwrap_or(u32::MAX)
     }
 
     /// Units that could be lent for a loan that ends at `until`, beyond the own demand.
     pub(crate) fn room(&mut self, shares: &Shares, now: Instant, until: Instant) -> u32 {
-        let lendable = shares.units_through(self.is_permits(), now, until);
+        let lendable = shares.units_through(self.hold(), now, until);
         let wanted = self.wanted_units(1.1, now);
         let spare = self.units(shares, now).saturating_sub(wanted);
         spare.min(lendable.saturating_sub(self.lent_units(now)))
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -228,6 +228,11 @@
         self.settle_all(now);
     }
 
+    /// Longest time that a request holds a permit of any cap.
+    pub(crate) fn longest_request(&self) -> Duration {
+        self.accounts.iter().map(Account::hold).max().unwrap_or_default()
+    }
+
     /// Whether the main part may be spent.
     pub fn main_valid(&self, now: Instant) -> bool {
         now < self.shares.main_until
--- a/crates/quota/src/loan.rs
+++ b/crates/quota/src/loan.rs
@@ -100,7 +100,7 @@
         }
         let tokens = account.tokens * f64::from(units) / f64::from(before);
         account.tokens -= tokens;
-        let back = if account.is_permits() { until + self.settings.longest_request } else { until };
+        let back = until + account.hold();
         let grants = vec![(units, back)];
         account.lent.push(Lent { id, borrower: to.to_owned(), grants, tokens });
         (units, tokens)
@@ -120,7 +120,7 @@
         let at = account.lent.iter().position(|it| it.id == id && it.borrower == to)?;
         let held = account.lent[at].units(now);
         // Units that another grant keeps out anyway, or whose lease ends too early, stay out of it.
-        let lendable = self.shares.units_through(account.is_permits(), now, until);
+        let lendable = self.shares.units_through(account.hold(), now, until);
         let others = account.lent_units(now) - held;
         let room = account.room(&self.shares, now, until);
         let lacking = account.lacking_units(&self.shares, now);
@@ -139,7 +139,7 @@
             account.tokens * f64::from(extra) / f64::from(before.max(extra))
         };
         account.tokens -= tokens;
-        let back = if account.is_permits() { until + self.settings.longest_request } else { until };
+        let back = until + account.hold();
         let grants = &mut account.lent[at].grants;
         grants.retain(|it| it.0 > granted || it.1 > back);
         grants.push((granted, back));
@@ -148,7 +148,6 @@
 
     /// Takes a loan that answers a pending request.
     fn borrow(&mut self, index: usize, from: &str, id: LoanId, grant: Grant, now: Instant) {
-        let longest_request = self.settings.longest_request;
         let account = &mut self.accounts[index];
         let pending = account.pending.iter().position(|it| it.id == id && it.peer == from);
         let Some(at) = pending else { return };
@@ -165,7 +164,7 @@
         if grant.units == 0 || until <= now {
             return;
         }
-        let forget_at = until + longest_request;
+        let forget_at = until + account.hold();
         let id = if grant.renewed { pending.renews.unwrap_or(id) } else { id };
         match account.borrowed.iter_mut().find(|it| it.id == id) {
             Some(loan) => {
--- a/crates/quota/src/proposal.rs
+++ b/crates/quota/src/proposal.rs
@@ -126,9 +126,9 @@
                 let added = record.reclaimed.saturating_sub(self.writer.reclaimed);
                 if added > 0 {
                     let added = u32::try_from(added).unwrap_or(UNITS);
-                    let until = now + self.settings.longest_request;
-                    self.shares.permit_holds.retain(|it| now < it.1);
-                    self.shares.permit_holds.push((added, until));
+                    let hold = self.longest_request();
+                    self.shares.permit_holds.retain(|it| now < it.1 + hold);
+                    self.shares.permit_holds.push((added, now));
                 }
                 self.writer.reclaimed = record.reclaimed;
                 self.writer.counter = self.writer.counter.max(record.counter);
@@ -275,7 +275,6 @@
                 // The predecessor's loans and requests may outlast it.
                 let loans_end = self.created + self.settings.loan + self.settings.loan_margin;
                 self.shares.rates_from = loans_end;
-                self.shares.permits_from = loans_end + self.settings.longest_request;
                 (old.floor, old.main)
             }
             None if ledger.holders.is_empty() => (UNITS / 5, UNITS - UNITS / 5),
@@ -337,7 +336,10 @@
             return false;
         }
         let own_units = ledger.holders[own].floor + ledger.holders[own].main;
-        let held = self.shares.held_permits(now).saturating_add(self.retained_units(now));
+        let held = self
+            .shares
+            .held_permits(self.longest_request(), now)
+            .saturating_add(self.retained_units(now));
         let mut free = own_units.saturating_sub(held);
         let mut changed = false;
         for part in [Part::Main, Part::Floor] {
@@ -365,7 +367,8 @@
         division::spread(ledger, &live, Part::Floor, floor);
         division::spread(ledger, &live, Part::Main, main);
         // Requests of a former holder may still use these; counted as reclaimed, they wait there.
-        division::count_reclaimed(ledger, &live, self.shares.held_permits(now).min(floor + main));
+        let held = self.shares.held_permits(self.longest_request(), now);
+        division::count_reclaimed(ledger, &live, held.min(floor + main));
         if keep == 0 {
             ledger.holders.remove(own);
         }
--- a/crates/quota/src/resource.rs
+++ b/crates/quota/src/resource.rs
@@ -1,5 +1,7 @@
 //! What is limited over all hosts together, and by how much.
 
+use std::time::Duration;
+
 use bincode::{Decode, Encode};
 use kingcupford_config::{RegionId, ServiceId, ShiftId, Snapshot, TenantId};
 
@@ -82,5 +84,7 @@
     Permits {
         /// The number.
         permits: u32,
+        /// Longest time that a request holds a permit.
+        longest_request: Duration,
     },
 }
--- a/crates/quota/src/settings.rs
+++ b/crates/quota/src/settings.rs
@@ -17,8 +17,6 @@
     pub loan: Duration,
     /// Wait of a lender beyond the loan.
     pub loan_margin: Duration,
-    /// Longest time that a request holds a permit.
-    pub longest_request: Duration,
     /// Time between two refreshes in the platform while peers do not confirm.
     pub refresh: Duration,
     /// Time between two refreshes in the platform while all peers confirm.
@@ -36,7 +34,6 @@
             floor_margin: Duration::from_secs(60),
             loan: Duration::from_secs(2),
             loan_margin: Duration::from_millis(50),
-            longest_request: Duration::from_secs(60),
             refresh: Duration::from_secs(3),
             confirmed_refresh: Duration::from_secs(60),
             fanout: 8,
--- a/crates/quota/src/share.rs
+++ b/crates/quota/src/share.rs
@@ -19,9 +19,7 @@
     pub(crate) floor_until: Instant,
     /// Start of spending rates; loans of a predecessor of the same name have ended by then.
     pub(crate) rates_from: Instant,
-    /// Start of using permits; requests of a predecessor have ended by then.
-    pub(crate) permits_from: Instant,
-    /// Reclaimed units with the time by which the former holder's requests have ended.
+    /// Reclaimed units with the time of the reclaim, since when the former holder starts nothing.
     pub(crate) permit_holds: Vec<(u32, Instant)>,
 }
 
@@ -34,37 +32,35 @@
             main_until: now,
             floor_until: now,
             rates_from: now,
-            permits_from: now,
             permit_holds: Vec::new(),
         }
     }
 
-    /// Units that may be spent on a cap at a time.
-    pub(crate) fn units(&self, permits: bool, at: Instant) -> u32 {
-        self.units_through(permits, at, at + Duration::from_nanos(1))
+    /// Units that may be spent on a cap at a time; `hold` is the time for which requests of a
+    /// former holder may still use its permits, zero for rates.
+    pub(crate) fn units(&self, hold: Duration, at: Instant) -> u32 {
+        self.units_through(hold, at, at + Duration::from_nanos(1))
     }
 
     /// Units that may be spent on a cap now and whose leases last until `until`.
-    pub(crate) fn units_through(&self, permits: bool, now: Instant, until: Instant) -> u32 {
-        let from = if permits { self.permits_from } else { self.rates_from };
-        if now < from {
+    pub(crate) fn units_through(&self, hold: Duration, now: Instant, until: Instant) -> u32 {
+        if now < self.rates_from + hold {
             return 0;
         }
         let floor = if until <= self.floor_until { self.floor } else { 0 };
         let main = if until <= self.main_until { self.main } else { 0 };
-        let held = if permits { self.held(now) } else { 0 };
-        (floor + main).saturating_sub(held)
+        (floor + main).saturating_sub(self.held(hold, now))
     }
 
     /// Reclaimed units whose former holder may still run requests.
-    fn held(&self, now: Instant) -> u32 {
-        self.permit_holds.iter().filter(|it| now < it.1).map(|it| it.0).sum()
+    fn held(&self, hold: Duration, now: Instant) -> u32 {
+        self.permit_holds.iter().filter(|it| now < it.1 + hold).map(|it| it.0).sum()
     }
 
     /// Own units whose permits a former holder or predecessor may still use.
-    pub(crate) fn held_permits(&self, now: Instant) -> u32 {
+    pub(crate) fn held_permits(&self, hold: Duration, now: Instant) -> u32 {
         let own = self.floor + self.main;
-        if now < self.permits_from { own } else { self.held(now).min(own) }
+        if now < self.rates_from + hold { own } else { self.held(hold, now).min(own) }
     }
 
     /// Prolongs the leases by a refresh sent at `sent`.
