Repeat stops of rollouts and tell the holder which processes have ended

Cause: a restarted host forgets that its peers stopped a new version; the death of an owner while the platform is away cost the others their main share.

--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -113,6 +113,7 @@
                 if let kingcupford_fleet::Message::Heartbeat(beat) = &it {
                     let own = self.fleet.identity().incarnation;
                     let heard = (beat.heard_incarnation == own).then_some(beat.heard_sequence);
+                    self.note_incarnation(from, beat.incarnation);
                     self.holder.heard(from, beat.incarnation, heard, now);
                     // A beat that confirms one sent after the pause compares the documents of now.
                     if self.resync.is_some_and(|it| heard >= Some(it.sequence)) {
@@ -157,6 +158,26 @@
         }
     }
 
+    /// Notes the process of a peer; a newer one has bound its address, so the former has ended.
+    fn note_incarnation(&mut self, peer: &str, incarnation: u64) {
+        match self.incarnations.binary_search_by(|it| it.0.as_str().cmp(peer)) {
+            Ok(at) if incarnation > self.incarnations[at].1 => {
+                self.holder.peer_gone(peer, self.incarnations[at].1);
+                self.incarnations[at].1 = incarnation;
+            }
+            Ok(_) => {}
+            Err(at) => self.incarnations.insert(at, (peer.to_owned(), incarnation)),
+        }
+    }
+
+    /// Notes that nothing listens at a peer's address any more, which a process keeps bound for its
+    /// whole life.
+    pub fn peer_unbound(&mut self, peer: &str) {
+        if let Ok(at) = self.incarnations.binary_search_by(|it| it.0.as_str().cmp(peer)) {
+            self.holder.peer_gone(peer, self.incarnations[at].1);
+        }
+    }
+
     /// Hands a message to membership; `standing` goes to a peer that does not know this process.
     fn fleet_received(
         &mut self,
@@ -329,6 +350,9 @@
         }
         if now >= self.next_evidence {
             self.next_evidence = now + EVIDENCE_EVERY;
+            for stop in self.rollouts.standing_stops() {
+                res.extend(self.to_all(&Message::RolloutStop(stop)));
+            }
             for evidence in self.rollouts.evidence() {
                 res.extend(self.to_all(&Message::RolloutEvidence(evidence)));
             }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -84,6 +84,8 @@
     pub(crate) draining: bool,
     /// Evidence of rollouts is sent again at this time.
     pub(crate) next_evidence: Instant,
+    /// Newest process heard of each peer, sorted by name.
+    pub(crate) incarnations: Vec<(String, u64)>,
     /// Time of the last tick, from which a pause of the process is noticed.
     pub(crate) last_tick: Instant,
     /// Set after a pause until a peer has confirmed that this host's documents are compared again.
@@ -216,6 +218,7 @@
             hosts_refreshed: None,
             draining: false,
             next_evidence: now,
+            incarnations: Vec::new(),
             last_tick: now,
             resync: None,
             settings,
--- a/crates/engine/src/rollouts.rs
+++ b/crates/engine/src/rollouts.rs
@@ -14,6 +14,9 @@
 /// all of its connections.
 const CRASH_WINDOW: Duration = Duration::from_secs(1);
 
+/// Hosts among which the bound on false alarms is divided, as many as run today.
+const TEST_PLAN: TestPlan = TestPlan { hosts: 8 };
+
 /// The rollouts of all services, by service key.
 #[derive(Debug)]
 pub(crate) struct Rollouts {
@@ -71,7 +74,7 @@
                     rollout: None,
                     document_version: 0,
                     splitter: Splitter::new(seed),
-                    test: FaultTest::new(&self.host, self.incarnation, TestPlan { hosts: 8 }),
+                    test: FaultTest::new(&self.host, self.incarnation, TEST_PLAN),
                     controller: Controller::new(&self.host, seed),
                     lost: Vec::new(),
                 });
@@ -176,6 +179,19 @@
         res
     }
 
+    /// Stops that hold, to be repeated to peers, since a restarted host has forgotten its own.
+    pub(crate) fn standing_stops(&self) -> Vec<RolloutStop> {
+        let stopped = self.services.iter().filter_map(|it| {
+            let rollout = it.rollout.as_ref().filter(|it| !it.state.is_final())?;
+            Some(RolloutStop {
+                service: it.name.clone(),
+                generation: rollout.generation,
+                reason: it.splitter.stopped()?.clone(),
+            })
+        });
+        stopped.collect()
+    }
+
     /// Stops because a peer did, and answers whether that is news.
     pub(crate) fn stop(&mut self, stop: &RolloutStop) -> bool {
         let state = self.services.iter_mut().find(|it| it.name == stop.service);
