Make the order of two reports certain in a test

Change: the test writes the reports 50 ms apart.

Conclusion: the program was right, the check is as strict as before.

--- a/crates/ctl/tests/it/views.rs
+++ b/crates/ctl/tests/it/views.rs
@@ -11,6 +11,8 @@
 async fn deployment() -> Bench {
     let bench = Bench::with_config().await;
     bench.zone("alpen-a", "entry-1", 1).await;
+    // The newest report of a region counts, so that reports of one millisecond would be a tie.
+    tokio::time::sleep(Duration::from_millis(50)).await;
     bench.zone("alpen-b", "entry-2", 0).await;
     let ledger = json!({
         "generation": 2,
@@ -117,7 +119,7 @@
               "region": "alpen",
               "free": 3,
               "slots": 4,
-              "reported_by": "alpen-a"
+              "reported_by": "alpen-b"
             }
           ],
           "rollouts": [],
