--- a/crates/engine/src/admit.rs
+++ b/crates/engine/src/admit.rs
@@ -28,6 +28,10 @@
 /// Time after which a request that waits for a loan asks again.
 const RATE_RETRY: Duration = Duration::from_millis(10);
 
+/// Longest time told to a request whose tenant's rate is spent; a host's own refill may be slow
+/// only because its share is lent, and other hosts may have tokens.
+const MAX_RATE_RETRY: Duration = Duration::from_secs(1);
+
 impl Engine {
     /// Decides whether a request may run; `waited` marks a repeated question after a wait.
     pub fn admit(&mut self, head: &RequestHead, waited: bool, now: Instant) -> Admission {
@@ -110,6 +114,7 @@
             fingerprint,
             key,
             deadline,
+            asked: None,
             wait_until: None,
             attempts: 0,
             may_have_run: false,
@@ -167,6 +172,8 @@
             let until = (now + pause.max(Duration::from_millis(1))).min(give_up);
             return Ok(Some(Admission::Wait { until }));
         }
+        let one_token = Duration::from_secs_f64(1.0 / self.snapshot.tenants[tenant].rate_per_s);
+        let retry_after = retry_after.min(MAX_RATE_RETRY.max(one_token));
         Err(Refusal::new(Reason::TenantRate).with_retry_after(retry_after))
     }
 
