--- a/crates/ctl/tests/it/deployment.rs
+++ b/crates/ctl/tests/it/deployment.rs
@@ -26,16 +26,17 @@
         let url = format!("{}/ledger-view/balances/7", deployment.url(host).unwrap());
         let answer = client.get(url).bearer_auth(&key).send().await.unwrap();
         let status = answer.status();
-        answer.bytes().await.unwrap();
-        status
+        (status, answer.text().await.unwrap())
     };
     for host in 0..4 {
-        assert_eq!(read(host).await, StatusCode::OK);
+        let (status, text) = read(host).await;
+        assert_eq!(status, StatusCode::OK, "host {host}: {text}");
     }
     let revoked = ctl(&deployment, &["key", "revoke", "k1"]).await;
     assert_eq!(revoked.code, 0, "{revoked:?}");
     for host in 0..4 {
-        assert_eq!(read(host).await, StatusCode::UNAUTHORIZED, "host {host}");
+        let (status, text) = read(host).await;
+        assert_eq!(status, StatusCode::UNAUTHORIZED, "host {host}: {text}");
     }
 }
 
