Give a tenant's token back only at the instant of its admission

A request that waited for a slot in vain returned its token up to a second after it was taken. Meanwhile the bucket refilled without counting it, so the tokens of waiting requests added up beyond the burst; when slots came free, 278 requests ran within 2 s at a rate of 20/s and a burst of 40. A tenant loses tokens to requests that waited for slots in vain.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -133,6 +133,8 @@
     pub(crate) fingerprint: Fingerprint,
     /// Its run under a request id.
     pub(crate) key: Option<RequestKey>,
+    /// When its tenant's rate was charged.
+    pub(crate) admitted: Instant,
     /// When it must be finished.
     pub(crate) deadline: Instant,
     /// When it first asked for a slot.
@@ -344,6 +346,7 @@
             idempotent: route.idempotent,
             fingerprint,
             key,
+            admitted: now,
             deadline,
             asked: None,
             wait_until: None,
@@ -560,9 +563,12 @@
             };
             self.request_ids.end(key, record, now);
         }
+        // A token that comes back later has not counted against the burst meanwhile, so that waiting
+        // requests could add up to more than rate and burst and then run together.
         if let Some(tenant) = request.tenant
             && !ran
             && !end.byte_sent
+            && now == request.admitted
         {
             self.holder.refund(Resource::TenantRate(tenant), 1.0, now);
         }
