Place the platform in the declared zone and begin hosts there

Regions are sorted by name, so Huskfutter's platform stood in alpen instead of mittelland, and four of its hosts too. Scenarios name the platform's zone.

--- a/crates/load/src/world.rs
+++ b/crates/load/src/world.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use kingcupford_config::{ConfigVersion, Declarations, Snapshot};
+use kingcupford_config::{ConfigVersion, Declarations, Snapshot, ZoneId};
 use kingcupford_scenario::Scenario;
 use rand::{SeedableRng as _, rngs::SmallRng};
 
@@ -90,7 +90,8 @@
             None,
         )?);
         let first_zone = declarations.regions.first().and_then(|it| it.zones.first());
-        let platform_zone = first_zone.and_then(|it| snapshot.zones.key(it));
+        let platform_zone = scenario.platform_zone.as_ref().or(first_zone);
+        let platform_zone = platform_zone.and_then(|it| snapshot.zones.key(it));
         let platform_zone = platform_zone.map_or(0, |it| usize::from(it.0));
         let measured_us = (scenario.warm_up_s * 1e6) as u64;
         let end_us = measured_us + (scenario.duration_s * 1e6) as u64;
@@ -112,19 +113,16 @@
             fault: None,
         });
         let upstreams = upstreams.collect();
-        let zones: Vec<usize> = declarations
-            .regions
-            .iter()
-            .flat_map(|it| &it.zones)
-            .filter_map(|it| snapshot.zones.key(it))
-            .map(|it| usize::from(it.0))
-            .collect();
+        let mut zones: Vec<ZoneId> = snapshot.zones.iter().map(|it| it.0).collect();
+        let platform_region = snapshot.region_of(ZoneId(platform_zone as u16));
+        zones.sort_by_key(|it| (snapshot.region_of(*it) != platform_region, *it));
+        let zones: Vec<usize> = zones.into_iter().map(|it| usize::from(it.0)).collect();
         let hosts = (0..scenario.entry_hosts as usize).map(|at| {
             let zone = zones[at % zones.len()];
             Host {
                 name: format!("entry-{}", at + 1),
                 zone,
-                zone_name: snapshot.zones[kingcupford_config::ZoneId(zone as u16)].name.clone(),
+                zone_name: snapshot.zones[ZoneId(zone as u16)].name.clone(),
                 address: std::net::SocketAddr::from(([10, 250, 0, at as u8 + 1], 7000)),
                 start: 0,
                 process: None,
--- a/crates/scenario/src/check.rs
+++ b/crates/scenario/src/check.rs
@@ -14,6 +14,9 @@
         range("duration_s", self.duration_s, 1.0, 3_600.0)?;
         range("warm_up_s", self.warm_up_s, 0.0, 600.0)?;
         range("entry_hosts", f64::from(self.entry_hosts), 1.0, 64.0)?;
+        if let Some(zone) = &self.platform_zone {
+            names.zone("platform_zone", zone)?;
+        }
         for (at, demand) in self.demand.iter().enumerate() {
             let place = format!("demand[{at}]");
             names.service(&place, &demand.service)?;
--- a/crates/scenario/src/scenario.rs
+++ b/crates/scenario/src/scenario.rs
@@ -20,7 +20,10 @@
     pub title: String,
     /// A folder below `samples/`, or the path of a folder of declarations.
     pub deployment: String,
-    /// Entry hosts, spread over the zones in the order of their declaration.
+    /// Zone of the platform; the first zone of the first region by name when absent.
+    #[serde(default)]
+    pub platform_zone: Option<String>,
+    /// Entry hosts, one per zone in turn, beginning with the platform's region.
     #[serde(default = "default_hosts")]
     pub entry_hosts: u32,
     /// Measured time.
--- a/crates/scenario/tests/load.rs
+++ b/crates/scenario/tests/load.rs
@@ -11,7 +11,8 @@
     fs::write(&path, text).expect("the scenario can be written");
     let error = Scenario::load(&path).expect_err("the scenario is wrong").to_string();
     let folder = format!("{}/", env!("CARGO_TARGET_TMPDIR"));
-    expected.assert_eq(&error.replace(&folder, ""));
+    let hint_on_own_line = error.replace(&folder, "").replace(" (hint", "\n(hint") + "\n";
+    expected.assert_eq(&hint_on_own_line);
 }
 
 /// A scenario that differs in its last lines.
@@ -27,9 +28,10 @@
     check(
         "field.yaml",
         &text,
-        &expect![
-            "field.yaml: unknown field `falts`, expected one of `topic`, `title`, `deployment`, `entry_hosts`, `duration_s`, `warm_up_s`, `seed`, `demand`, `services`, `network`, `callers`, `faults`, `bounds` at line 6 column 1 (hint: docs/scenarios.md lists every field)"
-        ],
+        &expect![[r#"
+        field.yaml: unknown field `falts`, expected one of `topic`, `title`, `deployment`, `platform_zone`, `entry_hosts`, `duration_s`, `warm_up_s`, `seed`, `demand`, `services`, `network`, `callers`, `faults`, `bounds` at line 6 column 1
+        (hint: docs/scenarios.md lists every field)
+    "#]],
     );
 }
 
@@ -42,9 +44,10 @@
     check(
         "zone.yaml",
         &text,
-        &expect![
-            "zone.yaml: faults[0]: names the unknown zone `mars` (hint: use a zone of the deployment)"
-        ],
+        &expect![[r#"
+        zone.yaml: faults[0]: names the unknown zone `mars`
+        (hint: use a zone of the deployment)
+    "#]],
     );
 }
 
@@ -55,9 +58,10 @@
     check(
         "bound.yaml",
         &text,
-        &expect![
-            "bound.yaml: bounds[0]: `retries` has no limit (hint: add `max`, `min` or `max_of_baseline`)"
-        ],
+        &expect![[r#"
+        bound.yaml: bounds[0]: `retries` has no limit
+        (hint: add `max`, `min` or `max_of_baseline`)
+    "#]],
     );
 }
 
@@ -68,9 +72,10 @@
     check(
         "deployment.yaml",
         text,
-        &expect![
-            "deployment.yaml: deployment: no folder of declarations for `mars` (hint: name a folder below `samples/` or give its path)"
-        ],
+        &expect![[r#"
+        deployment.yaml: deployment: no folder of declarations for `mars`
+        (hint: name a folder below `samples/` or give its path)
+    "#]],
     );
 }
 
