--- a/crates/engine/src/admit.rs
+++ b/crates/engine/src/admit.rs
@@ -113,6 +113,7 @@
             idempotent: route.idempotent,
             fingerprint,
             key,
+            admitted: now,
             deadline,
             asked: None,
             wait_until: None,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -129,6 +129,8 @@
     pub(crate) fingerprint: Fingerprint,
     /// Its run under a request id.
     pub(crate) key: Option<RequestKey>,
+    /// When its tenant's rate was charged.
+    pub(crate) admitted: Instant,
     /// When it must be finished.
     pub(crate) deadline: Instant,
     /// When it first asked for a slot.
--- a/crates/engine/src/outcome.rs
+++ b/crates/engine/src/outcome.rs
@@ -136,9 +136,12 @@
             };
             self.request_ids.end(key, record, now);
         }
+        // A token that comes back later has not counted against the burst meanwhile, so that waiting
+        // requests could add up to more than rate and burst and then run together.
         if let Some(tenant) = request.tenant
             && !ran
             && !end.byte_sent
+            && now == request.admitted
         {
             self.holder.refund(Resource::TenantRate(tenant), 1.0, now);
         }
