Ask again for a link's bandwidth, give answers at the deadline time to arrive

Cause: bytes of an answer that crosses a link waited for the refill of the own share, up to 60 s for a host without units, and did not ask again when a loan came; the answer was then cut at the deadline. An answer that an upstream sent just at the deadline was cut before its head left the host, so the caller saw a closed connection instead of an outcome. The limit on heads left out the query.

The stream of an answer moves to its own file.

--- a/crates/engine/src/place.rs
+++ b/crates/engine/src/place.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use kingcupford_config::{InstanceId, RegionId, ServiceId, ShiftId, VersionId};
-use kingcupford_quota::{Resource, Take};
+use kingcupford_quota::{Holder, Resource, Take};
 use kingcupford_rollout::Side;
 use kingcupford_route::{AllowedRegion, AttemptOutcome, ChoiceQuery, Outcome};
 use tokio::time::Instant;
@@ -78,18 +78,39 @@
         self.requests.iter().filter(|it| it.ready).map(|it| it.ticket)
     }
 
-    /// Takes bytes of a link's bandwidth; answers how long to wait before sending them.
+    /// Takes bytes of a link's bandwidth; answers the time in which the own share refills.
     pub fn spend_link(
         &mut self,
         from: RegionId,
         to: RegionId,
         bytes: usize,
         now: Instant,
-    ) -> Option<Duration> {
+    ) -> Option<std::time::Duration> {
+        self.take_link(from, to, |holder, link| holder.take(link, bytes as f64, now))
+    }
+
+    /// Repeats [`Self::spend_link`] of waiting bytes without counting their demand again.
+    pub fn retry_link(
+        &mut self,
+        from: RegionId,
+        to: RegionId,
+        bytes: usize,
+        now: Instant,
+    ) -> Option<std::time::Duration> {
+        self.take_link(from, to, |holder, link| holder.retry_take(link, bytes as f64, now))
+    }
+
+    /// Takes from a link's cap, when there is one between the regions.
+    fn take_link(
+        &mut self,
+        from: RegionId,
+        to: RegionId,
+        take: impl FnOnce(&mut Holder, Resource) -> Take,
+    ) -> Option<std::time::Duration> {
         if from == to || self.snapshot.link(from, to).is_none() {
             return None;
         }
-        match self.holder.take(Resource::Link { from, to }, bytes as f64, now) {
+        match take(&mut self.holder, Resource::Link { from, to }) {
             Take::Taken => None,
             Take::Empty { retry_after, .. } => Some(retry_after),
         }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -85,9 +85,8 @@
         let guard = self.host.connections.request(caller);
         let head_bytes: usize =
             request.headers().iter().map(|(k, v)| k.as_str().len() + v.len()).sum();
-        if head_bytes + request.original_uri().path().len()
-            > self.host.settings.limits.max_head_bytes
-        {
+        let target = request.original_uri().path_and_query().map_or(0, |it| it.as_str().len());
+        if head_bytes + target > self.host.settings.limits.max_head_bytes {
             let refusal = bad_request("the request's head is too large");
             let mut res = respond::refusal(&refusal);
             res.set_status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -2,19 +2,15 @@
 
 use std::{
     net::IpAddr,
-    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    task::{Context, Poll},
     time::Duration,
 };
 
-use bytes::Bytes;
-use futures_util::{Stream, StreamExt as _, stream::BoxStream};
 use http::{HeaderMap, HeaderValue, Method, header};
-use kingcupford_config::{CallerKey, RegionId};
+use kingcupford_config::CallerKey;
 use kingcupford_engine::{
     Admission, Attempt, AttemptEnd, Next, Reason, Refusal, RequestHead, ShownKey, Start, Ticket,
 };
@@ -22,9 +18,9 @@
 use kingcupford_telemetry::{OutcomeLabels, RefusalLabels, TenantLabels};
 use poem::{Body, Request, Response};
 use tokio::time::{Instant, sleep_until};
-use tokio_util::sync::WaitForCancellationFutureOwned;
 
 use crate::{
+    answer::AnswerStream,
     body::ReplayBody,
     headers,
     host::Host,
@@ -263,18 +259,8 @@
     };
     let home = host.engine.lock().home_region();
     let paced = home.filter(|it| *it != attempt.region).map(|to| (attempt.region, to));
-    let stream = AnswerStream {
-        inner: upstream::answer_stream(response).boxed(),
-        host: Arc::clone(host),
-        guard: Some(guard),
-        end,
-        deadline: Box::pin(sleep_until(attempt.deadline)),
-        ended: Box::pin(connection.ended().clone().cancelled_owned()),
-        _connection: connection,
-        paced,
-        pause: None,
-        held: None,
-    };
+    let stream = AnswerStream::new(response, guard, end, attempt.deadline, connection);
+    let stream = stream.with_link(paced);
     let mut res = Response::builder().status(status).body(Body::from_bytes_stream(stream));
     *res.headers_mut() = headers;
     res
@@ -351,9 +337,9 @@
 }
 
 /// Ends a request in the policy exactly once, also when the caller goes away.
-struct TicketGuard {
+pub(crate) struct TicketGuard {
     /// The host.
-    host: Arc<Host>,
+    pub(crate) host: Arc<Host>,
     /// The request.
     ticket: Ticket,
     /// Whether the request is still open.
@@ -373,7 +359,7 @@
     }
 
     /// Reports the end of an attempt.
-    fn finish(&mut self, end: AttemptEnd) -> Next {
+    pub(crate) fn finish(&mut self, end: AttemptEnd) -> Next {
         self.armed = false;
         let mut engine = self.host.engine.lock();
         let res = engine.finish(self.ticket, end, Instant::now());
@@ -417,106 +403,3 @@
         self.host.wake_placed(&engine);
     }
 }
-
-/// The body of an answer on its way to the caller; holds the upstream's slot until it ends.
-struct AnswerStream {
-    /// The upstream's body.
-    inner: BoxStream<'static, std::io::Result<Bytes>>,
-    /// The host.
-    host: Arc<Host>,
-    /// Ends the request in the policy.
-    guard: Option<TicketGuard>,
-    /// How the request ended, when the body comes through.
-    end: AttemptEnd,
-    /// Cuts the answer at the deadline.
-    deadline: Pin<Box<tokio::time::Sleep>>,
-    /// Ready when the caller's connection ends.
-    ended: Pin<Box<WaitForCancellationFutureOwned>>,
-    /// Keeps the caller's connection from counting as idle.
-    _connection: RequestGuard,
-    /// The link that the answer crosses.
-    paced: Option<(RegionId, RegionId)>,
-    /// Waits for the link's bandwidth.
-    pause: Option<Pin<Box<tokio::time::Sleep>>>,
-    /// A chunk that waits for the link's bandwidth.
-    held: Option<Bytes>,
-}
-
-impl AnswerStream {
-    /// Ends the request in the policy.
-    fn finish(&mut self, end: AttemptEnd) {
-        if let Some(mut guard) = self.guard.take() {
-            guard.finish(end);
-        }
-    }
-
-    /// Takes the bandwidth for a chunk, or how long to wait for it.
-    fn pace(&self, bytes: usize) -> Option<Duration> {
-        let (from, to) = self.paced?;
-        self.host.engine.lock().spend_link(from, to, bytes, Instant::now())
-    }
-
-    /// Passes a chunk on, or holds it until the link has room.
-    fn pass(
-        &mut self,
-        chunk: Bytes,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<std::io::Result<Bytes>>> {
-        let Some(wait) = self.pace(chunk.len()) else { return Poll::Ready(Some(Ok(chunk))) };
-        self.held = Some(chunk);
-        let mut pause = Box::pin(tokio::time::sleep(wait));
-        let _ = pause.as_mut().poll(context);
-        self.pause = Some(pause);
-        Poll::Pending
-    }
-}
-
-impl Drop for AnswerStream {
-    fn drop(&mut self) {
-        let end = AttemptEnd { outcome: AttemptOutcome::Cancelled, ..self.end };
-        self.finish(end);
-    }
-}
-
-impl Stream for AnswerStream {
-    type Item = std::io::Result<Bytes>;
-
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        if self.ended.as_mut().poll(context).is_ready() {
-            let end = AttemptEnd { outcome: AttemptOutcome::Cancelled, ..self.end };
-            self.finish(end);
-            let error = std::io::ErrorKind::ConnectionAborted.into();
-            return Poll::Ready(Some(Err(error)));
-        }
-        if self.deadline.as_mut().poll(context).is_ready() || self.host.cut.is_cancelled() {
-            let cut = AttemptEnd { outcome: AttemptOutcome::TimedOut, ..self.end };
-            self.finish(cut);
-            let error = std::io::Error::new(std::io::ErrorKind::TimedOut, "deadline passed");
-            return Poll::Ready(Some(Err(error)));
-        }
-        if let Some(pause) = &mut self.pause {
-            if pause.as_mut().poll(context).is_pending() {
-                return Poll::Pending;
-            }
-            self.pause = None;
-            if let Some(chunk) = self.held.take() {
-                return self.pass(chunk, context);
-            }
-        }
-        match self.inner.poll_next_unpin(context) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(chunk))) => self.pass(chunk, context),
-            Poll::Ready(Some(Err(error))) => {
-                let outcome = AttemptOutcome::Broken { response_begun: true };
-                let end = AttemptEnd { outcome, ..self.end };
-                self.finish(end);
-                Poll::Ready(Some(Err(error)))
-            }
-            Poll::Ready(None) => {
-                let end = self.end;
-                self.finish(end);
-                Poll::Ready(None)
-            }
-        }
-    }
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry host: lookups and forwarding.
 
 mod admin;
+mod answer;
 mod api;
 mod body;
 mod certificate;
