--- a/crates/entry/tests/it/main.rs
+++ b/crates/entry/tests/it/main.rs
@@ -6,3 +6,8 @@
 mod limits;
 mod forwarding;
 mod shutdown;
+mod input;
+mod keys;
+mod platform;
+mod session;
+mod tls;
--- a/crates/entry/tests/it/outcomes.rs
+++ b/crates/entry/tests/it/outcomes.rs
@@ -63,6 +63,13 @@
         for upstream in &fleet.deployment.upstreams {
             upstream.crash(Duration::from_secs(60));
         }
+        // A connection that is accepted while the listener closes breaks instead of being refused.
+        wait_until("connections are refused", Duration::from_secs(10), || async {
+            let tried =
+                fleet.deployment.upstreams.iter().map(|it| TcpStream::connect(it.address()));
+            futures_util::future::join_all(tried).await.iter().all(Result::is_err)
+        })
+        .await?;
         for attempt in 0..3 {
             let read = fleet.get(0, "/ledger-view/a", &key).send().await?;
             let (_, outcome, _) = told(read).await?;
--- /dev/null
+++ b/crates/entry/tests/it/session.rs
@@ -0,0 +1,114 @@
+//! A whole session of callers as a golden file.
+
+use std::{fmt::Write as _, time::Duration};
+
+use expect_test::expect_file;
+use kingcupford_platform::ChangeOutcome;
+use reqwest::Response;
+use serde_json::Value;
+
+use crate::support::{Fleet, run, settings, wait_until};
+
+/// Guards against unnoticed changes of what callers see: each status, header and body of a session.
+#[test]
+fn session_golden() {
+    run(async {
+        let fleet = Fleet::start(settings(2, &["fukuoka-a"], 16)).await?;
+        let key = fleet.key("session", "school-1").await?;
+        let lookup = fleet.url(0, "/v1/lookup?service=ledger-view&client=10.0.0.7");
+        wait_until("membership is stable", Duration::from_secs(30), || async {
+            let Ok(answer) = fleet.client.get(&lookup).send().await else { return false };
+            let body: Value = answer.json().await.unwrap_or_default();
+            body["ttl_ms"] == 10_000 && body["hosts"][1]["binding"].is_string()
+        })
+        .await?;
+        let binding = fleet.binding(0, &key).await?;
+        let id = format!("{binding}.deposit-1");
+        let mut res = String::new();
+        let mut steps = vec![
+            ("lookup", fleet.client.get(&lookup)),
+            ("read", fleet.get(0, "/ledger-view/balances/7?year=2026", &key)),
+            ("read without key", fleet.client.get(fleet.url(0, "/ledger-view/balances/7"))),
+            ("open route", fleet.client.get(fleet.url(0, "/ledger-view/open/status"))),
+            ("deposit without id", {
+                let request = fleet.client.post(fleet.url(0, "/deposit-desk/deposits"));
+                request.header("authorization", &key).body("{}")
+            }),
+            ("deposit", fleet.deposit(0, &key, &id, "deposit-1")),
+            ("repeated deposit", fleet.deposit(0, &key, &id, "deposit-1")),
+            ("repeat at another host", fleet.deposit(1, &key, &id, "deposit-1")),
+            ("malformed id", fleet.deposit(0, &key, "nonsense", "deposit-2")),
+            ("unknown service", fleet.get(0, "/nothing/7", &key)),
+            ("dot segment", fleet.get(0, "/ledger-view/%2e%2e%5c/a", &key)),
+        ];
+        for (name, request) in steps.drain(..) {
+            write_step(&mut res, &fleet, &binding, name, request.send().await?).await?;
+        }
+        let revoked = fleet.deployment.config.revoke_key("session", "revoke").await;
+        let ChangeOutcome::Applied { version } = revoked else { anyhow::bail!("{revoked:?}") };
+        fleet.active_everywhere(version).await?;
+        let refused = fleet.get(0, "/ledger-view/balances/7", &key).send().await?;
+        write_step(&mut res, &fleet, &binding, "revoked key", refused).await?;
+
+        let mut declarations = fleet.deployment.declarations();
+        declarations.services.iter_mut().for_each(|it| it.routes[0].path_prefix = "/a".to_owned());
+        let version = fleet.deployment.apply(&declarations, "narrow").await?;
+        fleet.active_everywhere(version).await?;
+        let refused = fleet.client.get(fleet.url(0, "/ledger-view/b")).send().await?;
+        write_step(&mut res, &fleet, &binding, "unknown route", refused).await?;
+        expect_file!["./session.txt"].assert_eq(&res);
+        Ok(())
+    });
+}
+
+/// Writes an answer with its volatile parts replaced.
+async fn write_step(
+    out: &mut String,
+    fleet: &Fleet,
+    binding: &str,
+    name: &str,
+    answer: Response,
+) -> anyhow::Result<()> {
+    let mut text = format!("## {name}\n{}\n", answer.status());
+    let mut headers: Vec<_> = answer.headers().iter().collect();
+    headers.sort_by_key(|it| it.0.as_str());
+    for (name, value) in headers {
+        let value = match name.as_str() {
+            "date" => "(date)",
+            // It follows from the body, whose replaced parts vary in length.
+            "content-length" => "(length)",
+            _ => value.to_str()?,
+        };
+        writeln!(text, "{name}: {value}")?;
+    }
+    let body: Value = answer.json().await?;
+    writeln!(text, "\n{body:#}\n")?;
+    text = text.replace(binding, "(binding)");
+    for (at, host) in fleet.hosts.iter().flatten().enumerate() {
+        text = text.replace(&host.caller.to_string(), &format!("(address {at})"));
+    }
+    for upstream in &fleet.deployment.upstreams {
+        text = text.replace(&upstream.address().to_string(), "(upstream)");
+    }
+    out.push_str(&replace_numbers(&text));
+    Ok(())
+}
+
+/// Replaces the time left and the other host's binding, which vary.
+fn replace_numbers(text: &str) -> String {
+    let mut res = String::new();
+    let mut after_deadline = false;
+    for line in text.lines() {
+        let trimmed = line.trim_start();
+        if after_deadline && trimmed.starts_with('"') {
+            res.push_str("      \"(ms)\"\n");
+        } else if trimmed.starts_with("\"binding\": \"entry-") {
+            res.push_str("      \"binding\": \"(another binding)\",\n");
+        } else {
+            res.push_str(line);
+            res.push('\n');
+        }
+        after_deadline = trimmed.starts_with("\"kingcupford-deadline-ms\"");
+    }
+    res
+}
--- a/crates/entry/tests/it/support.rs
+++ b/crates/entry/tests/it/support.rs
@@ -20,7 +20,7 @@
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
 use tokio::{
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
     time::{Instant, sleep},
 };
@@ -114,6 +114,19 @@
     pub(crate) async fn start_with(
         settings: DeploymentSettings,
         change: impl FnOnce(&mut Declarations),
+    ) -> anyhow::Result<Self> {
+        let mut res = Self::prepare(settings, change).await?;
+        for at in 0..res.hosts.len() {
+            res.start_host(at)?;
+        }
+        res.settle(1).await?;
+        Ok(res)
+    }
+
+    /// Starts the stand-ins only and applies changed declarations.
+    pub(crate) async fn prepare(
+        settings: DeploymentSettings,
+        change: impl FnOnce(&mut Declarations),
     ) -> anyhow::Result<Self> {
         let deployment = Deployment::start_standins(settings).await?;
         let mut declarations = deployment.declarations();
@@ -121,12 +134,7 @@
         deployment.apply(&declarations, "test").await?;
         let hosts = deployment.hosts.iter().map(|_| None).collect();
         let client = Client::builder().no_proxy().build()?;
-        let mut res = Self { deployment, hosts, client };
-        for at in 0..res.hosts.len() {
-            res.start_host(at)?;
-        }
-        res.settle(1).await?;
-        Ok(res)
+        Ok(Self { deployment, hosts, client })
     }
 
     /// Starts the process of a host.
@@ -423,7 +431,7 @@
 }
 
 /// Reads the head of a request or answer byte by byte, so that nothing behind it is consumed.
-pub(crate) async fn read_head(stream: &mut TcpStream) -> Option<String> {
+pub(crate) async fn read_head(stream: &mut (impl AsyncRead + Unpin)) -> Option<String> {
     let mut res = Vec::new();
     while !res.ends_with(b"\r\n\r\n") {
         res.push(stream.read_u8().await.ok()?);
@@ -431,6 +439,21 @@
     String::from_utf8(res).ok()
 }
 
+/// Sends a request on an open connection and answers the status and body of its answer.
+pub(crate) async fn exchange<S>(stream: &mut S, head: &str) -> anyhow::Result<(u16, String)>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    stream.write_all(head.as_bytes()).await?;
+    let answer = read_head(stream).await.context("the connection ended")?;
+    let status = answer.split(' ').nth(1).context("no status")?.parse()?;
+    let length = answer.lines().find_map(|it| it.strip_prefix("content-length: "));
+    let mut body = vec![0; length.context("no length")?.parse()?];
+    let read = stream.read_exact(&mut body).await;
+    read.with_context(|| format!("the body was cut: {answer}"))?;
+    Ok((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
 /// Sends bytes on a new connection and reads the answer to its end or for a limited time.
 pub(crate) async fn raw_exchange(address: SocketAddr, bytes: &[u8]) -> anyhow::Result<String> {
     let mut stream = TcpStream::connect(address).await?;
