Count answers of known length as finished

Cause: the HTTP server drops a body of known length after its last byte without asking for its end, so such answers counted as cancelled: rollouts advanced without evidence and the balancer saw no latencies. Change: a dropped body whose bytes were all passed on ends as answered.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -46,6 +46,8 @@
     pause: Option<Pin<Box<Sleep>>>,
     /// A chunk that waits for the link's bandwidth.
     held: Option<Bytes>,
+    /// Bytes of the body that were not passed on yet, when its length is known.
+    remaining: Option<u64>,
 }
 
 impl AnswerStream {
@@ -57,6 +59,7 @@
         deadline: Instant,
         connection: RequestGuard,
     ) -> Self {
+        let remaining = response.content_length();
         Self {
             inner: upstream::answer_stream(response).boxed(),
             host: Arc::clone(&guard.host),
@@ -68,6 +71,7 @@
             paced: None,
             pause: None,
             held: None,
+            remaining,
         }
     }
 
@@ -109,6 +113,8 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<std::io::Result<Bytes>>> {
         let Some(wait) = self.pace(chunk.len(), waited) else {
+            let length = chunk.len() as u64;
+            self.remaining = self.remaining.map(|it| it.saturating_sub(length));
             return Poll::Ready(Some(Ok(chunk)));
         };
         self.held = Some(chunk);
@@ -121,7 +127,11 @@
 
 impl Drop for AnswerStream {
     fn drop(&mut self) {
-        let end = AttemptEnd { outcome: AttemptOutcome::Cancelled, ..self.end };
+        // A body of known length is dropped after its last byte, without a poll for its end.
+        let end = match self.remaining {
+            Some(0) => self.end,
+            _ => AttemptEnd { outcome: AttemptOutcome::Cancelled, ..self.end },
+        };
         self.finish(end);
     }
 }
