Measure control of entry processes at several sizes

Cause: docs/CAPACITY.md has to answer what each role costs at 550 nodes, and nothing measured it on real processes.

Change: crate capacity with `kingcupford-capacity measure` and `page`; it starts entry processes over the platform stand-in, reads /proc, the metrics and the stand-in's counters, fits slopes and writes the marked tables of docs/CAPACITY.md.

--- /dev/null
+++ b/crates/capacity/src/lib.rs
@@ -0,0 +1,16 @@
+//! Measures what control costs on real entry processes and works out the target size.
+
+mod declarations;
+mod fit;
+mod page;
+mod process;
+mod report;
+mod run;
+mod series;
+
+pub use crate::{
+    fit::least_squares,
+    page::{replace_section, write_page},
+    report::{HostSample, Report, Run, Shape},
+    series::measure,
+};
--- /dev/null
+++ b/crates/capacity/src/main.rs
@@ -0,0 +1,75 @@
+//! Measures control at several sizes and writes the tables of the capacity page.
+
+use std::process::ExitCode;
+
+use kingcupford_capacity::{Report, measure, write_page};
+
+mod flags {
+    #![allow(missing_docs, clippy::missing_docs_in_private_items)]
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Measures control of real entry processes over a stand-in of the platform.
+        cmd kingcupford-capacity {
+            /// Runs the series and writes the report and the page's tables.
+            cmd measure {
+                /// Numbers of hosts, separated by commas; 8,16,32,64 by default.
+                optional --hosts counts: String
+                /// Series, separated by commas; all by default.
+                optional --series names: String
+                /// Seconds of idle control that are measured; 20 by default.
+                optional --idle-s seconds: u64
+                /// File of the report; runs of other series in it are kept.
+                required --report file: PathBuf
+                /// Page with the marked tables; none is written without it.
+                optional --page file: PathBuf
+            }
+            /// Writes the page's tables from reports.
+            cmd page {
+                /// Files of reports, one after the other.
+                repeated --report file: PathBuf
+                /// Page with the marked tables.
+                required --page file: PathBuf
+            }
+        }
+    }
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> ExitCode {
+    let flags = flags::KingcupfordCapacity::from_env_or_exit();
+    match run(flags).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("kingcupford-capacity: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a command.
+async fn run(flags: flags::KingcupfordCapacity) -> anyhow::Result<()> {
+    match flags.subcommand {
+        flags::KingcupfordCapacityCmd::Measure(it) => {
+            let counts = it.hosts.as_deref().unwrap_or("8,16,32,64").split(',');
+            let counts =
+                counts.map(|it| Ok(it.parse()?)).collect::<anyhow::Result<Vec<usize>>>()?;
+            let names: Option<Vec<String>> =
+                it.series.map(|it| it.split(',').map(str::to_owned).collect());
+            let idle_s = it.idle_s.unwrap_or(20);
+            let report = measure(&counts, names.as_deref(), idle_s, &it.report).await?;
+            if let Some(page) = it.page {
+                write_page(&page, &report)?;
+            }
+        }
+        flags::KingcupfordCapacityCmd::Page(it) => {
+            let mut report = Report::default();
+            for file in &it.report {
+                report.runs.extend(Report::load(file)?.runs);
+            }
+            write_page(&it.page, &report)?;
+        }
+    }
+    Ok(())
+}
