Log changes of members, instances, quarantines, stops and shares; take back drains of hosts

Change: the engine reports changes as notices that the entry host logs; only a shutdown is final; an unbound peer address counts as the end of its process. Conclusion: operators see these changes without metrics.

--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -12,6 +12,7 @@
 use crate::{
     engine::{Engine, Resync},
     message::{Envelope, Message},
+    notice::Notice,
 };
 
 /// Name of the document that holds the head of the configuration.
@@ -75,6 +76,7 @@
         let messages = self.fleet.tick(now);
         self.last_tick = now;
         if self.fleet.resumed_after_pause() {
+            self.told.notices.push(Notice::Resumed);
             self.holder.resumed_after_pause(now);
             let sequence = self.fleet.sequence();
             self.resync = Some(Resync { sequence, until: now + MAX_RESYNC });
@@ -87,6 +89,8 @@
         res.extend(self.tick_shares(now));
         res.extend(self.tick_rollouts(now, unix_ms));
         let announcements = self.quarantine.drain_announcements();
+        self.note_quarantines(&announcements);
+        self.compare_told(now);
         if !announcements.is_empty() {
             res.extend(self.to_all(&Message::Quarantine(announcements)));
         }
@@ -328,6 +332,7 @@
             } else if name == LEDGER {
                 if let Ok(ledger) = serde_json::from_slice::<Ledger>(&document.bytes) {
                     self.holder.adopt_ledger(document.version, ledger, now);
+                    self.told.notices.push(Notice::LedgerChanged(document.version));
                 }
             } else if name.starts_with(ROLLOUT_PREFIX)
                 && let Ok(rollout) = serde_json::from_slice::<Rollout>(&document.bytes)
@@ -346,6 +351,10 @@
         }
         let mut res = Vec::new();
         for stop in tick.stops {
+            self.told.notices.push(Notice::RolloutStopped {
+                service: stop.service.clone(),
+                reason: format!("{:?}", stop.reason),
+            });
             res.extend(self.to_all(&Message::RolloutStop(stop)));
         }
         if now >= self.next_evidence {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -10,7 +10,9 @@
 };
 use tokio::time::Instant;
 
-use crate::{caps, lookup::NamedHost, place::Placement, request::Ticket, rollouts::Rollouts};
+use crate::{
+    caps, lookup::NamedHost, notice::Told, place::Placement, request::Ticket, rollouts::Rollouts,
+};
 
 /// Tenant key of requests on open routes in fair queues.
 pub(crate) const OPEN_TENANT: TenantId = TenantId(u16::MAX);
@@ -80,10 +82,12 @@
     pub(crate) next_ticket: u64,
     /// When each member was last told apart for lookups.
     pub(crate) hosts_refreshed: Option<Instant>,
-    /// Whether this host takes no new work.
+    /// Whether this host shuts down; a drain by the active preset can be taken back instead.
     pub(crate) draining: bool,
     /// Evidence of rollouts is sent again at this time.
     pub(crate) next_evidence: Instant,
+    /// What operators were told last.
+    pub(crate) told: Told,
     /// Newest process heard of each peer, sorted by name.
     pub(crate) incarnations: Vec<(String, u64)>,
     /// Time of the last tick, from which a pause of the process is noticed.
@@ -220,6 +224,7 @@
             hosts_refreshed: None,
             draining: false,
             next_evidence: now,
+            told: Told::default(),
             incarnations: Vec::new(),
             last_tick: now,
             resync: None,
@@ -251,7 +256,9 @@
         self.hosts_refreshed = None;
         self.fleet.set_live(now);
         if self.is_drained_by_preset() {
-            self.set_draining(now);
+            self.fleet.set_draining(now);
+        } else if !self.draining {
+            self.fleet.end_drain(now);
         }
         true
     }
@@ -286,7 +293,7 @@
 
     /// Whether this host takes no new work.
     pub fn is_draining(&self) -> bool {
-        self.draining
+        self.draining || self.is_drained_by_preset()
     }
 
     /// What each tick reports to metrics and logs.
@@ -314,7 +321,7 @@
         Status {
             config_version: self.snapshot.version.0,
             preset: preset.map_or_else(String::new, |it| it.name.clone()),
-            draining: self.draining,
+            draining: self.is_draining(),
             isolated: self.fleet.isolated(now),
             platform: self.fleet.reach(now).platform,
             main_share: self.holder.main_valid(now),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod lookup;
 mod message;
+mod notice;
 mod outcome;
 mod place;
 mod reports;
@@ -18,6 +19,7 @@
     engine::{Engine, EngineSettings, Health, Status},
     lookup::{LookupAnswer, LookupQuery, NamedHost},
     message::{Envelope, Message},
+    notice::Notice,
     reports::{InstanceReport, PollTarget},
     request::{
         Admission, Attempt, AttemptEnd, Next, Reason, Refusal, RequestHead, ShownKey, Start, Ticket,
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use kingcupford_engine::Message;
+use kingcupford_engine::{Message, Notice};
 use kingcupford_peer::PeerEvent;
 use kingcupford_telemetry::{Event, TrafficLabels};
 use tokio::{
@@ -55,14 +55,15 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {
-                let (envelopes, status) = {
+                let (envelopes, notices, status) = {
                     let mut engine = host.engine.lock();
                     let now = Instant::now();
                     let res = engine.tick(now, unix_ms());
                     host.wake_placed(&engine);
-                    (res, engine.health(now))
+                    (res, engine.take_notices(), engine.health(now))
                 };
                 host.send(envelopes);
+                notices.iter().for_each(log_notice);
                 host.metrics.live_members.set(status.live_members as i64);
                 host.metrics.isolated.set(i64::from(status.isolated));
                 if status.isolated != was_isolated {
@@ -134,8 +135,13 @@
                 }
             }
             PeerEvent::Connected { peer } => Event::PeerConnected.log(format_args!("{peer}")),
-            PeerEvent::Refused { peer, reason } => {
-                host.engine.lock().stream_failed(&peer, Instant::now());
+            PeerEvent::Refused { peer, reason, is_unbound } => {
+                let mut engine = host.engine.lock();
+                engine.stream_failed(&peer, Instant::now());
+                if is_unbound {
+                    engine.peer_unbound(&peer);
+                }
+                drop(engine);
                 Event::PeerRefused.log(format_args!("{peer}: {reason}"));
             }
             PeerEvent::Failed { peer, reason } => {
@@ -146,6 +152,27 @@
     }
 }
 
+/// Logs a change that the policy reports.
+fn log_notice(notice: &Notice) {
+    match notice {
+        Notice::Resumed => Event::ResumedAfterPause.log(format_args!("leases count as expired")),
+        Notice::MemberJoined(name) => Event::MemberJoined.log(format_args!("{name}")),
+        Notice::MemberSuspected(name) => Event::MemberSuspected.log(format_args!("{name}")),
+        Notice::MemberGone(name) => Event::MemberGone.log(format_args!("{name}")),
+        Notice::InstanceEjected(name) => Event::InstanceEjected.log(format_args!("{name}")),
+        Notice::InstanceReturned(name) => Event::InstanceReturned.log(format_args!("{name}")),
+        Notice::Quarantined(instances) => {
+            Event::FingerprintQuarantined.log(format_args!("lost: {}", instances.join(", ")));
+        }
+        Notice::RolloutStopped { service, reason } => {
+            Event::RolloutStopped.log(format_args!("{service}: {reason}"));
+        }
+        Notice::LedgerChanged(version) => {
+            Event::LedgerChanged.log(format_args!("version {version}"))
+        }
+    }
+}
+
 /// Counts control traffic.
 pub(crate) fn count(host: &Host, direction: &str, bytes: usize) {
     let labels = TrafficLabels { direction: direction.to_owned() };
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -162,7 +162,14 @@
         }
     }
 
-    /// Declares that this host finishes what it has; it does not return from that.
+    /// Declares that a drain was taken back.
+    pub fn end_drain(&mut self, now: Instant) {
+        if self.own_state() == MemberState::Draining {
+            self.set_own_state(MemberState::Live, now);
+        }
+    }
+
+    /// Declares that this host finishes what it has.
     pub fn set_draining(&mut self, now: Instant) {
         self.set_own_state(MemberState::Draining, now);
     }
