Bring callers of a small tenant to the same hosts, and share a lost region's callers out

Cause: a small tenant's share on each of 8 hosts is one to three tokens, so requests inside its rate were refused while other hosts had tokens left; regions at the same distance were always named in the same order, so one of them got all callers of a lost region. Change: a lookup that shows a key names the same hosts of the region to all callers of a tenant below 100 requests per second; regions at the same distance take turns by the caller's network.

--- a/crates/engine/src/lookup.rs
+++ b/crates/engine/src/lookup.rs
@@ -2,17 +2,23 @@
 
 use std::{net::IpAddr, time::Duration};
 
-use kingcupford_config::{DrainTarget, HostId, ZoneId};
+use kingcupford_config::{DrainTarget, HostId, TenantId, ZoneId};
 use kingcupford_fleet::MemberState;
-use kingcupford_route::{HostCandidate, HostTable};
+use kingcupford_route::{HostCandidate, HostTable, Nearness};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{control::BINDING_SECTION, engine::Engine};
 
 /// Hosts named in one answer.
 const MAX_HOSTS: usize = 3;
 
+/// Rate of a tenant for which one host of a region is enough.
+const RATE_PER_HOST: f64 = 50.0;
+
+/// Tenants that need more hosts than this are spread by the callers' networks.
+const MAX_MEETING_HOSTS: f64 = 2.0;
+
 /// Validity of an answer while membership is stable.
 const TTL_STABLE: Duration = Duration::from_secs(10);
 
@@ -29,6 +35,8 @@
     pub service: String,
     /// Address of the caller.
     pub client: IpAddr,
+    /// The tenant of the key that came with the question, if any.
+    pub tenant: Option<TenantId>,
 }
 
 /// Which hosts a caller should use.
@@ -62,7 +70,8 @@
         self.refresh_hosts(now);
         let site = self.blocks.site(query.client).and_then(|it| self.snapshot.sites.value(it));
         let zone = site.map(|it| it.zone).or(self.home().map(|it| it.0)).unwrap_or(ZoneId(0));
-        let ranked = self.hosts.rank(zone, affinity(query.client), MAX_HOSTS);
+        let (nearness, affinity) = self.affinity(query);
+        let ranked = self.hosts.rank(zone, nearness, affinity, MAX_HOSTS);
         let changing = self.fleet.changing(now);
         Some(LookupAnswer {
             hosts: ranked.iter().map(|it| self.named[it.0 as usize].clone()).collect(),
@@ -72,6 +81,23 @@
         })
     }
 
+    /// Which callers meet at the same hosts.
+    ///
+    /// A small tenant's share on each host is a few tokens, so its callers of a region are brought
+    /// to as many hosts as its rate needs. Without a key the caller's network decides.
+    fn affinity(&self, query: &LookupQuery) -> (Nearness, u64) {
+        let network = network(query.client);
+        let Some(tenant) = query.tenant.and_then(|it| self.snapshot.tenants.value(it)) else {
+            return (Nearness::Zone, network);
+        };
+        let hosts = (tenant.rate_per_s / RATE_PER_HOST).ceil().max(1.0);
+        if hosts > MAX_MEETING_HOSTS {
+            return (Nearness::Zone, network);
+        }
+        let part = network % hosts as u64;
+        (Nearness::Region, xxh3_64_with_seed(tenant.name.as_bytes(), part))
+    }
+
     /// Builds the table of hosts again after a while.
     pub(crate) fn refresh_hosts(&mut self, now: Instant) {
         if self.hosts_refreshed.is_some_and(|it| now < it + TABLE_REFRESH) {
@@ -119,7 +145,7 @@
 }
 
 /// Callers of one network get the same hosts, so that their connections can be shared.
-fn affinity(client: IpAddr) -> u64 {
+fn network(client: IpAddr) -> u64 {
     match client.to_canonical() {
         IpAddr::V4(it) => xxh3_64(&it.octets()[..3]),
         IpAddr::V6(it) => xxh3_64(&it.octets()[..6]),
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -3,7 +3,7 @@
 use std::{net::IpAddr, sync::Arc};
 
 use http::{HeaderValue, StatusCode, header};
-use kingcupford_engine::{LookupAnswer, LookupQuery, Reason, Refusal};
+use kingcupford_engine::{LookupAnswer, LookupQuery, Reason, Refusal, ShownKey};
 use poem::{Body, Endpoint, Request, Response};
 use serde::Serialize;
 use tokio::time::Instant;
@@ -63,7 +63,11 @@
         let Some(service) = service else {
             return respond::refusal(&bad_request("the parameter `service` is missing"));
         };
-        let query = LookupQuery { service, client: address };
+        let tenant = match forward::shown_key(request.headers()) {
+            ShownKey::Key(key) => self.host.snapshot.load().authenticate(&key),
+            ShownKey::Missing | ShownKey::Malformed => None,
+        };
+        let query = LookupQuery { service, client: address, tenant };
         let answer = self.host.engine.lock().lookup(&query, Instant::now());
         self.host.metrics.lookups.inc();
         match answer {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -305,7 +305,7 @@
 }
 
 /// The key in the `authorization` header.
-fn shown_key(headers: &HeaderMap) -> ShownKey {
+pub(crate) fn shown_key(headers: &HeaderMap) -> ShownKey {
     let mut values = headers.get_all(header::AUTHORIZATION).iter();
     let Some(value) = values.next() else { return ShownKey::Missing };
     if values.next().is_some() {
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -30,6 +30,9 @@
 /// Time that a caller waits beyond the route's limit for a request that it may not repeat.
 const EXTRA_PATIENCE_US: u64 = 1_000_000;
 
+/// Zone, network, service and tenant of the callers that share a lookup answer.
+type CacheKey = (usize, u32, usize, Option<usize>);
+
 /// All callers.
 #[derive(Debug)]
 pub(crate) struct Callers {
@@ -37,8 +40,8 @@
     rng: SmallRng,
     /// Operations.
     pub(crate) ops: Vec<Op>,
-    /// Lookup answers by zone, network and service.
-    cache: BTreeMap<(usize, u32, usize), Cached>,
+    /// Lookup answers.
+    cache: BTreeMap<CacheKey, Cached>,
     /// First host of the next operation of the baseline.
     turn: usize,
     /// First three octets of a client network by zone.
@@ -321,7 +324,7 @@
             self.callers.ops[id].hosts = (0..count).map(|it| ((it + turn) % count, None)).collect();
         }
         let op = &self.callers.ops[id];
-        let key = (op.zone, op.network, op.service);
+        let key = (op.zone, op.network, op.service, op.tenant);
         if op.hosts.is_empty() {
             match self.callers.cache.get(&key) {
                 Some(it) if it.until_us > now_us => {
@@ -433,7 +436,9 @@
         let now = self.clock.now();
         let op = &self.callers.ops[id];
         let service = self.snapshot.services[ServiceId(op.service as u16)].name.clone();
-        let query = LookupQuery { service, client: self.callers.address(op.zone, op.network) };
+        let client = self.callers.address(op.zone, op.network);
+        let tenant = op.tenant.map(|it| TenantId(it as u16));
+        let query = LookupQuery { service, client, tenant };
         let zone = op.zone;
         let host_zone = self.hosts[to.host].zone;
         let Some(process) = self.process(to.host) else { return };
@@ -452,7 +457,7 @@
                 hosts.filter_map(|it| Some((host(&it.name)?, it.binding))).collect();
             let ttl_us = answer.ttl.as_micros() as u64;
             let until_us = self.clock.now_us() + ttl_us;
-            let key = (op.zone, op.network, op.service);
+            let key = (op.zone, op.network, op.service, op.tenant);
             op.next %= hosts.len().max(1);
             op.hosts.clone_from(&hosts);
             self.callers.cache.insert(key, Cached { until_us, hosts });
--- a/crates/route/benches/route.rs
+++ b/crates/route/benches/route.rs
@@ -14,6 +14,7 @@
 };
 use kingcupford_route::{
     AllowedRegion, AttemptOutcome, Balancer, BlockTable, ChoiceQuery, HostCandidate, HostTable,
+    Nearness,
 };
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use tokio::time::Instant;
@@ -146,7 +147,7 @@
     let mut decision = || {
         next = (next + 1) % clients.len();
         let site = table.site(black_box(clients[next])).expect("client is in a block");
-        black_box(hosts.rank(snapshot.sites[site].zone, next as u64, 3));
+        black_box(hosts.rank(snapshot.sites[site].zone, Nearness::Zone, next as u64, 3));
     };
     figure_ns("lookup_decision_160000_blocks", &mut decision);
     criterion.bench_function("lookup_decision", |bencher| bencher.iter(&mut decision));
--- a/crates/route/src/host.rs
+++ b/crates/route/src/host.rs
@@ -11,6 +11,12 @@
 /// Below this load no host counts as loaded, since small loads differ by chance.
 const MIN_LOAD_BOUND: f64 = 0.25;
 
+/// Distance of the hosts of a zone from it; other regions are at their latency, never below 0.
+const ZONE: f64 = -2.0;
+
+/// Distance of the other hosts of the region.
+const REGION: f64 = -1.0;
+
 /// An entry host that a lookup answer may name.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct HostCandidate {
@@ -68,6 +74,18 @@
     except: Range<usize>,
     /// Load above which a host is named after the others.
     load_bound: f64,
+    /// Distance from the zone; groups of the same distance take turns to be first.
+    distance: f64,
+}
+
+/// How near hosts have to be to be treated alike.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Nearness {
+    /// Hosts of the caller's zone come before the others of its region.
+    Zone,
+    /// All hosts of the caller's region are equally near, so that callers of one small tenant meet
+    /// at the same host and need not share few tokens among several.
+    Region,
 }
 
 impl HostTable {
@@ -101,56 +119,87 @@
     ///
     /// The zone's hosts come first, then those of its region, then the other regions by latency.
     /// Inside each of these groups, rendezvous hashing by `affinity` orders the hosts, and hosts
-    /// loaded above the bound come last.
-    pub fn rank(&self, zone: ZoneId, affinity: u64, limit: usize) -> Vec<HostId> {
+    /// loaded above the bound come last. Regions at the same distance take turns by `affinity`, so
+    /// that the callers of a lost region do not all go to one of them.
+    pub fn rank(
+        &self,
+        zone: ZoneId,
+        nearness: Nearness,
+        affinity: u64,
+        limit: usize,
+    ) -> Vec<HostId> {
         let mut res = Vec::with_capacity(limit.min(self.hosts.len()));
         let Some(last) = self.zones.len().checked_sub(1) else { return res };
         let row = self.zones[usize::from(zone.0).min(last)].clone();
+        let groups = &self.groups[row];
         let mut best: Vec<(bool, u64, HostId)> = Vec::with_capacity(limit.min(self.hosts.len()));
-        for group in &self.groups[row] {
-            let wanted = limit - res.len();
-            if wanted == 0 {
-                break;
-            }
-            best.clear();
-            let before = &self.hosts[group.all.start..group.except.start];
-            let behind = &self.hosts[group.except.end..group.all.end];
-            for host in before.iter().chain(behind) {
-                let weight = mix(host.name_hash ^ affinity);
-                let entry = (host.load > group.load_bound, !weight, host.host);
-                if best.len() == wanted && best.last().is_some_and(|it| *it <= entry) {
-                    continue;
+        let home = match nearness {
+            Nearness::Zone => 0,
+            Nearness::Region => groups.iter().take_while(|it| it.distance <= REGION).count(),
+        };
+        best.clear();
+        for group in &groups[..home] {
+            self.choose(group, affinity, limit, &mut best);
+        }
+        res.extend(best.iter().map(|it| it.2));
+        for run in groups[home..].chunk_by(|a, b| a.distance == b.distance) {
+            let first = (mix(affinity) % run.len() as u64) as usize;
+            for group in run[first..].iter().chain(&run[..first]) {
+                let wanted = limit - res.len();
+                if wanted == 0 {
+                    return res;
                 }
-                let at = best.partition_point(|it| *it < entry);
-                best.truncate(wanted - 1);
-                best.insert(at, entry);
+                best.clear();
+                self.choose(group, affinity, wanted, &mut best);
+                res.extend(best.iter().map(|it| it.2));
             }
-            res.extend(best.iter().map(|it| it.2));
         }
         res
     }
 
+    /// Merges the hosts of a group into the best ones so far.
+    fn choose(
+        &self,
+        group: &Group,
+        affinity: u64,
+        wanted: usize,
+        best: &mut Vec<(bool, u64, HostId)>,
+    ) {
+        let before = &self.hosts[group.all.start..group.except.start];
+        let behind = &self.hosts[group.except.end..group.all.end];
+        for host in before.iter().chain(behind) {
+            let weight = mix(host.name_hash ^ affinity);
+            let entry = (host.load > group.load_bound, !weight, host.host);
+            if best.len() == wanted && best.last().is_some_and(|it| *it <= entry) {
+                continue;
+            }
+            let at = best.partition_point(|it| *it < entry);
+            best.truncate(wanted - 1);
+            best.insert(at, entry);
+        }
+    }
+
     /// Adds the groups of one zone.
     fn add_zone(&mut self, zone: ZoneId, regions: &[RegionId], snapshot: &Snapshot) {
         let first = self.groups.len();
         let home = region_of(snapshot, zone);
         let region = self.region_range(home);
         let local = self.range(&region, |it| it.zone.cmp(&zone));
-        self.add_group(local.clone(), local.end..local.end);
-        self.add_group(region, local);
+        self.add_group(local.clone(), local.end..local.end, ZONE);
+        self.add_group(region, local, REGION);
         let mut others: Vec<_> = regions.iter().filter(|it| **it != home).collect();
         let latency =
             |it: RegionId| snapshot.link(home, it).map_or(f64::INFINITY, |it| it.latency_ms);
         others.sort_by(|a, b| latency(**a).total_cmp(&latency(**b)));
         for other in others {
             let range = self.region_range(*other);
-            self.add_group(range.clone(), range.end..range.end);
+            self.add_group(range.clone(), range.end..range.end, latency(*other));
         }
         self.zones.push(first..self.groups.len());
     }
 
     /// Adds a group unless it has no host.
-    fn add_group(&mut self, all: Range<usize>, except: Range<usize>) {
+    fn add_group(&mut self, all: Range<usize>, except: Range<usize>, distance: f64) {
         let before = &self.hosts[all.start..except.start];
         let behind = &self.hosts[except.end..all.end];
         let count = before.len() + behind.len();
@@ -159,7 +208,7 @@
         }
         let sum: f64 = before.iter().chain(behind).map(|it| it.load).sum();
         let load_bound = (LOAD_BOUND * sum / count as f64).max(MIN_LOAD_BOUND);
-        self.groups.push(Group { all, except, load_bound });
+        self.groups.push(Group { all, except, load_bound, distance });
     }
 
     /// Where the hosts of a region stand.
@@ -184,7 +233,7 @@
     affinity: u64,
     limit: usize,
 ) -> Vec<HostId> {
-    HostTable::new(candidates, snapshot).rank(zone, affinity, limit)
+    HostTable::new(candidates, snapshot).rank(zone, Nearness::Zone, affinity, limit)
 }
 
 /// The region of a zone; zones that the snapshot lacks share the last key.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,7 +13,7 @@
     balance::{AllowedRegion, Balancer, ChoiceQuery, Headroom},
     block::BlockTable,
     budget::RetryBudget,
-    host::{HostCandidate, HostTable, rank_hosts},
+    host::{HostCandidate, HostTable, Nearness, rank_hosts},
     observe::LoadReport,
     quarantine::{Announcement, Check, Fingerprint, Quarantine},
     request_id::{Begin, End, RequestIds, RequestKey},
