Let a fresh host wait for its peers' versions before its first configuration

Cause: a fresh process that did not hear a peer yet read the platform and installed what it served. While the platform served an old state, the host used an old configuration, in which a revoked key worked, until the newer one came from its peers.

Change: while other hosts are known, the first configuration is installed once peers have told their versions and none is ahead, or after 2 s.

Seen before: config_forward_only got 200 for a revoked key at the restarted host in 1 of 3 runs of all tests.

--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -32,6 +32,9 @@
 /// Longest time without decisions after a pause, when no peer answers.
 const MAX_RESYNC: Duration = Duration::from_secs(2);
 
+/// Longest wait of a fresh process for the versions that its peers have.
+const MAX_PEERS_WAIT: Duration = Duration::from_secs(2);
+
 /// Time between two messages with the evidence of open rollouts.
 const EVIDENCE_EVERY: Duration = Duration::from_millis(500);
 
@@ -227,7 +230,7 @@
     /// The newest configuration when it is newer than the active one and complete.
     pub fn pending_config(&self) -> anyhow::Result<Option<PendingConfig>> {
         let Some(document) = self.fleet.document(HEAD) else { return Ok(None) };
-        if document.version <= self.snapshot.version.0 {
+        if document.version <= self.snapshot.version.0 || self.awaits_peers() {
             return Ok(None);
         }
         let head: Head =
@@ -238,6 +241,16 @@
         Ok(Some(PendingConfig { head, chunks }))
     }
 
+    /// Whether this process has just started and peers may have a newer configuration than the
+    /// platform, which may serve an old state.
+    fn awaits_peers(&self) -> bool {
+        let time = self.last_tick.saturating_duration_since(self.started);
+        self.snapshot.version.0 == 0
+            && time < MAX_PEERS_WAIT
+            && self.fleet.members().len() > 1
+            && !self.fleet.caught_up()
+    }
+
     /// The conditional update of the ledger that is due.
     pub fn propose_ledger(&mut self, now: Instant) -> Option<Proposal> {
         self.holder.propose_ledger(now)
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -86,6 +86,8 @@
     pub(crate) next_evidence: Instant,
     /// Time of the last tick, from which a pause of the process is noticed.
     pub(crate) last_tick: Instant,
+    /// Time of the start.
+    pub(crate) started: Instant,
     /// Set after a pause until a peer has confirmed that this host's documents are compared again.
     pub(crate) resync: Option<Resync>,
 }
@@ -217,6 +219,7 @@
             draining: false,
             next_evidence: now,
             last_tick: now,
+            started: now,
             resync: None,
             settings,
         }
