--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -92,6 +92,8 @@
     pub(crate) incarnations: Vec<(String, u64)>,
     /// Time of the last tick, from which a pause of the process is noticed.
     pub(crate) last_tick: Instant,
+    /// Time of the start.
+    pub(crate) started: Instant,
     /// Set after a pause until a peer has confirmed that this host's documents are compared again.
     pub(crate) resync: Option<Resync>,
 }
@@ -227,6 +229,7 @@
             told: Told::default(),
             incarnations: Vec::new(),
             last_tick: now,
+            started: now,
             resync: None,
             settings,
         }
