--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     fit::least_squares,
-    report::{HostSample, Report, Run},
+    report::{HostSample, Report, Run, Shape},
 };
 
 /// Other hosts of a zone at the target, 550 hosts over 25 zones.
@@ -24,6 +24,15 @@
 /// Hosts of a region at the target.
 const TARGET_REGION_HOSTS: f64 = 550.0 / 7.0;
 
+/// Time between two refreshes of a host's share that all other owners confirm.
+const CONFIRMED_REFRESH_S: f64 = 60.0;
+
+/// The same when some owner exchanges no heartbeats with the host and so confirms nothing.
+const UNCONFIRMED_REFRESH_S: f64 = 3.0;
+
+/// A figure with the value of one host.
+type Figure = (&'static str, fn(&HostSample) -> f64);
+
 /// Replaces every marked table of a page.
 pub fn write_page(page: &Path, report: &Report) -> anyhow::Result<()> {
     let mut text = fs::read_to_string(page).with_context(|| page.display().to_string())?;
@@ -177,52 +186,50 @@
 /// Slopes and the values at the target.
 fn fit_table(report: &Report) -> String {
     let mut res = String::from(
-        "| figure | fixed | per host of the zone | per speaker of another zone | per (host of the fleet)² | per instance of the region | non-speaker at the target | speaker at the target |\n\
-         | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+        "| figure | fixed | per other host of the zone | per speaker of another zone | per other host of the region | per instance of the region | per ledger record received a second | target, plain host / speaker | the same with a ledger for each zone |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
     );
-    let figures: [(&str, fn(&HostSample) -> f64); 4] = [
+    let figures: [Figure; 4] = [
         ("processor %", |it| it.cpu_percent),
         ("memory MB, few blocks", |it| it.resident_bytes as f64 / 1e6),
         ("in KB/s", |it| it.in_bytes_per_s / 1e3),
         ("out KB/s", |it| it.out_bytes_per_s / 1e3),
     ];
     for (name, value) in figures {
-        // What a host sends of reports goes to all hosts of the region, what it receives comes
-        // from the two readers of each instance.
-        let reports = |run: &Run| {
-            let regions = run.shape.zones.div_ceil(run.shape.zones_per_region) as f64;
-            run.shape.instances as f64 / regions
-        };
         let (mut rows, mut values) = (Vec::new(), Vec::new());
         let runs = report.runs.iter().filter(|it| it.shape.blocks < 1_000 && it.shape.tenants == 8);
         for run in runs {
-            let hosts = run.shape.hosts as f64;
             for host in &run.idle {
-                let remote =
-                    if host.is_speaker { 2.0 * (run.shape.zones as f64 - 1.0) } else { 0.0 };
-                rows.push(vec![1.0, host.mates as f64, remote, hosts * hosts, reports(run)]);
+                rows.push(sizes(&run.shape, host).to_vec());
                 values.push(value(host));
             }
         }
         let slopes = least_squares(&rows, &values);
-        if slopes.len() != 5 {
+        if slopes.is_empty() {
             continue;
         }
-        let at = |remote: f64| {
-            let sizes =
-                [1.0, TARGET_MATES, remote, TARGET_HOSTS * TARGET_HOSTS, TARGET_REGION_INSTANCES];
+        let at = |remote: f64, records_per_s: f64| {
+            let sizes = [
+                1.0,
+                TARGET_MATES,
+                remote,
+                TARGET_REGION_HOSTS - 1.0,
+                TARGET_REGION_INSTANCES,
+                records_per_s,
+            ];
             sizes.iter().zip(&slopes).map(|(size, slope)| size * slope).sum::<f64>()
         };
+        let whole = TARGET_HOSTS * TARGET_HOSTS / UNCONFIRMED_REFRESH_S;
+        let zone = (TARGET_MATES + 1.0).powi(2) / CONFIRMED_REFRESH_S;
+        let slopes: Vec<String> = slopes.iter().map(|it| format!("{it:.4}")).collect();
         let _ = writeln!(
             res,
-            "| {name} | {:.3} | {:.4} | {:.4} | {:.2e} | {:.4} | {:.1} | {:.1} |",
-            slopes[0],
-            slopes[1],
-            slopes[2],
-            slopes[3],
-            slopes[4],
-            at(0.0),
-            at(TARGET_REMOTE),
+            "| {name} | {} | {:.1} / {:.1} | {:.1} / {:.1} |",
+            slopes.join(" | "),
+            at(0.0, whole),
+            at(TARGET_REMOTE, whole),
+            at(0.0, zone),
+            at(TARGET_REMOTE, zone),
         );
     }
     let _ = writeln!(
@@ -233,6 +240,24 @@
     res
 }
 
+/// The sizes on which the cost of one host depends, in the order of the fit's columns.
+fn sizes(shape: &Shape, host: &HostSample) -> [f64; 6] {
+    let hosts = shape.hosts as f64;
+    let regions = shape.zones.div_ceil(shape.zones_per_region) as f64;
+    let remote = if host.is_speaker { 2.0 * (shape.zones as f64 - 1.0) } else { 0.0 };
+    // Hosts that hear each other confirm each other's refreshes.
+    let is_mesh = shape.zones == 1 || shape.hosts <= 2 * shape.zones;
+    let refresh_s = if is_mesh { CONFIRMED_REFRESH_S } else { UNCONFIRMED_REFRESH_S };
+    [
+        1.0,
+        host.mates as f64,
+        remote,
+        hosts / regions - 1.0,
+        shape.instances as f64 / regions,
+        hosts * hosts / refresh_s,
+    ]
+}
+
 /// Mean and largest value over the hosts.
 fn mean_and_most(run: &Run, value: impl Fn(&HostSample) -> f64) -> String {
     format!("{:.2} / {:.2}", run.mean(&value), run.max(&value))
--- /dev/null
+++ b/crates/entry/benches/http.rs
@@ -0,0 +1,299 @@
+//! Benchmarks of a whole entry process over loopback: lookups, and forwarding against direct calls.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use anyhow::{Context as _, ensure};
+use criterion::{Criterion, criterion_group, criterion_main};
+use kingcupford_config::Declarations;
+use kingcupford_demo::{Deployment, DeploymentSettings, HostSlot, UpstreamSlot};
+use kingcupford_entry::Settings;
+use kingcupford_standin::UpstreamSettings;
+use reqwest::Client;
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+    runtime::Runtime,
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+/// Connections of the lookup load.
+const LOOKUP_CONNECTIONS: usize = 32;
+
+/// Time of the lookup load.
+const LOOKUP_TIME: Duration = Duration::from_secs(4);
+
+/// Connections of the forwarding load.
+const FORWARD_CONNECTIONS: usize = 16;
+
+/// Direct and forwarded calls take turns, so that other load on the machine meets both.
+const FORWARD_ROUNDS: usize = 6;
+
+/// Time of one turn.
+const FORWARD_TIME: Duration = Duration::from_secs(1);
+
+/// Mean service time of the upstream.
+const SERVICE_TIME_MS: f64 = 4.0;
+
+/// An entry process over stand-ins; dropping it ends the process.
+struct Bench {
+    /// Platform, upstream and certificates.
+    deployment: Deployment,
+    /// The entry process.
+    child: Child,
+    /// Where it accepts callers.
+    caller: SocketAddr,
+}
+
+impl Bench {
+    /// Starts everything and answers it with the key of a tenant that no rate limits.
+    async fn start() -> anyhow::Result<(Self, String)> {
+        let zone = "fukuoka-a".to_owned();
+        let slot = UpstreamSlot {
+            name: "ledger-view-1".to_owned(),
+            service: "ledger-view".to_owned(),
+            version: "v1".to_owned(),
+            site: zone.clone(),
+            slots: 256,
+            service_time_ms: SERVICE_TIME_MS,
+        };
+        let settings = DeploymentSettings {
+            hosts: vec![HostSlot { name: "entry-1".to_owned(), zone }],
+            upstreams: vec![slot],
+            upstream: UpstreamSettings::default(),
+            ..DeploymentSettings::default()
+        };
+        let deployment = Deployment::start_standins(settings).await?;
+        let mut declarations: Declarations = deployment.declarations();
+        for tenant in &mut declarations.tenants {
+            (tenant.rate_per_s, tenant.burst) = (1e6, 1e6);
+        }
+        deployment.apply(&declarations, "bench").await?;
+        let (key, version) = deployment.issue_key("bench", "school-1").await?;
+        let settings = deployment.host_settings(0)?;
+        let file = deployment.folder().join("entry-1.yaml");
+        fs::write(&file, settings_text(&settings))?;
+        let child = Command::new(env!("CARGO_BIN_EXE_kingcupford-entry"))
+            .arg("--settings")
+            .arg(file)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()?;
+        let res = Self { deployment, child, caller: settings.listen };
+        let url = format!("http://{}/status", settings.admin_listen);
+        let client = Client::builder().no_proxy().build()?;
+        let started = Instant::now();
+        loop {
+            let status: serde_json::Value = match client.get(&url).send().await {
+                Ok(it) => it.json().await.unwrap_or_default(),
+                Err(_) => serde_json::Value::Null,
+            };
+            if status["config_version"] == version && status["main_share"] == true {
+                // The bucket of a new share is empty at first.
+                sleep(Duration::from_secs(1)).await;
+                return Ok((res, format!("Bearer {}", key.reveal())));
+            }
+            ensure!(started.elapsed() < Duration::from_secs(20), "the host is not ready: {status}");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Processor time of the entry process.
+    fn cpu_s(&self) -> anyhow::Result<f64> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        let rest = stat.rsplit_once(')').context("no end of the name")?.1;
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        Ok((fields[11].parse::<f64>()? + fields[12].parse::<f64>()?) / 100.0)
+    }
+
+    /// Whole lookups per core second of the entry process.
+    async fn lookups_one_core(&self) -> anyhow::Result<f64> {
+        let before = self.cpu_s()?;
+        let until = Instant::now() + LOOKUP_TIME;
+        let mut tasks = JoinSet::new();
+        for connection in 0..LOOKUP_CONNECTIONS {
+            let caller = self.caller;
+            tasks.spawn(async move {
+                let mut lookups = Lookups::connect(caller).await?;
+                let mut count = 0_u64;
+                while Instant::now() < until {
+                    lookups.next(connection as u64 * 1_000_003 + count).await?;
+                    count += 1;
+                }
+                anyhow::Ok(count)
+            });
+        }
+        let mut count = 0;
+        while let Some(done) = tasks.join_next().await {
+            count += done??;
+        }
+        Ok(count as f64 / (self.cpu_s()? - before))
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A keep-alive connection that asks for lookups, with little work of its own.
+struct Lookups {
+    /// The connection.
+    stream: TcpStream,
+    /// What was received of the present answer.
+    buffer: Vec<u8>,
+}
+
+impl Lookups {
+    /// Connects to a host.
+    async fn connect(caller: SocketAddr) -> anyhow::Result<Self> {
+        let stream = TcpStream::connect(caller).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, buffer: Vec::new() })
+    }
+
+    /// Asks for one client and reads the whole answer.
+    async fn next(&mut self, number: u64) -> anyhow::Result<()> {
+        let [_, _, a, b] = (number as u32).to_be_bytes();
+        let client = format!("10.{}.{a}.{b}", number % 6);
+        let request = format!(
+            "GET /v1/lookup?service=ledger-view&client={client} HTTP/1.1\r\nhost: entry-1\r\n\r\n"
+        );
+        self.stream.write_all(request.as_bytes()).await?;
+        self.buffer.clear();
+        loop {
+            ensure!(self.stream.read_buf(&mut self.buffer).await? > 0, "the connection ended");
+            if answer_length(&self.buffer).is_some_and(|it| self.buffer.len() >= it) {
+                ensure!(self.buffer.starts_with(b"HTTP/1.1 200"), "the lookup was refused");
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Times of calls over several connections.
+#[derive(Default)]
+struct Calls {
+    /// Time of each call.
+    latencies: Vec<Duration>,
+    /// Time of the whole load.
+    elapsed: Duration,
+}
+
+impl Calls {
+    /// Sends calls one after the other over each connection.
+    async fn add(&mut self, client: &Client, url: &str, key: &str) -> anyhow::Result<()> {
+        let started = Instant::now();
+        let mut tasks = JoinSet::new();
+        for _ in 0..FORWARD_CONNECTIONS {
+            let (client, url, key) = (client.clone(), url.to_owned(), key.to_owned());
+            tasks.spawn(async move {
+                let mut res = Vec::new();
+                while started.elapsed() < FORWARD_TIME {
+                    let sent = Instant::now();
+                    let response = client.get(&url).header("authorization", &key).send().await?;
+                    ensure!(response.status().is_success(), "answered {}", response.status());
+                    response.bytes().await?;
+                    res.push(sent.elapsed());
+                }
+                Ok(res)
+            });
+        }
+        while let Some(done) = tasks.join_next().await {
+            self.latencies.extend(done??);
+        }
+        self.elapsed += started.elapsed();
+        Ok(())
+    }
+
+    /// A percentile in seconds.
+    fn percentile_s(&mut self, percent: usize) -> f64 {
+        self.latencies.sort_unstable();
+        let at = (self.latencies.len() * percent / 100).min(self.latencies.len() - 1);
+        self.latencies[at].as_secs_f64()
+    }
+
+    /// Calls per second.
+    fn per_s(&self) -> f64 {
+        self.latencies.len() as f64 / self.elapsed.as_secs_f64()
+    }
+}
+
+/// Prints the figures and measures one lookup after the other.
+fn http(criterion: &mut Criterion) {
+    let runtime = Runtime::new().expect("a runtime starts");
+    let (bench, key) = runtime.block_on(Bench::start()).expect("the deployment starts");
+    let figures = async {
+        let lookups = bench.lookups_one_core().await?;
+        println!("figure http_lookups_one_core {lookups:.0} per_second");
+        let client = Client::builder().no_proxy().tcp_nodelay(true).build()?;
+        let direct_url = format!("http://{}/balances/7", bench.deployment.upstreams[0].address());
+        let forward_url = format!("http://{}/ledger-view/balances/7", bench.caller);
+        let (mut direct, mut forward) = (Calls::default(), Calls::default());
+        for _ in 0..FORWARD_ROUNDS {
+            direct.add(&client, &direct_url, &key).await?;
+            forward.add(&client, &forward_url, &key).await?;
+        }
+        let p50 = forward.percentile_s(50) / direct.percentile_s(50);
+        let p99 = forward.percentile_s(99) / direct.percentile_s(99);
+        println!("figure forward_latency_p50_ratio {p50:.3} ratio");
+        println!("figure forward_latency_p99_ratio {p99:.3} ratio");
+        let throughput = forward.per_s() / direct.per_s();
+        println!("figure forward_throughput_ratio {throughput:.3} ratio");
+        anyhow::Ok(())
+    };
+    runtime.block_on(figures).expect("every call is answered");
+    let mut lookups = runtime.block_on(Lookups::connect(bench.caller)).expect("connects");
+    let mut number = 0;
+    criterion.bench_function("http_lookup", |bencher| {
+        bencher.iter(|| {
+            number += 1;
+            runtime.block_on(lookups.next(number)).expect("is answered");
+        });
+    });
+    drop(bench);
+}
+
+/// Length of an answer with a length, when its head is complete.
+fn answer_length(bytes: &[u8]) -> Option<usize> {
+    let end = bytes.windows(4).position(|it| it == b"\r\n\r\n")? + 4;
+    let head = std::str::from_utf8(&bytes[..end]).ok()?;
+    let mut lengths = head.lines().filter_map(|it| it.strip_prefix("content-length: "));
+    Some(end + lengths.next()?.parse::<usize>().ok()?)
+}
+
+/// Settings as the text of a file; JSON is valid YAML.
+fn settings_text(it: &Settings) -> String {
+    json!({
+        "name": it.name,
+        "zone": it.zone,
+        "listen": it.listen,
+        "public_addresses": it.public_addresses,
+        "admin_listen": it.admin_listen,
+        "peer_listen": it.peer_listen,
+        "peer_address": it.peer_address,
+        "platform_url": it.platform_url,
+        "peer_tls": {
+            "certificate_file": it.peer_tls.certificate_file,
+            "key_file": it.peer_tls.key_file,
+            "ca_file": it.peer_tls.ca_file,
+        },
+        "log_level": "warn",
+    })
+    .to_string()
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().measurement_time(Duration::from_secs(2)).warm_up_time(Duration::from_millis(500));
+    targets = http
+}
+criterion_main!(benches);
