--- a/crates/quota/src/demand.rs
+++ b/crates/quota/src/demand.rs
@@ -12,6 +12,10 @@
 const UNMET: Duration = Duration::from_millis(250);
 /// A silence of this many mean gaps has a probability of 5% under random arrivals.
 const UNLIKELY_GAPS: f64 = 3.0;
+/// A silence of this many mean gaps has a probability below 0.1% under random arrivals.
+const STOPPED_GAPS: f64 = 8.0;
+/// Silence that does not yet mean that the demand has moved away.
+const MIN_SILENCE: Duration = Duration::from_millis(100);
 /// Demand is recent for this long after the last spend.
 const RECENT: Duration = Duration::from_secs(2);
 
@@ -80,6 +84,17 @@
         self.last.is_some_and(|it| now < it + RECENT)
     }
 
+    /// Whether nothing was asked for during many mean gaps, so that the demand has moved away.
+    pub(crate) fn has_stopped(&mut self, now: Instant) -> bool {
+        let Some(last) = self.last else { return true };
+        self.decay(now);
+        let silence = now.saturating_duration_since(last);
+        let rate_at_last =
+            self.slow / SLOW.as_secs_f64() * (silence.as_secs_f64() / SLOW.as_secs_f64()).exp();
+        let gap_s = self.amount / rate_at_last.max(f64::EPSILON);
+        silence >= MIN_SILENCE && silence.as_secs_f64() > STOPPED_GAPS * gap_s
+    }
+
     /// Decays the sums.
     fn decay(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
--- a/crates/quota/src/loan.rs
+++ b/crates/quota/src/loan.rs
@@ -34,6 +34,7 @@
         active.retain(|index| {
             self.accounts[*index].settle(&self.shares, now);
             self.return_permits(*index, now, &mut res);
+            self.return_rates(*index, now, &mut res);
             if !self.leaving {
                 self.renew_loans(*index, now, &mut res);
                 self.request_loans(*index, now, peers, &mut res);
@@ -212,6 +213,22 @@
         }
     }
 
+    /// Returns loans of rates whose demand has moved away, so that the host that it moved to can
+    /// borrow the units at once.
+    fn return_rates(&mut self, index: usize, now: Instant, out: &mut Vec<(String, Message)>) {
+        let account = &mut self.accounts[index];
+        if account.is_permits() || account.borrowed.is_empty() || !account.demand.has_stopped(now) {
+            return;
+        }
+        let live: Vec<Borrowed> = account.borrowed.drain(..).filter(|it| now < it.until).collect();
+        account.settle(&self.shares, now);
+        for loan in live {
+            account.pending.retain(|it| it.renews != Some(loan.id));
+            let resource = account.name.clone();
+            out.push((loan.lender, Message::LoanReturn { id: loan.id, resource }));
+        }
+    }
+
     /// Renews loans in the second half of their time, as far as the demand lasts.
     fn renew_loans(&mut self, index: usize, now: Instant, out: &mut Vec<(String, Message)>) {
         let renew_within = self.settings.loan / 2;
