Space watches of the platform by 200 ms

Cause: a watch on all names ends with every write, the states of zones included, so the watches grew with speakers times writes.

Change: the loop that follows the platform waits until 200 ms after the last watch began, as the watcher of the platform crate does.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -13,7 +13,7 @@
 use kingcupford_telemetry::{Event, TrafficLabels};
 use tokio::{
     sync::mpsc::UnboundedReceiver,
-    time::{Instant, MissedTickBehavior, interval, sleep},
+    time::{Instant, MissedTickBehavior, interval, sleep, sleep_until},
 };
 use tokio_util::task::TaskTracker;
 
@@ -40,6 +40,10 @@
 /// Longest wait of one watch call.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
+/// Least time between two watches. Every object's change ends a watch, also the states of zones,
+/// so that without it the calls would grow with the square of the number of zones.
+const WATCH_SPACING: Duration = Duration::from_millis(200);
+
 /// Wait after a call that the platform did not answer.
 const PLATFORM_RETRY: Duration = Duration::from_millis(500);
 
@@ -183,6 +187,7 @@
             sleep(SPEAKER_CHECK).await;
             continue;
         }
+        let next_at = Instant::now() + WATCH_SPACING;
         let followed = match after {
             None => read_all(host).await,
             Some(revision) => watch_once(host, revision).await,
@@ -195,7 +200,10 @@
             event.log(format_args!("{}", host.settings.platform_url));
         }
         match followed {
-            Ok(revision) => after = revision,
+            Ok(revision) => {
+                after = revision;
+                sleep_until(next_at).await;
+            }
             Err(()) => sleep(PLATFORM_RETRY).await,
         }
     }
