--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -67,13 +67,13 @@
 /// Idle control and changes over the number of hosts.
 fn hosts_table(report: &Report, series: &str) -> String {
     let mut res = String::from(
-        "| hosts | zones | processor % mean / most | memory MB | in KB/s mean / most | out KB/s mean / most | change s | platform slow s | fresh without platform s | all at once s |\n\
-         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+        "| hosts | zones | processor % mean / most | memory MB | in KB/s mean / most | out KB/s mean / most | change s | platform slow s | fresh without platform s | main shares after 15 s without platform | all at once s |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
     );
     for it in report.series(series) {
         let _ = writeln!(
             res,
-            "| {} | {} | {:.2} / {:.2} | {:.1} | {} | {} | {:.2} | {} | {} | {:.1} |",
+            "| {} | {} | {:.2} / {:.2} | {:.1} | {} | {} | {:.2} | {} | {} | {} | {:.1} |",
             it.shape.hosts,
             it.shape.zones,
             it.mean(|it| it.cpu_percent),
@@ -84,6 +84,7 @@
             it.change_s,
             optional(it.change_slow_s),
             optional(it.fresh_without_platform_s),
+            it.main_share_without_platform.map_or_else(|| "-".to_owned(), |it| it.to_string()),
             it.all_settled_s,
         );
     }
@@ -200,8 +201,11 @@
         let runs = report.runs.iter().filter(|it| it.shape.blocks < 1_000 && it.shape.tenants == 8);
         for run in runs {
             for host in &run.idle {
-                rows.push(sizes(&run.shape, host).to_vec());
-                values.push(value(host));
+                // Errors grow with the value, so relative ones are minimised; otherwise the largest
+                // runs alone would determine the small slopes.
+                let weight = 1.0 / value(host).max(1e-3);
+                rows.push(sizes(&run.shape, host).map(|it| it * weight).to_vec());
+                values.push(value(host) * weight);
             }
         }
         let slopes = least_squares(&rows, &values);
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -67,6 +67,9 @@
     pub change_slow_s: Option<f64>,
     /// A killed host started anew without the platform, until it has the configuration.
     pub fresh_without_platform_s: Option<f64>,
+    /// Hosts that may spend their main share after 15 s without the platform.
+    #[serde(default)]
+    pub main_share_without_platform: Option<usize>,
     /// Time to compile and install the configuration in one process, without a former one.
     pub compile_ms: f64,
     /// Size of the chunks in the platform.
--- a/crates/capacity/src/run.rs
+++ b/crates/capacity/src/run.rs
@@ -33,6 +33,9 @@
 /// Time over which the cost of one change is counted.
 const CHANGE_WINDOW: Duration = Duration::from_secs(6);
 
+/// Time without the platform after which the main shares are counted, above the main lease of 10 s.
+const OUTAGE: Duration = Duration::from_secs(15);
+
 /// Calls per second by which a speaker differs from other hosts, which only announce themselves.
 const SPEAKER_CALLS_PER_S: f64 = 0.4;
 
@@ -89,12 +92,19 @@
     let out = after.iter().zip(&before).map(|it| it.0.out_bytes - it.1.out_bytes);
 
     let (mut change_slow_s, mut fresh_without_platform_s) = (None, None);
+    let mut main_share_without_platform = None;
     if faults {
         let platform = &fleet.deployment.platform;
         platform.set_faults(PlatformFaults { delay_ms: 300, ..PlatformFaults::default() });
         change_slow_s = Some(fleet.change(&mut wanted, 3).await?);
         let outage = PlatformFaults { outage: Outage::Unavailable, ..PlatformFaults::default() };
         fleet.deployment.platform.set_faults(outage);
+        sleep(OUTAGE).await;
+        let mut shares = 0;
+        for host in &fleet.hosts {
+            shares += usize::from(host.status(&fleet.client).await?["main_share"] == true);
+        }
+        main_share_without_platform = Some(shares);
         // The former process of the host has ended before the new one binds its addresses.
         drop(fleet.hosts.pop());
         let started_ms = unix_ms();
@@ -120,6 +130,7 @@
         change_reads,
         change_slow_s,
         fresh_without_platform_s,
+        main_share_without_platform,
         compile_ms,
         chunk_bytes,
         chunks,
