--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,7 +1,5 @@
 //! Metrics of an entry host in the Prometheus text format.
 
-use std::sync::atomic::AtomicU64;
-
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -76,8 +74,6 @@
     pub control_bytes: Family<TrafficLabels, Counter>,
     /// Calls to the platform.
     pub platform_calls: Counter,
-    /// Processor time of control work.
-    pub control_cpu_seconds: Counter<f64, AtomicU64>,
 }
 
 impl Metrics {
@@ -98,7 +94,6 @@
             isolated: Gauge::default(),
             control_bytes: Family::default(),
             platform_calls: Counter::default(),
-            control_cpu_seconds: Counter::default(),
         };
         res.register();
         res
@@ -137,12 +132,6 @@
             self.control_bytes.clone(),
         );
         it.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
-        it.register_with_unit(
-            "control_cpu",
-            "Processor time of control work",
-            Unit::Seconds,
-            self.control_cpu_seconds.clone(),
-        );
     }
 }
 
