Count waiting requests as demand, and let long requests wait longer for a slot

Cause: a request that waited for a slot was counted as demand once, and the holder forgets refused demand within about 250 ms, so it stopped asking peers for permits while requests still waited; an upload was refused after 1 s although it may run for minutes. Change: the first waiting request of a service counts again every 200 ms; a request waits up to a tenth of its time left, at least 1 s.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -116,6 +116,8 @@
     pub(crate) queue: FairQueue<Ticket>,
     /// The request that is next but found no instance.
     pub(crate) head: Option<Ticket>,
+    /// When a waiting request was counted as demand last.
+    pub(crate) counted: Option<Instant>,
 }
 
 /// An admitted request.
@@ -250,6 +252,7 @@
                 retries: RetryBudget::new(now),
                 queue: FairQueue::new(self.settings.waiting_per_tenant),
                 head: None,
+                counted: None,
             });
         }
         self.shift_credit.resize(self.snapshot.shifts.slot_count(), 0.0);
--- a/crates/engine/src/place.rs
+++ b/crates/engine/src/place.rs
@@ -17,6 +17,13 @@
 /// farther one, where it would hold a slot for the way there and back as well.
 const SPILL_AFTER: Duration = Duration::from_millis(20);
 
+/// Part of the time until its deadline that a request may wait for a slot.
+const WAIT_SHARE: u32 = 10;
+
+/// Time after which the first waiting request counts as demand again; the holder forgets refused
+/// demand within about this time and would stop asking for loans.
+const RECOUNT: Duration = Duration::from_millis(200);
+
 /// Where an attempt runs.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Placement {
@@ -120,6 +127,9 @@
     fn wait(&mut self, at: usize, now: Instant) -> Start {
         let max_wait = self.settings.max_slot_wait;
         let request = &mut self.requests[at];
+        let left = request.deadline.saturating_duration_since(now);
+        // An upload that may run for minutes gains more by waiting than by a refusal.
+        let max_wait = max_wait.max(left / WAIT_SHARE);
         let until = *request.wait_until.get_or_insert(request.deadline.min(now + max_wait));
         if !request.queued {
             let tenant = request.tenant.unwrap_or(OPEN_TENANT);
@@ -160,7 +170,12 @@
                     self.services[service].head = None;
                     continue;
                 };
-                if !self.place(at, true, now) {
+                let state = &mut self.services[service];
+                let waited = state.counted.is_some_and(|it| now < it + RECOUNT);
+                if !waited {
+                    state.counted = Some(now);
+                }
+                if !self.place(at, waited, now) {
                     break;
                 }
                 self.services[service].head = None;
