End the wait after a pause with the newest configuration, and bound requests of a host

Cause: a host left its wait after a pause on the first confirmed heartbeat, before newer documents had arrived; limits.max_in_flight was checked at start and never applied; a configuration that cannot be compiled was compiled again with each tick. Change: the wait ends when a peer has confirmed a heartbeat sent after the pause, no peer is ahead and the newest head is active, or after 2 s; requests above the limit are refused as not run; an unusable version is tried once.

--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -82,13 +82,14 @@
             self.told.notices.push(Notice::Resumed);
             self.holder.resumed_after_pause(now);
             let sequence = self.fleet.sequence();
-            self.resync = Some(Resync { sequence, until: now + MAX_RESYNC });
+            self.resync = Some(Resync { sequence, confirmed: false, until: now + MAX_RESYNC });
         }
         if self.fleet.sequence() != sequence {
             self.holder.heartbeat_sent(self.fleet.sequence(), now);
         }
         res.extend(messages.into_iter().map(|it| envelope(it, Message::Fleet)));
         self.adopt_documents(now);
+        self.end_resync();
         res.extend(self.tick_shares(now));
         res.extend(self.tick_rollouts(now, unix_ms));
         let announcements = self.quarantine.drain_announcements();
@@ -123,8 +124,8 @@
                     self.note_incarnation(from, beat.incarnation);
                     self.holder.heard(from, beat.incarnation, heard, now);
                     // A beat that confirms one sent after the pause compares the documents of now.
-                    if self.resync.is_some_and(|it| heard >= Some(it.sequence)) {
-                        self.resync = None;
+                    if let Some(resync) = &mut self.resync {
+                        resync.confirmed |= heard >= Some(resync.sequence);
                     }
                     if beat.heard_incarnation != own {
                         let standing = self.quarantine.standing(now);
@@ -165,6 +166,15 @@
         }
     }
 
+    /// Ends the wait after a pause once the newest configuration of the peers is active.
+    fn end_resync(&mut self) {
+        let head = self.fleet.document(HEAD).map_or(0, |it| it.version);
+        let is_current = self.fleet.caught_up() && head <= self.snapshot.version.0;
+        if is_current && self.resync.is_some_and(|it| it.confirmed) {
+            self.resync = None;
+        }
+    }
+
     /// Notes the process of a peer; a newer one has bound its address, so the former has ended.
     fn note_incarnation(&mut self, peer: &str, incarnation: u64) {
         match self.incarnations.binary_search_by(|it| it.0.as_str().cmp(peer)) {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -103,6 +103,8 @@
 pub(crate) struct Resync {
     /// Heartbeat that a peer has to confirm.
     pub(crate) sequence: u64,
+    /// Whether a peer has, so that what it told of its documents is newer than the pause.
+    pub(crate) confirmed: bool,
     /// When decisions are taken without a confirmation, since a partitioned host goes on serving.
     pub(crate) until: Instant,
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -52,6 +52,7 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut was_isolated = false;
+    let mut rejected = 0;
     loop {
         tokio::select! {
             _ = ticks.tick() => {
@@ -71,7 +72,7 @@
                     let event = if was_isolated { Event::Isolated } else { Event::IsolationEnded };
                     event.log(format_args!("{} live hosts in view", status.live_members));
                 }
-                install_pending(host).await;
+                install_pending(host, &mut rejected).await;
             }
             () = host.share_tick.notified() => {
                 let envelopes = host.engine.lock().tick_shares(Instant::now());
@@ -81,16 +82,18 @@
     }
 }
 
-/// Compiles and installs a configuration that became complete.
-async fn install_pending(host: &Arc<Host>) {
+/// Compiles and installs a configuration that became complete; `rejected` is the version that was
+/// found unusable, so that it is not tried again with each tick.
+async fn install_pending(host: &Arc<Host>, rejected: &mut u64) {
     let pending = match host.engine.lock().pending_config() {
-        Ok(Some(it)) => it,
-        Ok(None) => return,
+        Ok(Some(it)) if it.head.version > *rejected => it,
+        Ok(_) => return,
         Err(error) => {
             Event::ConfigRejected.log(format_args!("{error:#}"));
             return;
         }
     };
+    let pending_version = pending.head.version;
     let previous = host.snapshot.load_full();
     // A table of 160,000 blocks takes longer than a tick may.
     let compiled = tokio::task::spawn_blocking(move || pending.compile(&previous)).await;
@@ -105,7 +108,10 @@
                 Event::ConfigActive.log(format_args!("version {version}, revision {revision}"));
             }
         }
-        Ok(Err(error)) => Event::ConfigRejected.log(format_args!("{error:#}")),
+        Ok(Err(error)) => {
+            *rejected = pending_version;
+            Event::ConfigRejected.log(format_args!("version {pending_version}: {error:#}"));
+        }
         Err(error) => Event::ConfigRejected.log(format_args!("{error}")),
     }
 }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -100,6 +100,11 @@
 
 /// Asks the policy whether the request may run, and waits while a loan is pending.
 async fn admit(host: &Arc<Host>, head: &RequestHead) -> Result<Ticket, Refusal> {
+    let most = host.settings.limits.max_in_flight as usize;
+    if host.engine.lock().in_flight() >= most {
+        let retry = Duration::from_secs(1);
+        return Err(Refusal::new(Reason::ServiceBusy).with_retry_after(retry));
+    }
     let mut waited = false;
     loop {
         let admission = {
