Keep waiting requests off a stopped version, and count each request once towards a shift

Cause: a request that waited for a slot kept its choice of the new version after that was stopped; each retry of a waiting request added to the credit of a shift. Change: the choice is dropped when the new version's share is 0; only the first placement counts towards the wanted share.

--- a/crates/engine/src/place.rs
+++ b/crates/engine/src/place.rs
@@ -206,14 +206,17 @@
             None if request.attempts > 0 => None,
             None => self.rollouts.pick(service, route),
         };
+        // A request that waited while the new version was stopped must not reach it any more.
+        let pick = pick.filter(|it| it.side == Side::Old || split.new_share > 0.0);
         let version = match pick {
             Some(it) if it.side == Side::New => split.new.unwrap_or(split.old),
             _ if split.new_share >= 1.0 => split.new.unwrap_or(split.old),
             _ => split.old,
         };
         self.requests[at].pick = pick;
+        let is_first = self.requests[at].asked.is_none();
         let asked = *self.requests[at].asked.get_or_insert(now);
-        for choice in self.regions(service) {
+        for choice in self.regions(service, is_first) {
             match self.place_in(at, version, choice, waited, now) {
                 Placing::Placed => return true,
                 Placing::AwaitsLoan if now < asked + SPILL_AFTER => return false,
@@ -276,8 +279,9 @@
         Placing::Placed
     }
 
-    /// Regions that may serve a service, in the order of preference.
-    fn regions(&mut self, service: ServiceId) -> Vec<Choice> {
+    /// Regions that may serve a service, in the order of preference; a request counts once towards
+    /// the wanted shares of shifts.
+    fn regions(&mut self, service: ServiceId, is_first: bool) -> Vec<Choice> {
         let Some((_, home)) = self.home() else { return Vec::new() };
         let snapshot = Arc::clone(&self.snapshot);
         let shift_to = |region: RegionId| {
@@ -296,7 +300,7 @@
         others.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut res = vec![Choice { region: home, shift: None }];
         res.extend(others.into_iter().map(|it| it.1));
-        if let Some(at) = self.due_shift(&res) {
+        if is_first && let Some(at) = self.due_shift(&res) {
             let choice = res.remove(at);
             res.insert(0, choice);
         }
