Notice outages of the platform within seconds, and start demonstrations with shares

Change: only answers of the last reads and announcements count as contact; a deployment waits until each host holds a part of the shares, which the status shows as share_units.

--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -18,6 +18,7 @@
     ChangeOutcome, ChangeRequest, ConfigStore, ConfigStoreSettings, HttpObjectStore,
     HttpStoreSettings,
 };
+use kingcupford_quota::UNITS;
 use kingcupford_standin::{PlatformSettings, PlatformStandin, UpstreamSettings, UpstreamStandin};
 use tokio::time::{Instant, sleep};
 
@@ -257,9 +258,14 @@
             let settled = self.hosts.iter().flatten().all(|it| {
                 let status = it.status();
                 let live = status.members.iter().filter(|it| it.2 == "live").count();
-                status.config_version >= version && live >= running && status.main_share
+                // A host that has just joined holds nothing until the others have given it a part.
+                let has_share = status.share_units as usize * running * 2 >= UNITS as usize;
+                let is_ready = status.main_share && has_share;
+                status.config_version >= version && live >= running && is_ready
             });
             if settled {
+                // Buckets start empty.
+                sleep(Duration::from_millis(200)).await;
                 return Ok(started.elapsed());
             }
             if started.elapsed() > Duration::from_secs(30) {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -187,6 +187,8 @@
     pub platform: bool,
     /// Whether the main part of this host's share may be spent.
     pub main_share: bool,
+    /// Units of 1,000,000 that this host holds of every cap.
+    pub share_units: u32,
     /// Requests that were admitted and are not finished.
     pub in_flight: usize,
     /// Services whose new version this host stopped, with the reason.
@@ -333,6 +335,10 @@
             isolated: self.fleet.isolated(now),
             platform: self.fleet.reach(now).platform,
             main_share: self.holder.main_valid(now),
+            share_units: {
+                let (floor, main) = self.holder.share_units();
+                floor + main
+            },
             in_flight: self.requests.len(),
             stopped_rollouts: self
                 .rollouts
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -6,8 +6,8 @@
 use kingcupford_engine::{LEDGER, ZONE_STATUS_PREFIX};
 use kingcupford_fleet::Candidate;
 use kingcupford_platform::{
-    Answer, Condition, HostEntry, HostState, Object, ObjectStore as _, Reachability, Watcher,
-    WatcherSettings, WriteOutcome,
+    Answer, Condition, HostEntry, HostState, Object, ObjectStore as _, Watcher, WatcherSettings,
+    WriteOutcome,
 };
 use kingcupford_quota::{Ledger, Proposal};
 use kingcupford_rollout::Write;
@@ -61,7 +61,6 @@
     };
     let mut watcher = Watcher::start(Arc::clone(&host.store), settings, rand::rng().random());
     let mut ticks = interval(SPEAKER_CHECK);
-    let mut available = true;
     loop {
         tokio::select! {
             event = watcher.events.recv() => {
@@ -74,31 +73,12 @@
                 if !host.engine.lock().is_speaker() {
                     return;
                 }
-                note_reachability(host, *watcher.reachability.borrow(), &mut available);
             }
         }
         fetch_chunks(host).await;
     }
 }
 
-/// Tells the policy and the operators whether the platform answers.
-fn note_reachability(host: &Host, reachability: Reachability, available: &mut bool) {
-    match reachability {
-        Reachability::Reachable => {
-            host.engine.lock().platform_reachable(Instant::now());
-            if !std::mem::replace(available, true) {
-                Event::PlatformAvailable.log(format_args!("{}", host.settings.platform_url));
-            }
-        }
-        Reachability::Unreachable { .. } => {
-            if std::mem::replace(available, false) {
-                Event::PlatformUnavailable.log(format_args!("{}", host.settings.platform_url));
-            }
-        }
-        Reachability::Unknown => {}
-    }
-}
-
 /// Hands an object to the policy.
 fn adopt(host: &Host, name: &str, object: &Object) {
     // The head carries its own number, which goes on when the platform's versions restart.
@@ -129,19 +109,32 @@
     }
 }
 
-/// Reads the ledger while this host is a speaker of its zone.
+/// Reads the ledger while this host is a speaker of its zone, and notices outages by it: a pending
+/// watch tells of one only when its wait ends.
 pub(crate) async fn ledger_loop(host: &Arc<Host>) {
     let mut ticks = interval(LEDGER_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut was_available = true;
     loop {
         ticks.tick().await;
         if !host.engine.lock().is_speaker() {
             continue;
         }
         host.metrics.platform_calls.inc();
-        match host.store.read(LEDGER).await {
+        let answer = host.store.read(LEDGER).await;
+        let is_available = !matches!(answer, Answer::Unavailable);
+        if is_available != std::mem::replace(&mut was_available, is_available) {
+            let event =
+                if is_available { Event::PlatformAvailable } else { Event::PlatformUnavailable };
+            event.log(format_args!("{}", host.settings.platform_url));
+        }
+        match answer {
             Answer::Value(Some(object)) => adopt(host, LEDGER, &object),
-            Answer::Value(None) => host.engine.lock().ledger_missing(),
+            Answer::Value(None) => {
+                let mut engine = host.engine.lock();
+                engine.platform_reachable(Instant::now());
+                engine.ledger_missing();
+            }
             Answer::Unavailable | Answer::Throttled { .. } => {}
         }
     }
@@ -180,7 +173,9 @@
         };
         host.metrics.platform_calls.inc();
         // A lost announcement is repeated with the next one.
-        let _ = host.store.announce(&entry).await;
+        if let Answer::Value(()) = host.store.announce(&entry).await {
+            host.engine.lock().platform_reachable(Instant::now());
+        }
     }
 }
 
