Count a relapse only where the fault returns at once

What was learned before the watch time now fades in a control sample, and a relapse needs the bad fraction of a fault since the sample's end. The tests of one generation moved to a file of their own.

--- a/crates/rollout/src/fault_test.rs
+++ b/crates/rollout/src/fault_test.rs
@@ -6,27 +6,14 @@
 use tokio::time::Instant;
 
 use crate::{
-    evidence::{ByShare, Evidence, Pair, RouteEvidence, Tally},
-    latency::SlowLimit,
+    evidence::{Evidence, Pair, RouteEvidence, Tally},
     rollout::{FaultKind, Reason, Rollout, RouteExposure, State},
+    run::{Part, Peer, RouteTest, Run},
     sequential::{Ratios, SequentialTest},
     splitter::{Pick, Side},
     stage::Stage,
-    suspicion::{Recent, SLOW_CAP_PER_S, Suspicion},
 };
 
-/// Fraction of bad responses below which a version is not rolled back, however sure the test is.
-const MIN_BAD_FRACTION: f64 = 0.001;
-
-/// Fraction of failures that is always expected when nothing can be compared.
-const FAILURE_FLOOR: f64 = 0.004;
-
-/// Fraction of slow responses that is always expected, twice the 5% of the old version.
-const SLOW_FLOOR: f64 = 0.1;
-
-/// Requests as many as which the nominal share weighs against the counted one.
-const SHARE_PRIOR: f64 = 50.0;
-
 /// Finds out on one host whether a service's new version is worse than its old one.
 #[derive(Debug)]
 pub struct FaultTest {
@@ -99,67 +86,6 @@
     pub thin_routes: Vec<String>,
 }
 
-/// The comparison in one generation.
-#[derive(Debug)]
-struct Run {
-    /// Name of the service.
-    service: String,
-    /// The generation.
-    generation: u64,
-    /// Time from start to deadline.
-    duration_ms: u64,
-    /// The present stage.
-    stage: Stage,
-    /// The present state.
-    state: State,
-    /// Number of routes that share the first half of the allowed false alarms.
-    planned_routes: usize,
-    /// The tests by route.
-    routes: Vec<RouteTest>,
-    /// Test for failures over all routes, which finds a fault of the whole version sooner.
-    failures: SequentialTest,
-    /// Test for slow responses over all routes.
-    slow: SequentialTest,
-    /// What was counted of each peer.
-    peers: Vec<Peer>,
-}
-
-/// What was counted of one peer.
-#[derive(Debug)]
-struct Peer {
-    /// Its name.
-    host: String,
-    /// The start of its process that the counters belong to.
-    incarnation: u64,
-    /// The largest counters seen, by route name.
-    routes: Vec<(String, ByShare)>,
-}
-
-/// The tests of one route.
-#[derive(Debug)]
-struct RouteTest {
-    /// Path prefix.
-    name: String,
-    /// What this process saw.
-    own: ByShare,
-    /// What all hosts saw.
-    fleet: ByShare,
-    /// Test for failures.
-    failures: SequentialTest,
-    /// Test for slow responses.
-    slow: SequentialTest,
-    /// Limit of slow responses on this host.
-    limit: SlowLimit,
-    /// Suspicion of failures.
-    failure_suspicion: Suspicion,
-    /// Suspicion of slow responses.
-    slow_suspicion: Suspicion,
-    /// The new version's responses of the last minutes.
-    recent: Recent,
-    /// The fault, once found.
-    fault: Option<FaultKind>,
-}
-
 impl FaultTest {
     /// A test without a rollout.
     pub fn new(host: &str, incarnation: u64, plan: TestPlan) -> Self {
@@ -244,7 +170,12 @@
             Side::Old => pair.old = tally,
             Side::New => pair.new = tally,
         }
-        if pick.side == Side::Old && outcome == Outcome::Success {
+        if pick.share_percent == Stage::All.percent() {
+            test.is_limit_stale = true;
+        } else if pick.side == Side::Old && outcome == Outcome::Success {
+            if std::mem::take(&mut test.is_limit_stale) {
+                test.limit.fade();
+            }
             test.limit.learn(latency);
         }
         let own = test.own.at_mut(pick.share_percent);
@@ -347,200 +278,3 @@
         })
     }
 }
-
-impl Run {
-    /// Index of a route's test, which is made when it is new.
-    fn route(&mut self, name: &str, plan: TestPlan, now: Instant) -> usize {
-        if let Some(at) = self.routes.iter().position(|it| it.name == name) {
-            return at;
-        }
-        let part = match self.routes.len().checked_sub(self.planned_routes) {
-            None => Part::Planned { routes: self.planned_routes },
-            Some(index) => Part::Later { index },
-        };
-        let part = part.fraction(plan);
-        self.routes.push(RouteTest {
-            name: name.to_owned(),
-            own: ByShare::default(),
-            fleet: ByShare::default(),
-            failures: SequentialTest::new(Ratios::FAILURES, part, self.duration_ms, now),
-            slow: SequentialTest::new(Ratios::SLOW, part, self.duration_ms, now),
-            limit: SlowLimit::new(now),
-            failure_suspicion: Suspicion::new(FAILURE_FLOOR, f64::INFINITY),
-            slow_suspicion: Suspicion::new(SLOW_FLOOR, SLOW_CAP_PER_S),
-            recent: Recent::new(now),
-            fault: None,
-        });
-        self.routes.len() - 1
-    }
-
-    /// Adds responses of one host to the tests; `host` is what that host counted at this share.
-    fn apply(&mut self, route: usize, share_percent: u8, delta: &Pair, host: &Pair, now: Instant) {
-        let test = &mut self.routes[route];
-        test.fleet.at_mut(share_percent).add(delta);
-        test.recent.add(&delta.new, now);
-        test.failure_suspicion.learn(delta.old.requests, delta.old.failures);
-        test.slow_suspicion.learn(delta.old.timed, delta.old.slow);
-        if share_percent == Stage::All.percent() {
-            test.failure_suspicion.observe(delta.new.requests, delta.new.failures, now);
-            test.slow_suspicion.observe(delta.new.timed, delta.new.slow, now);
-            let depends_on_load =
-                test.failure_suspicion.depends_on_load() || test.slow_suspicion.depends_on_load();
-            if depends_on_load && test.fault.is_none() {
-                test.fault = Some(FaultKind::UnderLoad);
-            }
-            return;
-        }
-        test.failure_suspicion.sample(delta.new.requests, delta.new.failures);
-        test.slow_suspicion.sample(delta.new.timed, delta.new.slow);
-        let share = real_share(share_percent, host.new.requests, host.old.requests);
-        for it in [&mut test.failures, &mut self.failures] {
-            it.observe(share, delta.new.failures, delta.old.failures, now);
-        }
-        let share = real_share(share_percent, host.new.timed, host.old.timed);
-        for it in [&mut test.slow, &mut self.slow] {
-            it.observe(share, delta.new.slow, delta.old.slow, now);
-        }
-        self.find_fault(route);
-    }
-
-    /// Records a fault when the evidence suffices, after `route` got new evidence.
-    fn find_fault(&mut self, route: usize) {
-        for fault in [FaultKind::Failures, FaultKind::Slow] {
-            let all = if fault == FaultKind::Slow { &self.slow } else { &self.failures };
-            // A fault found over all routes is put down to the route that shows it most.
-            let strongest =
-                self.routes.iter().enumerate().max_by(|a, b| {
-                    a.1.test(fault).evidence().total_cmp(&b.1.test(fault).evidence())
-                });
-            let at = if self.routes[route].test(fault).is_faulty() {
-                route
-            } else if let Some((at, _)) = strongest.filter(|_| all.is_faulty()) {
-                at
-            } else {
-                continue;
-            };
-            let test = &mut self.routes[at];
-            if test.is_relevant(fault) {
-                test.fault.get_or_insert(fault);
-            }
-        }
-    }
-
-    /// The verdict for the present stage.
-    fn verdict(&self, now: Instant) -> Verdict {
-        let faults = self.routes.iter().filter_map(|it| Some((it, it.fault?)));
-        if let Some((test, fault)) = faults.min_by(|a, b| a.0.name.cmp(&b.0.name)) {
-            return Verdict::Faulty { route: test.name.clone(), fault };
-        }
-        if self.thin_routes().next().is_some() || self.routes.iter().any(|it| it.is_doubtful(now)) {
-            return Verdict::Undecided;
-        }
-        Verdict::Healthy
-    }
-
-    /// Routes with traffic that have not reached the stage's exposure.
-    fn thin_routes(&self) -> impl Iterator<Item = &RouteTest> {
-        let share_percent = self.stage.percent();
-        let required = self.stage.required_requests();
-        self.routes.iter().filter(move |it| {
-            let pair = it.fleet.at(share_percent);
-            pair.old.requests + pair.new.requests > 0 && pair.new.requests < required
-        })
-    }
-}
-
-impl RouteTest {
-    /// The test for a kind of fault.
-    fn test(&self, fault: FaultKind) -> &SequentialTest {
-        if fault == FaultKind::Slow { &self.slow } else { &self.failures }
-    }
-
-    /// Whether enough of the new version's recent responses are bad to matter.
-    fn is_relevant(&self, fault: FaultKind) -> bool {
-        let recent = self.recent.sum();
-        let (bad, count) = match fault {
-            FaultKind::Slow => (recent.slow, recent.timed),
-            FaultKind::Failures | FaultKind::UnderLoad => (recent.failures, recent.requests),
-        };
-        bad as f64 >= MIN_BAD_FRACTION * count as f64
-    }
-
-    /// Whether a suspicion keeps the rollout from being done.
-    fn is_doubtful(&self, now: Instant) -> bool {
-        self.failure_suspicion.is_doubtful(now) || self.slow_suspicion.is_doubtful(now)
-    }
-
-    /// What the new version got, `None` without any traffic.
-    fn exposure(&self) -> Option<RouteExposure> {
-        let sum = self.fleet.sum();
-        if sum == Pair::default() {
-            return None;
-        }
-        Some(RouteExposure {
-            route: self.name.clone(),
-            new_requests: sum.new.requests,
-            new_failures: sum.new.failures,
-            new_slow: sum.new.slow,
-            old_requests: sum.old.requests,
-        })
-    }
-}
-
-impl Peer {
-    /// A peer of which nothing was counted.
-    fn new(evidence: &Evidence) -> Self {
-        Self { host: evidence.host.clone(), incarnation: evidence.incarnation, routes: Vec::new() }
-    }
-
-    /// The counters of a route.
-    fn counters(&mut self, route: &str) -> &mut ByShare {
-        let at = match self.routes.iter().position(|it| it.0 == route) {
-            Some(at) => at,
-            None => {
-                self.routes.push((route.to_owned(), ByShare::default()));
-                self.routes.len() - 1
-            }
-        };
-        &mut self.routes[at].1
-    }
-}
-
-/// A test's part of the allowed false alarms.
-#[derive(Debug, Clone, Copy)]
-enum Part {
-    /// The tests over all routes, which share a half.
-    AllRoutes,
-    /// The tests of a route that was known at the start; all of these share a quarter.
-    Planned {
-        /// Number of such routes.
-        routes: usize,
-    },
-    /// The tests of a route that came later; all of these share a quarter, however many come.
-    Later {
-        /// Number of such routes before this one.
-        index: usize,
-    },
-}
-
-impl Part {
-    /// The fraction for one test, of two for each route and on every host.
-    fn fraction(self, plan: TestPlan) -> f64 {
-        let both = match self {
-            Self::AllRoutes => 0.5,
-            Self::Planned { routes } => 0.25 / routes as f64,
-            Self::Later { index } => 0.25 / ((index + 1) * (index + 2)) as f64,
-        };
-        both / 2.0 / f64::from(plan.hosts.max(1))
-    }
-}
-
-/// The new version's share of requests, from above.
-///
-/// A share that is too large only makes evidence weaker, so the larger of the nominal share and the
-/// counted one is used; the counted one is larger where the old version's requests failed over.
-fn real_share(share_percent: u8, new: u64, old: u64) -> f64 {
-    let nominal = f64::from(share_percent) / 100.0;
-    let counted = (new as f64 + SHARE_PRIOR * nominal) / ((new + old) as f64 + SHARE_PRIOR);
-    nominal.max(counted)
-}
--- a/crates/rollout/src/latency.rs
+++ b/crates/rollout/src/latency.rs
@@ -29,6 +29,10 @@
 /// the latency of a whole service moves by about so much in a minute of an ordinary day.
 const STALE_TOLERANCE: f64 = 1.5;
 
+/// Divides the counts from before a time without responses, so that a control sample of a few
+/// seconds outweighs them.
+const FADE: u32 = 8;
+
 /// Learns the old version's 95th percentile over the last minute.
 #[derive(Debug)]
 pub(crate) struct SlowLimit {
@@ -74,6 +78,13 @@
         }
     }
 
+    /// Lowers the weight of what was learned before a time without responses of the old version.
+    pub(crate) fn fade(&mut self) {
+        for count in self.slots.iter_mut().flat_map(|it| it.iter_mut()) {
+            *count /= FADE;
+        }
+    }
+
     /// Moves the window and computes the limit once a second.
     fn advance(&mut self, now: Instant) {
         if now.saturating_duration_since(self.slot_start) >= SLOT {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -6,6 +6,7 @@
 mod latency;
 mod operator;
 mod rollout;
+mod run;
 mod sequential;
 mod splitter;
 mod stage;
--- a/crates/rollout/src/suspicion.rs
+++ b/crates/rollout/src/suspicion.rs
@@ -79,6 +79,8 @@
     sample_end: Option<Instant>,
     /// Requests with all traffic since the last control sample.
     after_sample: u64,
+    /// Bad ones among them.
+    after_sample_bad: u64,
     /// Consecutive relapses.
     relapses: u32,
 }
@@ -99,6 +101,7 @@
             sample_evidence: 0.0,
             sample_end: None,
             after_sample: 0,
+            after_sample_bad: 0,
             relapses: 0,
         }
     }
@@ -118,6 +121,7 @@
             return;
         }
         self.after_sample += count;
+        self.after_sample_bad += bad;
         if self.second.is_none_or(|it| now >= it + Duration::from_secs(1)) {
             self.second = Some(now);
             self.gain = 0.0;
@@ -128,14 +132,18 @@
         if self.evidence < THRESHOLD {
             return;
         }
-        let is_relapse = self
+        let is_soon = self
             .sample_end
             .is_some_and(|it| now < it + RELAPSE_WITHIN || self.after_sample <= RELAPSE_REQUESTS);
+        // A burst after many good responses is noise, not the return of the fault.
+        let bad_fraction = self.after_sample_bad as f64 / self.after_sample.max(1) as f64;
+        let is_relapse = is_soon && bad_fraction >= self.rates().1 / 2.0;
         self.relapses = if is_relapse { self.relapses + 1 } else { 0 };
         self.evidence = 0.0;
         self.sampled = 0;
         self.sample_evidence = 0.0;
         self.after_sample = 0;
+        self.after_sample_bad = 0;
         self.sample_start = Some(now);
         self.sample_end = None;
         // The sample shall outweigh what the old version did under other conditions.
@@ -185,12 +193,17 @@
 
     /// Logarithm of the evidence in responses of the new version.
     fn weight(&self, count: u64, bad: u64) -> f64 {
+        let (null, alternative) = self.rates();
+        let good = count.saturating_sub(bad) as f64;
+        bad as f64 * (alternative / null).ln() + good * ((1.0 - alternative) / (1.0 - null)).ln()
+    }
+
+    /// Fractions of bad responses of a good and of a faulty version.
+    fn rates(&self) -> (f64, f64) {
         // Few responses of the old version leave room for a higher rate than the counted one.
         let expected = 1.5 * (self.old_bad + 2.0) / (self.old + 40.0);
         let null = expected.max(self.floor).min(0.6);
-        let alternative = (5.0 * null).clamp(0.05, 0.95);
-        let good = count.saturating_sub(bad) as f64;
-        bad as f64 * (alternative / null).ln() + good * ((1.0 - alternative) / (1.0 - null)).ln()
+        (null, (5.0 * null).clamp(0.05, 0.95))
     }
 
     /// Lowers the weight of the old version's responses to that of `to` responses.
