Measure false alarms over seeds that tuning did not use

The constants of the watch time were chosen while looking at seeds 0 to 3,999, so that range says too little. The ignored test now uses 4,000 to 7,999.

--- a/crates/rollout/tests/false_alarms.rs
+++ b/crates/rollout/tests/false_alarms.rs
@@ -54,11 +54,12 @@
     assert_eq!(count(0..48, Policy::Sequential), (0, 0));
 }
 
-/// Measures false alarms over 4,000 rollouts, and those of the baseline over the same 400 seeds.
+/// Measures false alarms over 4,000 seeds that were not used while constants were chosen, and those
+/// of the baseline over 400.
 #[test]
 #[ignore = "takes minutes; run with --release"]
 fn false_alarms_many_seeds() {
-    let (alarms, late) = count(0..4_000, Policy::Sequential);
+    let (alarms, late) = count(4_000..8_000, Policy::Sequential);
     let (baseline, _) = count(0..400, Policy::FixedThreshold);
     let (new_only, _) = count(0..400, Policy::FixedThresholdNew);
     println!(
