Stop reading a broken peer connection instead of looping forever

Cause: `h2` reports the error of a reset stream, and of a connection that ended with an error, at each call and is never pending. Two loops continued on any item, errors included: the one that waits for the end of the answer when an outbound connection is closed, and the one that lets a rejected inbound connection drain. A peer that resets the stream or breaks the protocol at that moment made a runtime worker loop forever. The time limits around both loops never fired, since the inner future never yields, and the runtime could not shut down.

Change: both loops end at the first error. Two tests of `hostile.rs` provoke the two cases; each runs on a runtime of its own whose end is supervised from outside, because no limit inside a blocked runtime fires.

Conclusion: the fault was in the product code; a hostile peer could keep a host from stopping.

--- a/crates/peer/src/inbound.rs
+++ b/crates/peer/src/inbound.rs
@@ -131,8 +131,10 @@
                 *response.status_mut() = StatusCode::FORBIDDEN;
                 let _ = respond.send_response(response, true);
                 connection.graceful_shutdown();
-                let _ = timeout(handshake, async { while connection.accept().await.is_some() {} })
-                    .await;
+                // A broken connection reports its error at each call without ever being pending, so
+                // only accepted streams continue the loop.
+                let closed = async { while let Some(Ok(_)) = connection.accept().await {} };
+                let _ = timeout(handshake, closed).await;
                 return Err(error);
             }
         };
--- a/crates/peer/src/outbound.rs
+++ b/crates/peer/src/outbound.rs
@@ -204,7 +204,9 @@
         }
     };
     stream.send_data(Bytes::new(), true).context("end the stream")?;
-    let read = async { while answer.data().await.is_some() {} };
+    // A reset stream reports its error at each call without ever being pending, so only data
+    // continues the loop.
+    let read = async { while let Some(Ok(_)) = answer.data().await {} };
     if timeout(Duration::from_millis(settings.close_ms), read).await.is_err() {
         log::info!(target: LOG, "a peer has not read all frames before its connection is closed");
     }
--- a/crates/peer/tests/hostile.rs
+++ b/crates/peer/tests/hostile.rs
@@ -13,11 +13,15 @@
 use parking_lot::Mutex;
 use pki::{Host, Pki, frame, wait};
 use rustls::{
-    ClientConfig, RootCertStore,
+    ClientConfig, RootCertStore, ServerConfig,
     pki_types::{CertificateDer, PrivateKeyDer, ServerName, pem::PemObject as _},
 };
-use tokio::{io::AsyncWriteExt as _, net::TcpStream, time::timeout};
-use tokio_rustls::TlsConnector;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+use tokio_rustls::{TlsAcceptor, TlsConnector};
 
 /// Log lines of the transport.
 static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
@@ -239,3 +243,95 @@
     a.transport.send("host-b", b.address(), frame(b"room again"));
     b.wait_frames("host-a", 1).await;
 }
+
+/// Runs a test on a runtime of its own and fails when it does not end: a worker that loops without
+/// yielding blocks its whole runtime, and with it each time limit inside and the runtime's end.
+fn run_guarded(test: impl Future<Output = ()> + Send + 'static) {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let thread = std::thread::spawn(move || {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        let runtime = builder.worker_threads(2).enable_all().build().expect("runtime");
+        runtime.block_on(async { tokio::spawn(test).await.expect("test") });
+        drop(runtime);
+        let _ = sender.send(());
+    });
+    let ended = receiver.recv_timeout(Duration::from_secs(20));
+    assert_ne!(ended, Err(std::sync::mpsc::RecvTimeoutError::Timeout), "a worker is blocked");
+    thread.join().expect("the test succeeds");
+}
+
+/// Guards against a worker that loops for ever, and a host that cannot stop, when a peer resets the
+/// stream that the host has just ended.
+#[test]
+fn attacker_resets_the_stream_of_a_closing_host() {
+    run_guarded(async {
+        let pki = Pki::new();
+        let a = Host::start(pki.settings("host-a")).await;
+        pki.issue("host-k", "attacker");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let folder = pki.folder.clone();
+        let chain = vec![CertificateDer::from_pem_file(folder.join("attacker.pem")).expect("PEM")];
+        let key = PrivateKeyDer::from_pem_file(folder.join("attacker.key")).expect("key");
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let config = ServerConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .expect("versions")
+            .with_no_client_auth()
+            .with_single_cert(chain, key)
+            .expect("certificate");
+        tokio::spawn(async move {
+            let (tcp, _) = listener.accept().await.expect("accept");
+            let tls = TlsAcceptor::from(Arc::new(config)).accept(tcp).await.expect("TLS");
+            let mut connection = h2::server::handshake(tls).await.expect("h2");
+            while let Some(Ok((request, mut respond))) = connection.accept().await {
+                let answer = respond.send_response(http::Response::new(()), false);
+                let (mut answer, mut body) = (answer.expect("answer"), request.into_body());
+                tokio::spawn(async move {
+                    while let Some(Ok(_)) = body.data().await {}
+                    answer.send_reset(h2::Reason::INTERNAL_ERROR);
+                });
+            }
+        });
+        a.transport.send("host-k", address, frame(b"before"));
+        let connected = || a.count(|it| matches!(it, PeerEvent::Connected { .. })) > 0;
+        wait("the connection", connected).await;
+        let closed = timeout(Duration::from_secs(5), a.transport.close()).await;
+        assert!(closed.is_ok(), "the host does not stop");
+    });
+}
+
+/// Guards against a worker that loops for ever when a peer that was rejected for its name breaks
+/// the protocol before the connection is closed.
+#[test]
+fn attacker_breaks_the_protocol_after_its_rejection() {
+    run_guarded(async {
+        let scene = Scene::new().await;
+        scene.pki.issue("host-l", "attacker");
+        let mut stream = tls(&scene.pki, scene.b.address()).await;
+        let frame = |kind: u8, flags: u8, stream: u8, payload: &[u8]| {
+            let size = u8::try_from(payload.len()).expect("short");
+            [&[0, 0, size, kind, flags, 0, 0, 0, stream], payload].concat()
+        };
+        // POST, https and literal fields, as HPACK encodes them without Huffman coding.
+        let mut headers = b"\x83\x87\x04\x07/frames\x01\x04peer".to_vec();
+        headers.extend_from_slice(b"\x00\x10kingcupford-host\x06host-a");
+        let (settings, request) = (frame(4, 0, 0, &[]), frame(1, 4, 1, &headers));
+        let hello = [b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", &settings[..], &request].concat();
+        stream.write_all(&hello).await.expect("write");
+        let mut rejected = false;
+        while !rejected {
+            let mut head = [0; 9];
+            stream.read_exact(&mut head).await.expect("read");
+            let size = u32::from_be_bytes([0, head[0], head[1], head[2]]);
+            let mut payload = vec![0; size as usize];
+            stream.read_exact(&mut payload).await.expect("read");
+            rejected = head[3] == 1;
+        }
+        // DATA outside a stream is an error of the whole connection.
+        stream.write_all(&frame(0, 0, 0, b"data")).await.expect("write");
+        let ended = timeout(Duration::from_secs(5), stream.read_to_end(&mut Vec::new())).await;
+        assert!(ended.is_ok(), "the connection of an attacker stays open");
+        scene.finish(1, "certificate is not for host `host-a`").await;
+    });
+}
