Report when nothing listens at a peer's address

Cause: `PeerEvent::Refused` did not tell an address that nothing is bound to from a timeout or a failed handshake. Only the first proves that the peer's process has ended, since a process keeps its peer address bound for its whole life.

Change: the event has the field `is_unbound`, true when the TCP connect failed with `io::ErrorKind::ConnectionRefused`.

Conclusion: callers of the transport can treat an unbound address as the end of the process.

--- a/crates/peer/src/outbound.rs
+++ b/crates/peer/src/outbound.rs
@@ -1,6 +1,6 @@
 //! The connection to one peer.
 
-use std::{future::poll_fn, sync::Arc, time::Duration};
+use std::{future::poll_fn, io, sync::Arc, time::Duration};
 
 use anyhow::{Context as _, bail, ensure};
 use bytes::{Bytes, BytesMut};
@@ -85,7 +85,7 @@
                 // One line for a series of attempts; the counter tells how many there are.
                 let level = if attempts == 0 { log::Level::Warn } else { log::Level::Debug };
                 log::log!(target: LOG, level, "no connection to `{peer}`: {reason}");
-                PeerEvent::Refused { peer: peer.clone(), reason }
+                PeerEvent::Refused { peer: peer.clone(), reason, is_unbound: is_unbound(&error) }
             }
         };
         (shared.on_event)(failure);
@@ -213,6 +213,13 @@
     Ok(ended)
 }
 
+/// Whether a connection attempt failed because nothing listens at the address. Only `open` connects
+/// by TCP, and on an established connection this kind does not occur.
+fn is_unbound(error: &anyhow::Error) -> bool {
+    let mut causes = error.chain().filter_map(|it| it.downcast_ref::<io::Error>());
+    causes.any(|it| it.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Encodes queued frames up to the size of a batch.
 fn next_batch(shared: &Shared, queue: &Queue, age: Duration) -> Bytes {
     let mut batch = BytesMut::new();
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -57,6 +57,10 @@
         peer: String,
         /// Why.
         reason: String,
+        /// Whether the operating system answered that nothing listens at the peer's address. A
+        /// process keeps its peer address bound for its whole life, so an unbound address proves
+        /// that the process has ended; a timeout or a failed handshake does not.
+        is_unbound: bool,
     },
     /// An established outbound connection broke.
     Failed {
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -74,6 +74,36 @@
     .await;
 }
 
+/// Guards against a process that is taken for ended although its address is bound, and against one
+/// that has ended and is not recognised.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn transport_tells_an_unbound_address_from_a_silent_peer() {
+    let pki = Pki::new();
+    let mut settings = pki.settings("host-a");
+    settings.handshake_ms = 300;
+    let a = Host::start(settings).await;
+    let closed = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let closed_address = closed.local_addr().expect("address");
+    drop(closed);
+    // The kernel completes the TCP handshake of a listener whose process is paused.
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let silent_address = silent.local_addr().expect("address");
+    // A process at the address, whose certificate names another host.
+    let other = Host::start(pki.settings("host-b")).await;
+    for (name, address, expected) in [
+        ("host-closed", closed_address, true),
+        ("host-silent", silent_address, false),
+        ("host-other", other.address(), false),
+    ] {
+        a.transport.send(name, address, frame(b"lost"));
+        let refused =
+            |it: &PeerEvent| matches!(it, PeerEvent::Refused { peer, .. } if peer == name);
+        wait(name, || a.count(refused) >= 2).await;
+        let agrees = |it: &PeerEvent| matches!(it, PeerEvent::Refused { is_unbound, .. } if *is_unbound == expected);
+        assert_eq!(a.count(|it| refused(it) && !agrees(it)), 0, "{name}");
+    }
+}
+
 /// Guards against a backlog of old heartbeats that a peer gets when it comes back.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn transport_sends_only_the_newest_heartbeat() {
