Pair speakers of two zones by rank and send sparser beats in large zones

Cause: at 550 hosts in 25 zones the busiest host sent 18,233 B/s and received 16,160 B/s; both together must be at most 25,000. 64 hosts in one zone took 22,176 B/s in each direction.

Change: - Above 16 speakers of other zones, a speaker sends heartbeats only to the one of its own rank in each zone, and to all of them when that one is silent for 1.5 s. Today's sizes stay below this, so all links remain. - Above 25 hosts in a zone, heartbeats inside it go out at every second beat, above 50 at every third, at most every fourth. Suspicion comes after four intervals; up to 25 hosts nothing changes. State changes are sent at once. - The word of a speaker that just fell silent holds for 10 s while others of its zone are heard, and a host asks about former partners before it suspects them, so pairs that change cause no longer suspicion. - The hash of document versions has 32 bits; complete digests are sent every 30 s instead of 20 s and believed for 65 s. Changes are still sent with the next beat. - The traffic test checks the sum of both directions of each host against 25,000 B/s, over 30 s so that a complete digest is covered.

--- a/crates/fleet/src/beat.rs
+++ b/crates/fleet/src/beat.rs
@@ -15,9 +15,6 @@
 /// Sent beats that are remembered to find out when a confirmed one was sent.
 const REMEMBERED_BEATS: usize = 64;
 
-/// Beats after which a host asks about hosts of which nobody tells it.
-const UNVOUCHED_BEATS: u64 = 4;
-
 impl Fleet {
     /// Starts over when the last tick is so long ago that the process must have been paused.
     /// Messages may be handled before the first tick after a pause, so both call it.
@@ -35,6 +32,7 @@
         self.awake_since = now;
         self.changed_at = now;
         self.next_beat = now;
+        self.beats_since_zone = None;
         self.platform_at = None;
         self.versions_asked_at = None;
         self.versions_heard = false;
@@ -55,12 +53,13 @@
         }
         // Word that was lost, or sent while the sender took this host for a speaker, is asked for
         // again.
-        if self.sequence.is_multiple_of(UNVOUCHED_BEATS) {
-            self.digest_due |= (0..self.members.len()).any(|at| self.is_unvouched(at, now));
-        }
-        let due = self.due_entries(self.beats_to_zones(), now);
+        self.digest_due |= (0..self.members.len()).any(|at| self.is_unvouched(at, now));
+        let to_zone = self.beats_to_zone();
+        self.beats_since_zone =
+            Some(if to_zone { 1 } else { self.beats_since_zone.unwrap_or(0) + 1 });
+        let due = self.due_entries(self.beats_to_zones(), to_zone, now);
         let common = self.common_heartbeat(now);
-        for (at, is_answer) in self.targets(now) {
+        for (at, is_answer) in self.targets(to_zone, now) {
             let mut heartbeat = self.heartbeat(at, is_answer, &common);
             let member = &self.members[at];
             if member.zone != self.identity.zone {
@@ -77,7 +76,7 @@
     }
 
     /// The members that the next beat goes to, and whether it is only an answer.
-    pub(crate) fn targets(&self, now: Instant) -> Vec<(usize, bool)> {
+    pub(crate) fn targets(&self, to_zone: bool, now: Instant) -> Vec<(usize, bool)> {
         let probe = Duration::from_millis(self.settings.probe_ms);
         let probe_due = |at: usize| {
             self.links[at].sent_at.is_none_or(|it| now.saturating_duration_since(it) >= probe)
@@ -85,13 +84,24 @@
         let own_zone = &self.identity.zone;
         let mates = (0..self.members.len()).filter(|at| {
             let member = &self.members[*at];
-            member.zone == *own_zone && (member.state != MemberState::Gone || probe_due(*at))
+            to_zone
+                && member.zone == *own_zone
+                && (member.state != MemberState::Gone || probe_due(*at))
         });
         let mut res: Vec<(usize, bool)> = mates.map(|it| (it, false)).collect();
         let mut remote = Vec::new();
-        if self.is_speaker() {
+        if let Some(rank) = self.rank() {
             let zones = self.zones().into_iter().filter(|it| it != own_zone);
-            remote.extend(zones.flat_map(|zone| self.remote_targets(&zone, probe_due)));
+            let zones: Vec<(String, Vec<usize>)> =
+                zones.map(|it| (it.clone(), self.speaker_positions(&it))).collect();
+            let count: usize = zones.iter().map(|it| it.1.len()).sum();
+            let rank = (count > self.settings.speaker_links).then_some(rank);
+            let targets = |(zone, speakers): (String, Vec<usize>)| match rank {
+                Some(rank) if !speakers.is_empty() => self.paired(speakers, rank, now),
+                None if !speakers.is_empty() => speakers,
+                _ => self.tried_targets(&zone, probe_due),
+            };
+            remote.extend(zones.into_iter().flat_map(targets));
         }
         if self.beats_to_zones() {
             res.extend(remote.iter().map(|it| (*it, false)));
@@ -107,25 +117,36 @@
         res
     }
 
-    /// The members of another zone that a speaker sends heartbeats to.
-    pub(crate) fn remote_targets(
-        &self,
-        zone: &str,
-        probe_due: impl Fn(usize) -> bool,
-    ) -> Vec<usize> {
-        let positions =
-            |names: Vec<&str>| names.into_iter().filter_map(|it| self.position(it)).collect();
-        let speakers: Vec<usize> = positions(self.speakers(zone));
-        if !speakers.is_empty() {
-            return speakers;
-        }
-        // Nobody of the zone is known to live, so different hosts are tried in turn.
+    /// The speaker of another zone that has the rank of this host, and all of them while that one
+    /// is silent. A zone with fewer speakers has several of the other one at each.
+    fn paired(&self, speakers: Vec<usize>, rank: usize, now: Instant) -> Vec<usize> {
+        let partner = speakers[rank % speakers.len()];
+        if self.heard_within(&self.members[partner], self.settings.fallback_ms, now) {
+            return vec![partner];
+        }
+        speakers
+    }
+
+    /// Members of another zone to send heartbeats to while nobody there is known to live:
+    /// different ones in turn.
+    fn tried_targets(&self, zone: &str, probe_due: impl Fn(usize) -> bool) -> Vec<usize> {
         let turn = self.sequence / 10;
-        let mut tried: Vec<usize> = positions(self.ranked(zone, turn, |_| true));
+        let tried = self.ranked(zone, turn, |_| true).into_iter();
+        let mut tried: Vec<usize> = tried.filter_map(|it| self.position(it)).collect();
         tried.retain(|at| self.members[*at].state != MemberState::Gone || probe_due(*at));
         tried
     }
 
+    /// Where the speakers of a zone stand among the members, in order of rank.
+    fn speaker_positions(&self, zone: &str) -> Vec<usize> {
+        self.speakers(zone).into_iter().filter_map(|it| self.position(it)).collect()
+    }
+
+    /// Whether the present beat goes to the own zone.
+    fn beats_to_zone(&self) -> bool {
+        self.beats_since_zone.is_none_or(|it| it >= self.interval_beats())
+    }
+
     /// Whether the present beat goes to other zones: the interval is twice that inside one.
     fn beats_to_zones(&self) -> bool {
         self.sequence % 2 == 1
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -37,19 +37,26 @@
 impl Fleet {
     /// What a speaker adds to the heartbeats of one beat, for other zones and for its own: entries
     /// that changed since they were last sent, and from time to time all.
-    pub(crate) fn due_entries(&mut self, to_remote: bool, now: Instant) -> DueEntries {
+    pub(crate) fn due_entries(
+        &mut self,
+        to_remote: bool,
+        to_zone: bool,
+        now: Instant,
+    ) -> DueEntries {
         let mut res = DueEntries::default();
         let own_zone = self.identity.zone.clone();
-        let speakers = self.speakers(&own_zone).into_iter();
-        let speakers: Vec<String> = speakers.map(str::to_owned).collect();
-        let rank = speakers.iter().position(|it| *it == self.identity.name);
-        let Some(rank) = rank else {
+        let Some(rank) = self.rank() else {
             self.digests_sent.clear();
             return res;
         };
+        let speakers = self.speakers(&own_zone).into_iter();
+        let speakers: Vec<String> = speakers.map(str::to_owned).collect();
         if to_remote {
             res.for_remote = self.changed_entries(&own_zone, now);
         }
+        if !to_zone {
+            return res;
+        }
         // The speakers share the work: each relays every second one of the other zones.
         let zones = self.zones().into_iter().filter(|it| *it != own_zone);
         for (number, zone) in zones.enumerate() {
--- a/crates/fleet/src/document.rs
+++ b/crates/fleet/src/document.rs
@@ -132,14 +132,15 @@
         self.documents.iter().map(|it| (it.name.clone(), it.version)).collect()
     }
 
-    /// Hash of names and versions, by which two hosts find out that they have the same.
+    /// Hash of names and versions, by which two hosts find out that they have the same. It has 32
+    /// bits, since every heartbeat carries it.
     pub fn versions_hash(&self) -> u64 {
         let mut hash = Xxh3::new();
         for it in &self.documents {
             hash.update(it.name.as_bytes());
             hash.update(&it.version.to_le_bytes());
         }
-        hash.digest()
+        hash.digest() >> 32
     }
 
     /// Whether some peer has a newer version of a document.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -30,6 +30,10 @@
     pub(crate) members: Vec<Member>,
     /// Position of this host among the members; a search for each use costs more than the uses.
     pub(crate) own: usize,
+    /// Hosts of the own zone that are not gone, this one included.
+    pub(crate) zone_hosts: usize,
+    /// Silence after which a member of the own zone is suspected: four of its intervals.
+    pub(crate) suspect_mate_ms: u64,
     /// When the states of all members were last recomputed.
     pub(crate) refreshed_at: Instant,
     /// What only this host knows about each member, in the same order.
@@ -48,6 +52,8 @@
     pub(crate) beats: Vec<(u64, Instant)>,
     /// When the next beat is due.
     pub(crate) next_beat: Instant,
+    /// Beats since the last one that went to the own zone, `None` when the next one must.
+    pub(crate) beats_since_zone: Option<u64>,
     /// When `tick` last ran.
     pub(crate) last_tick: Instant,
     /// Start of the process or end of its last pause; silence before it says nothing.
@@ -108,10 +114,12 @@
         let link = Link::new(&own, now);
         Self {
             identity,
+            suspect_mate_ms: settings.suspect_ms,
             settings,
             rng: SmallRng::seed_from_u64(seed),
             members: vec![own],
             own: 0,
+            zone_hosts: 1,
             refreshed_at: now,
             links: vec![link],
             documents,
@@ -121,6 +129,7 @@
             sequence: 0,
             beats: Vec::new(),
             next_beat: now,
+            beats_since_zone: None,
             last_tick: now,
             awake_since: now,
             resumed: false,
@@ -138,6 +147,7 @@
     /// Replaces the settings; called before the first use, since it empties the documents.
     pub fn with_settings(mut self, settings: FleetSettings) -> Self {
         self.documents = documents_for(&settings);
+        self.suspect_mate_ms = settings.suspect_ms;
         self.settings = settings;
         self
     }
@@ -279,7 +289,12 @@
 
     /// Whether this host is a speaker of its zone.
     pub fn is_speaker(&self) -> bool {
-        self.speakers(&self.identity.zone).contains(&self.identity.name.as_str())
+        self.rank().is_some()
+    }
+
+    /// Place of this host among the speakers of its zone, `None` when it is not one of them.
+    pub(crate) fn rank(&self) -> Option<usize> {
+        self.speakers(&self.identity.zone).iter().position(|it| *it == self.identity.name)
     }
 
     /// What this host reaches itself or through peers of its zone.
@@ -354,6 +369,7 @@
             self.members[own].state = state;
             self.changed_at = now;
             self.next_beat = now;
+            self.beats_since_zone = None;
         }
     }
 
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -5,6 +5,12 @@
 pub struct FleetSettings {
     /// Time between heartbeats inside a zone; between speakers of two zones it is twice this.
     pub heartbeat_ms: u64,
+    /// Hosts of a zone above which heartbeats inside it are sent at every second beat only, above
+    /// twice this at every third, and so on: their number grows with the square of the hosts.
+    pub dense_hosts: usize,
+    /// Most beats of the interval between two heartbeats inside a zone, so that a silent host is
+    /// suspected before it counts as gone.
+    pub interval_beats_max: u64,
     /// Silence after which a member of the own zone is suspected.
     pub suspect_ms: u64,
     /// Silence after which a member of another zone is suspected; more than two of its heartbeat
@@ -30,6 +36,12 @@
     pub forget_ms: u64,
     /// Speakers of each zone.
     pub speakers_per_zone: usize,
+    /// Speakers of other zones up to which a speaker sends heartbeats to all of them; when there
+    /// are more, it sends to the one of its own rank in each zone.
+    pub speaker_links: usize,
+    /// Silence of the speaker of the own rank after which heartbeats go to all speakers of its
+    /// zone; more than one of its heartbeat intervals, and below the time of a suspicion.
+    pub fallback_ms: u64,
     /// Size of the chunk store; chunks of the newest head may exceed it.
     pub chunk_store_bytes: usize,
 }
@@ -38,6 +50,8 @@
     fn default() -> Self {
         Self {
             heartbeat_ms: 500,
+            dense_hosts: 25,
+            interval_beats_max: 4,
             suspect_ms: 2_000,
             suspect_remote_ms: 2_500,
             gone_ms: 10_000,
@@ -46,10 +60,12 @@
             pause_ms: 1_000,
             retry_ms: 500,
             changing_ms: 5_000,
-            digest_ms: 20_000,
-            vouch_ms: 45_000,
+            digest_ms: 30_000,
+            vouch_ms: 65_000,
             forget_ms: 1_800_000,
             speakers_per_zone: 2,
+            speaker_links: 16,
+            fallback_ms: 1_500,
             chunk_store_bytes: 32 * 1024 * 1024,
         }
     }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -14,6 +14,7 @@
     /// Recomputes the states of all members.
     pub(crate) fn refresh(&mut self, now: Instant) {
         self.refreshed_at = now;
+        self.update_interval();
         for at in 0..self.members.len() {
             self.refresh_member(at, now);
         }
@@ -47,7 +48,7 @@
         let zone_matches = member.zone == self.identity.zone;
         let settings = &self.settings;
         let suspect_ms =
-            if zone_matches { settings.suspect_ms } else { settings.suspect_remote_ms };
+            if zone_matches { self.suspect_mate_ms } else { settings.suspect_remote_ms };
         let suspect = Duration::from_millis(suspect_ms);
         // Silence while this process was paused is not the member's.
         let silent_since = member.last_heard.unwrap_or(link.added_at).max(self.awake_since);
@@ -66,8 +67,15 @@
         MemberState::Suspected
     }
 
-    /// The state that a speaker vouches for, while that speaker itself is heard.
+    /// The state that a speaker vouches for.
     fn vouched_state(&self, at: usize, now: Instant) -> Option<MemberState> {
+        let by = self.voucher(at, now)?;
+        let holds = self.heard_lately(by, now) || self.is_replaced(by, now);
+        holds.then(|| self.links[at].vouched.as_ref().map(|it| it.state)).flatten()
+    }
+
+    /// The speaker whose word about a member is newer than the own evidence and not outdated.
+    fn voucher(&self, at: usize, now: Instant) -> Option<&Member> {
         let (member, link) = (&self.members[at], &self.links[at]);
         let vouched = link.vouched.as_ref()?;
         let age = now.saturating_duration_since(vouched.at);
@@ -75,20 +83,60 @@
         let newer = member.last_heard.is_none_or(|it| vouched.at > it)
             && link.failed_at.is_none_or(|it| vouched.at > it);
         let valid = newer && age < Duration::from_millis(self.settings.vouch_ms);
-        // Without this, a zone that is cut off would count as live until its last digest is old.
         let hinted = self.members.get(vouched.by_hint).filter(|it| it.name == vouched.by);
         let by = hinted.or_else(|| self.member(&vouched.by))?;
-        let heard = self.heard_within(by, self.settings.suspect_remote_ms, now);
-        (valid && heard && member.zone != self.identity.zone).then_some(vouched.state)
+        (valid && member.zone != self.identity.zone).then_some(by)
+    }
+
+    /// Whether a speaker fell silent a short time ago while others of its zone are still heard. Its
+    /// word holds until its successor repeats or corrects it; in a zone that is cut off, nobody is
+    /// heard, and its hosts would otherwise count as live until the last digest is old.
+    fn is_replaced(&self, speaker: &Member, now: Instant) -> bool {
+        let zone = &speaker.zone;
+        self.heard_within(speaker, self.settings.gone_ms, now)
+            && self.members.iter().any(|it| self.heard_lately(it, now) && it.zone == *zone)
     }
 
-    /// Whether a host of another zone is silent here and no speaker says anything about it.
+    /// Whether a host of another zone is silent here and no speaker that is heard says anything
+    /// about it.
     pub(crate) fn is_unvouched(&self, at: usize, now: Instant) -> bool {
         let member = &self.members[at];
+        let silent = Duration::from_millis(self.settings.fallback_ms);
+        // A former partner is silent as expected: its zone is asked before it counts as suspected.
+        let unpaired = |it: Instant| now.saturating_duration_since(it) >= silent;
+        let left = self.links[at].sent_at.is_none_or(unpaired)
+            && !self.heard_within(member, self.settings.fallback_ms, now);
         member.zone != self.identity.zone
-            && member.state >= MemberState::Suspected
             && member.incarnation > 0
-            && self.vouched_state(at, now).is_none()
+            && (left || !self.heard_lately(member, now))
+            && self.voucher(at, now).is_none_or(|it| !self.heard_lately(it, now))
+    }
+
+    /// Whether a member was heard within the time after which its silence is suspicious.
+    fn heard_lately(&self, member: &Member, now: Instant) -> bool {
+        let settings = &self.settings;
+        let time_ms = if member.zone == self.identity.zone {
+            settings.suspect_remote_ms.max(self.suspect_mate_ms)
+        } else {
+            settings.suspect_remote_ms
+        };
+        self.heard_within(member, time_ms, now)
+    }
+
+    /// Beats from one heartbeat inside the own zone to the next.
+    pub(crate) fn interval_beats(&self) -> u64 {
+        let settings = &self.settings;
+        let hosts = u64::try_from(self.zone_hosts).unwrap_or(u64::MAX);
+        let dense = u64::try_from(settings.dense_hosts.max(1)).unwrap_or(u64::MAX);
+        hosts.div_ceil(dense).clamp(1, settings.interval_beats_max)
+    }
+
+    /// Derives the interval inside the own zone, and the time of a suspicion there, from its size.
+    fn update_interval(&mut self) {
+        let zone = &self.identity.zone;
+        let counted = |it: &&Member| it.state != MemberState::Gone && it.zone == *zone;
+        self.zone_hosts = self.members.iter().filter(counted).count();
+        self.suspect_mate_ms = self.settings.suspect_ms * self.interval_beats();
     }
 
     /// Members that this host heard lately and that are neither suspected nor gone.
@@ -97,7 +145,7 @@
             let member = &self.members[*at];
             *at != self.own
                 && member.state < MemberState::Suspected
-                && self.heard_within(member, self.settings.suspect_remote_ms, now)
+                && self.heard_lately(member, now)
         };
         (0..self.members.len()).filter(usable).collect()
     }
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -2,6 +2,8 @@
 
 mod network;
 
+use std::collections::BTreeMap;
+
 use kingcupford_fleet::{MemberState, Message};
 use network::{Network, millis, secs};
 
@@ -255,3 +257,71 @@
     network.cut_hosts.clear();
     network.until(secs(12), |it| it.converged());
 }
+
+/// Guards against hosts that count as suspected for long, and a dead speaker that is not noticed in
+/// time, when speakers form pairs by rank and one of a pair dies.
+#[test]
+fn speaker_of_a_pair_dies_and_is_replaced() {
+    let names: Vec<String> = (0..10).map(|it| format!("zone-{it}")).collect();
+    let zones: Vec<(&str, usize)> = names.iter().map(|it| (it.as_str(), 4)).collect();
+    for rank in 0..2 {
+        let mut network = Network::new(&zones, 12);
+        network.until(secs(5), |it| it.converged());
+        network.run(secs(25));
+        let dead = network.fleet("zone-0-0").speakers("zone-3")[rank].to_owned();
+        network.kill(&dead);
+        let mut noticed = None;
+        let mut flaps = BTreeMap::new();
+        let killed_at = network.now;
+        network.run_with(secs(20), |it| {
+            let mut everywhere = true;
+            for host in it.hosts.iter().filter(|it| it.up) {
+                for member in host.fleet.members() {
+                    let suspected = member.state >= MemberState::Suspected;
+                    if member.name != dead && suspected {
+                        let key = (host.name.clone(), member.name.clone());
+                        *flaps.entry(key).or_insert(0_u32) += 1;
+                    }
+                    everywhere &= member.name != dead || suspected;
+                }
+            }
+            if everywhere {
+                noticed.get_or_insert(it.now - killed_at);
+            }
+        });
+        let noticed = noticed.expect("the dead speaker is suspected everywhere");
+        let longest = flaps.values().max().copied().unwrap_or(0) * 50;
+        println!("{} pairs of hosts suspected wrongly, {longest} ms at most", flaps.len());
+        // A former partner is known again after one request and answer between the zones.
+        assert!(longest <= 150, "suspected wrongly for {longest} ms");
+        println!("speaker of rank {rank} is suspected everywhere after {noticed:?}");
+        // Its own zone or its pair notices it within 2.5 s, and two relays take up to 1.5 s.
+        assert!(noticed <= millis(4_100), "suspected after {noticed:?}");
+    }
+}
+
+/// Guards against hosts of a large zone that are given up between their sparser heartbeats, and
+/// against a silent one that is suspected too late.
+#[test]
+fn members_of_a_large_zone_are_steady() {
+    let mut network = Network::new(&[("a", 60), ("b", 2)], 13);
+    network.until(secs(5), |it| it.converged());
+    network.run(secs(5));
+    network.loss = 0.02;
+    network.run_with(secs(30), |it| {
+        for host in &it.hosts {
+            let gone = host.fleet.members().iter().any(|it| it.state == MemberState::Gone);
+            assert!(!gone, "{} gave up a host that runs", host.name);
+        }
+    });
+    network.loss = 0.0;
+    network.until(secs(5), |it| it.converged());
+    for other in network.names_of("a") {
+        if other != "a-7" {
+            network.cut_hosts.push(("a-7".into(), other));
+        }
+    }
+    let suspected = network.until(secs(8), |it| it.state("a-3", "a-7") >= MemberState::Suspected);
+    // Four intervals of three beats.
+    assert!(suspected <= millis(6_200), "suspected after {suspected:?}");
+}
--- a/crates/fleet/tests/network/mod.rs
+++ b/crates/fleet/tests/network/mod.rs
@@ -145,6 +145,10 @@
         *self.names.get(name).expect("host exists")
     }
 
+    pub(crate) fn names_of(&self, zone: &str) -> Vec<String> {
+        self.hosts.iter().filter(|it| it.zone == zone).map(|it| it.name.clone()).collect()
+    }
+
     pub(crate) fn fleet(&mut self, name: &str) -> &mut Fleet {
         let at = self.at(name);
         &mut self.hosts[at].fleet
--- a/crates/fleet/tests/traffic.rs
+++ b/crates/fleet/tests/traffic.rs
@@ -4,7 +4,7 @@
 
 use network::{Network, OVERHEAD_BYTES, millis, secs};
 
-/// Most bytes per second that a host may send for control.
+/// Most bytes per second that a host may send and receive for control together.
 const BUDGET_BYTES_PER_S: u64 = 25_000;
 
 /// Guards against control traffic that grows above 25 KB/s a host in one zone.
@@ -20,7 +20,7 @@
 fn traffic_of_550_hosts_is_within_its_budget() {
     let names: Vec<String> = (0..25).map(|it| format!("region-{}-zone-{it}", it % 7)).collect();
     let zones: Vec<(&str, usize)> = names.iter().map(|it| (it.as_str(), 22)).collect();
-    measure("550 hosts in 25 zones", &zones, 24);
+    measure("550 hosts in 25 zones", &zones, 30);
 }
 
 /// Guards against control traffic that grows above 25 KB/s a host today.
@@ -58,16 +58,18 @@
     let mean =
         hosts.iter().map(|it| wire(it.frames_out, it.bytes_out)).sum::<u64>() / hosts.len() as u64;
     let most_in = hosts.iter().map(|it| wire(it.frames_in, it.bytes_in)).max().expect("some");
+    let both =
+        |it: &network::Host| wire(it.frames_out, it.bytes_out) + wire(it.frames_in, it.bytes_in);
+    let most_both = hosts.iter().map(both).max().expect("some");
     let busy = hosts.iter().map(|it| it.busy).max().expect("some").as_secs_f64();
     println!(
         "{label}: converged after {converged:?}; busiest host out {} frames/s, {} payload B/s, \
-         {} wire B/s; in at most {most_in} wire B/s; mean out {mean} wire B/s; processor at most \
+         {} wire B/s; in at most {most_in} wire B/s; both at most {most_both} wire B/s; mean out {mean} wire B/s; processor at most \
          {:.2} % of a core",
         most.frames_out / seconds,
         most.bytes_out / seconds,
         wire(most.frames_out, most.bytes_out),
         busy / seconds as f64 * 100.0,
     );
-    assert!(wire(most.frames_out, most.bytes_out) <= BUDGET_BYTES_PER_S, "{label}: sent");
-    assert!(most_in <= BUDGET_BYTES_PER_S, "{label}: received");
+    assert!(most_both <= BUDGET_BYTES_PER_S, "{label}: {most_both} B/s");
 }
