Return tokens with a loan, before it ends

Cause: tokens of a loan that ended vanished at the borrower while the lender's bucket started empty, so each loan that was not renewed destroyed a part of a small tenant's burst. Change: a return carries the loan's part of the tokens, which the borrower gives up first; a repeated return finds no loan. Loans that are not renewed go back 200 ms before their end.

--- a/crates/quota/src/loan.rs
+++ b/crates/quota/src/loan.rs
@@ -12,6 +12,9 @@
 
 /// Requests out of the expected even division, since some peers have less room than others.
 const OVERASK: u32 = 3;
+/// Time before its end at which a loan that is not renewed goes back, longer than the way to
+/// another region.
+const RETURN_AHEAD: Duration = Duration::from_millis(200);
 /// Smallest requested part; smaller loans cost more messages than they help.
 const MIN_REQUEST: u32 = UNITS / 200;
 /// Units needed beyond the measured demand.
@@ -79,8 +82,8 @@
                 self.borrow(index, from, id, grant, now);
                 Vec::new()
             }
-            Message::LoanReturn { id, .. } => {
-                self.accounts[index].lent.retain(|it| it.id != id || it.borrower != from);
+            Message::LoanReturn { id, tokens, .. } => {
+                self.take_back(index, from, id, tokens, now);
                 Vec::new()
             }
         }
@@ -209,24 +212,48 @@
             let loan = account.borrowed.swap_remove(at);
             account.pending.retain(|it| it.renews != Some(loan.id));
             let resource = account.name.clone();
-            out.push((loan.lender, Message::LoanReturn { id: loan.id, resource }));
+            out.push((loan.lender, Message::LoanReturn { id: loan.id, resource, tokens: 0.0 }));
         }
     }
 
-    /// Returns loans of rates whose demand has moved away, so that the host that it moved to can
-    /// borrow the units at once.
+    /// Takes units and tokens back; a repeated return finds no loan and changes nothing.
+    fn take_back(&mut self, index: usize, from: &str, id: LoanId, tokens: f64, now: Instant) {
+        let account = &mut self.accounts[index];
+        let before = account.lent.len();
+        account.lent.retain(|it| it.id != id || it.borrower != from);
+        if account.lent.len() < before && tokens.is_finite() {
+            account.tokens += tokens.max(0.0);
+            account.settle(&self.shares, now);
+        }
+    }
+
+    /// Returns loans of rates that are not needed any more: all of them when the demand has moved
+    /// away, so that the host that it moved to can borrow the units at once, and those about to
+    /// end, since tokens of a loan that ends are lost.
     fn return_rates(&mut self, index: usize, now: Instant, out: &mut Vec<(String, Message)>) {
         let account = &mut self.accounts[index];
-        if account.is_permits() || account.borrowed.is_empty() || !account.demand.has_stopped(now) {
+        if account.is_permits() || account.borrowed.is_empty() {
             return;
         }
-        let live: Vec<Borrowed> = account.borrowed.drain(..).filter(|it| now < it.until).collect();
-        account.settle(&self.shares, now);
-        for loan in live {
+        let has_stopped = account.demand.has_stopped(now);
+        let mut at = 0;
+        while at < account.borrowed.len() {
+            let loan = &account.borrowed[at];
+            let ends_soon = loan.until < now + RETURN_AHEAD && !account.is_renewing(loan.id);
+            if now >= loan.until || !(has_stopped || ends_soon) {
+                at += 1;
+                continue;
+            }
+            let units = account.units(&self.shares, now).max(1);
+            let loan = account.borrowed.swap_remove(at);
+            let part = f64::from(loan.units.min(units)) / f64::from(units);
+            let tokens = account.tokens * part;
+            account.tokens -= tokens;
             account.pending.retain(|it| it.renews != Some(loan.id));
             let resource = account.name.clone();
-            out.push((loan.lender, Message::LoanReturn { id: loan.id, resource }));
+            out.push((loan.lender, Message::LoanReturn { id: loan.id, resource, tokens }));
         }
+        account.settle(&self.shares, now);
     }
 
     /// Renews loans in the second half of their time, as far as the demand lasts.
@@ -328,6 +355,11 @@
 }
 
 impl Account {
+    /// Whether an answer to the renewal of a loan is expected.
+    fn is_renewing(&self, id: LoanId) -> bool {
+        self.pending.iter().any(|it| it.renews == Some(id))
+    }
+
     /// Whether a peer had too little a short time ago.
     fn is_refusing(&self, peer: &str, now: Instant) -> bool {
         let at = self.refusals.binary_search_by(|it| it.peer.as_str().cmp(peer));
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -48,5 +48,7 @@
         id: LoanId,
         /// The cap.
         resource: ResourceName,
+        /// Tokens that come back with the units; the borrower has given them up before.
+        tokens: f64,
     },
 }
