Test the configuration crate and check limits of regions

Cause: the crate had no tests; a limit of 0 requests in a region was accepted. Change: tests of checks, routes, keys, drains, plans and chunks; the limit is at least 1.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -224,6 +224,8 @@
                 );
                 self.known_service(&place, &limit.service);
                 self.known_region(&place, &limit.region);
+                let most = f64::from(limit.max_in_flight);
+                self.range(&place, "max_in_flight", most, 1.0, 1_000_000.0);
             }
             for drain in &preset.drains {
                 let place = format!("presets.{}.drains.{}", preset.name, drain.name);
--- /dev/null
+++ b/crates/config/tests/config.rs
@@ -0,0 +1,196 @@
+//! Declarations, checks, chunks, plans, keys and snapshots.
+
+use expect_test::expect;
+use kingcupford_config::{
+    BlockDecl, CallerKey, ConfigVersion, Declarations, Head, KeyDecl, KeyParseError, Snapshot,
+    assemble, check, plan, split,
+};
+use proptest::{prelude::*, test_runner::Config};
+
+/// Two regions, a service with overlapping routes and two tenants.
+const DECLARATIONS: &str = "
+regions:
+  - { name: alpen, zones: [alpen-a] }
+  - { name: jura, zones: [jura-a] }
+links: [{ between: [jura, alpen], latency_ms: 55, capacity_mbit_per_s: 4000 }]
+sites: [{ name: s1, zone: alpen-a }, { name: s2, zone: jura-a }]
+blocks: [{ cidr: 10.0.0.0/8, site: s1 }, { cidr: 10.1.0.0/16, site: s2 }]
+services:
+  - name: katalog
+    routes:
+      - { path_prefix: /, timeout_ms: 5000, idempotent: true }
+      - { path_prefix: /admin, timeout_ms: 5000, methods: [POST] }
+      - { path_prefix: /status, timeout_ms: 100, open: true }
+    versions: [{ name: v1, instances: [{ name: k1, site: s1, address: '127.0.0.1:1', slots: 4 }] }]
+    active_version: v1
+tenants:
+  - { name: hof, rate_per_s: 10, burst: 20 }
+  - { name: zwinger, rate_per_s: 100, burst: 200, when_isolated: refuse }
+presets: [{ name: ordinary }, { name: maintenance, drains: [{ target: site, name: s1 }] }]
+initial_preset: ordinary
+";
+
+fn declarations() -> Declarations {
+    Declarations::from_yaml(DECLARATIONS).expect("valid")
+}
+
+fn compile(declarations: &Declarations, preset: &str, previous: Option<&Snapshot>) -> Snapshot {
+    let version = ConfigVersion(previous.map_or(1, |it| it.version.0 + 1));
+    Snapshot::compile(declarations, version, preset, "test", previous).expect("compiles")
+}
+
+/// Guards against checks that stop at the first fault, and against faults without a hint.
+#[test]
+fn check_every_fault_in_one_pass() {
+    let mut faulty = declarations();
+    faulty.sites[0].zone = "alpen-z".to_owned();
+    faulty.blocks.push(BlockDecl { cidr: "10.1.0.1/16".parse().unwrap(), site: "s9".to_owned() });
+    faulty.services[0].active_version = "v9".to_owned();
+    faulty.services[0].routes[0].timeout_ms = 0;
+    faulty.tenants[0].rate_per_s = -1.0;
+    faulty.tenants[1].name = "hof".to_owned();
+    faulty.presets[1].drains[0].name = "s9".to_owned();
+    let faults: Vec<String> = check(&faulty).iter().map(ToString::to_string).collect();
+    expect![[r#"
+        sites.s1: names the unknown zone `alpen-z` (hint: declare the zone in its region or correct the name)
+        blocks.10.1.0.1/16: names the unknown site `s9` (hint: declare the site or correct the name)
+        blocks.10.1.0.1/16: has bits set behind its prefix length (hint: write 10.1.0.0/16)
+        services.katalog: active version `v9` is not declared (hint: declare the version or correct `active_version`)
+        services.katalog.routes./: `timeout_ms` is 0 (hint: use a number from 1 to 86400000)
+        tenants.hof: is declared twice (hint: keep one declaration of the name)
+        tenants.hof: `rate_per_s` is -1 (hint: use a number from 0.001 to 10000000)
+        presets.maintenance.drains.s9: names the unknown site `s9` (hint: correct the name or remove the drain)"#]]
+    .assert_eq(&faults.join("\n"));
+    assert_eq!(check(&declarations()), []);
+}
+
+/// Guards against fields that are misspelt and silently ignored.
+#[test]
+fn from_yaml_unknown_field() {
+    let error = Declarations::from_yaml("tenants: [{ name: a, rate_per_s: 1, brust: 2 }]");
+    assert!(error.expect_err("an unknown field").to_string().contains("brust"));
+}
+
+/// Guards against requests that run under the rules of another route.
+#[test]
+fn route_longest_whole_segments() {
+    let snapshot = compile(&declarations(), "ordinary", None);
+    let katalog = snapshot.services.key("katalog").expect("declared");
+    let prefix = |method: &str, path: &str| {
+        let route = snapshot.route(katalog, method, path);
+        route.map(|it| snapshot.routes[it].path_prefix.clone())
+    };
+    assert_eq!(prefix("POST", "/admin/x").as_deref(), Some("/admin"));
+    assert_eq!(prefix("GET", "/admin/x").as_deref(), Some("/"), "the method does not match");
+    assert_eq!(prefix("GET", "/status").as_deref(), Some("/status"));
+    assert_eq!(prefix("GET", "/statusx").as_deref(), Some("/"), "not a whole segment");
+}
+
+/// Guards against keys of arenas that change their meaning with a new configuration.
+#[test]
+fn compile_keeps_keys_of_names() {
+    let first = compile(&declarations(), "ordinary", None);
+    let mut changed = declarations();
+    changed.tenants.remove(0);
+    changed.tenants.insert(0, changed.tenants[0].clone());
+    changed.tenants[0].name = "adler".to_owned();
+    let second = compile(&changed, "ordinary", Some(&first));
+    assert_eq!(first.tenants.key("zwinger"), second.tenants.key("zwinger"));
+    assert_eq!(second.tenants.key("hof"), None);
+    let hof = first.tenants.key("hof").expect("declared");
+    assert!(second.tenants.value(hof).is_none(), "the key of a removed name has a value");
+}
+
+/// Guards against drains that reach other instances than those below the named part.
+#[test]
+fn compile_marks_drained_instances() {
+    let ordinary = compile(&declarations(), "ordinary", None);
+    let maintenance = compile(&declarations(), "maintenance", Some(&ordinary));
+    let draining = |it: &Snapshot| it.instances.iter().filter(|it| it.1.draining).count();
+    assert_eq!((draining(&ordinary), draining(&maintenance)), (0, 1));
+}
+
+/// Guards against keys that pass with a wrong secret, and secrets in debug output.
+#[test]
+fn authenticate_whole_key() {
+    let key = CallerKey::new("my_key", [7; 24]);
+    let mut declared = declarations();
+    let (id, tenant) = ("my_key".to_owned(), "zwinger".to_owned());
+    declared.keys.push(KeyDecl { id, tenant, sha256: key.hash() });
+    let snapshot = compile(&declared, "ordinary", None);
+    let shown = CallerKey::parse(key.reveal()).expect("a key");
+    assert_eq!(snapshot.authenticate(&shown), snapshot.tenants.key("zwinger"));
+    let other = CallerKey::new("my_key", [8; 24]);
+    assert_eq!(snapshot.authenticate(&other), None);
+    assert_eq!(format!("{shown:?}"), "CallerKey(my_key)");
+    assert_eq!(CallerKey::parse("kc_x"), Err(KeyParseError::Shape));
+    assert_eq!(CallerKey::parse("x"), Err(KeyParseError::Prefix));
+}
+
+/// Guards against plans that miss a change or show one where there is none.
+#[test]
+fn plan_names_changes() {
+    let mut wanted = declarations();
+    wanted.tenants[0].burst = 30.0;
+    wanted.sites.remove(1);
+    wanted.blocks[1].site = "s1".to_owned();
+    let changes: Vec<String> =
+        plan(&declarations(), &wanted).iter().map(ToString::to_string).collect();
+    expect![[r#"
+        remove sites.s2
+        update blocks.10.1.0.0/16
+        update tenants.hof"#]]
+    .assert_eq(&changes.join("\n"));
+    assert_eq!(plan(&declarations(), &declarations()), []);
+}
+
+/// Guards against a corrupted chunk that becomes part of a configuration.
+#[test]
+fn assemble_corrupted_chunk() {
+    let chunks = split(&declarations()).expect("splits");
+    let head = head(&chunks);
+    let mut bytes: Vec<Vec<u8>> = chunks.iter().map(|it| it.bytes.clone()).collect();
+    bytes[0][3] ^= 1;
+    let mut at = 0;
+    let res = assemble(&head, |_| {
+        at += 1;
+        Some(bytes[at - 1].as_slice())
+    });
+    assert!(res.expect_err("a corrupted chunk").to_string().contains("does not match its hash"));
+}
+
+/// The head over chunks.
+fn head(chunks: &[kingcupford_config::Chunk]) -> Head {
+    Head {
+        version: 1,
+        change_id: "c".to_owned(),
+        source_revision: "r".to_owned(),
+        active_preset: "ordinary".to_owned(),
+        chunks: chunks.iter().map(|it| it.name.clone()).collect(),
+    }
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 24, failure_persistence: None, ..Config::default() })]
+
+    /// Guards against declarations that change on their way through chunks, and against a changed
+    /// block that replaces more than two of them.
+    #[test]
+    fn split_round_trip(seeds in proptest::collection::btree_set(0_u32..1 << 24, 1..6_000), at: prop::sample::Index) {
+        let mut all = declarations();
+        all.blocks = seeds
+            .iter()
+            .map(|it| BlockDecl { cidr: format!("{}/32", std::net::Ipv4Addr::from(it << 4)).parse().unwrap(), site: "s1".to_owned() })
+            .collect();
+        all.sort();
+        let chunks = split(&all).expect("splits");
+        let mut next = chunks.iter();
+        let back = assemble(&head(&chunks), |_| next.next().map(|it| it.bytes.as_slice()));
+        prop_assert_eq!(&back.expect("assembles"), &all);
+        let changed_at = at.index(all.blocks.len());
+        all.blocks[changed_at].site = "s2".to_owned();
+        let changed = split(&all).expect("splits");
+        let new = changed.iter().filter(|it| !chunks.contains(it)).count();
+        prop_assert!(new <= 2, "{} chunks replaced", new);
+    }
+}
