Test the decoders of messages over random bytes

Cause: only the frame decoder was tested against hostile input. Change: property tests of every message kind over random bytes, announced lengths, trailing bytes and unknown kinds, with 2,000 cases each. Conclusion: no payload panics or allocates what it announces in these cases.

--- /dev/null
+++ b/crates/engine/tests/message.rs
@@ -0,0 +1,44 @@
+//! Decoding of messages between hosts.
+
+use kingcupford_engine::Message;
+use proptest::{prelude::*, test_runner::Config};
+
+/// Kinds in use and some of later versions.
+const KINDS: std::ops::Range<u16> = 0..64;
+
+proptest! {
+    #![proptest_config(Config { cases: 2_000, failure_persistence: None, ..Config::default() })]
+
+    /// Guards against a hostile or damaged payload that panics or allocates what it announces.
+    #[test]
+    fn decode_random_bytes(
+        kind in KINDS,
+        payload in proptest::collection::vec(any::<u8>(), 0..300),
+    ) {
+        let _ = Message::decode(kind, &payload);
+    }
+
+    /// Guards against lengths far above the payload.
+    #[test]
+    fn decode_announced_length(kind in KINDS, length in any::<u64>()) {
+        let mut payload = vec![253];
+        payload.extend(length.to_le_bytes());
+        let _ = Message::decode(kind, &payload);
+    }
+
+    /// Guards against newer peers whose payloads are longer and whose kinds are unknown.
+    #[test]
+    fn decode_trailing_bytes(trailing in proptest::collection::vec(any::<u8>(), 0..50)) {
+        let message = Message::Reports(vec![kingcupford_engine::InstanceReport {
+            instance: "k1".to_owned(),
+            in_flight: 3,
+            draining: true,
+            age_ms: 5,
+        }]);
+        let mut payload = message.encode().expect("encodes");
+        payload.extend(trailing);
+        let decoded = Message::decode(message.kind(), &payload).expect("decodes");
+        prop_assert!(matches!(decoded, Some(Message::Reports(it)) if it[0].in_flight == 3));
+        prop_assert!(matches!(Message::decode(60_000, &payload), Ok(None)));
+    }
+}
