--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -80,7 +80,7 @@
     pub(crate) shift_credit: Vec<f64>,
     /// Ticket of the next request.
     pub(crate) next_ticket: u64,
-    /// When each member was last told apart for lookups.
+    /// When the table of hosts was built last.
     pub(crate) hosts_refreshed: Option<Instant>,
     /// Whether this host shuts down; a drain by the active preset can be taken back instead.
     pub(crate) draining: bool,
@@ -159,7 +159,7 @@
     pub(crate) ready: bool,
     /// Whether it waits in its service's queue.
     pub(crate) queued: bool,
-    /// Whether it may run on other regions' instances of the new version only by choice of the split.
+    /// The choice between old and new version, `None` without a rollout.
     pub(crate) pick: Option<kingcupford_rollout::Pick>,
 }
 
