Keep one read period, one lookup of the active preset, and build no message that is thrown away

Cause: the period of load reports stood in the engine and in the entry host and had to be equal; the active preset was looked up in four places; telling peers of reports built an empty message for each and replaced it. Behaviour is the same. Conclusion: the two pairs cannot drift apart.

--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -293,17 +293,20 @@
         self.zones[zone].region
     }
 
+    /// The active preset, `None` only in the empty snapshot.
+    pub fn preset(&self) -> Option<&Preset> {
+        self.active_preset.and_then(|it| self.presets.value(it))
+    }
+
     /// Shifts of the active preset.
     pub fn active_shifts(&self) -> impl Iterator<Item = (ShiftId, &Shift)> {
-        let preset = self.active_preset.and_then(|it| self.presets.value(it));
-        let shifts = preset.map(|it| it.shifts.as_slice()).unwrap_or_default();
+        let shifts = self.preset().map(|it| it.shifts.as_slice()).unwrap_or_default();
         shifts.iter().map(|it| (*it, &self.shifts[*it]))
     }
 
     /// The active preset's limit on requests of a service that run in a region at the same time.
     pub fn region_limit(&self, service: ServiceId, region: RegionId) -> Option<u32> {
-        let preset = self.active_preset.and_then(|it| self.presets.value(it))?;
-        let limits = &preset.region_limits;
+        let limits = &self.preset()?.region_limits;
         let limit = limits.iter().find(|it| it.service == service && it.region == region)?;
         Some(limit.max_in_flight)
     }
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -393,13 +393,13 @@
     }
 
     /// One envelope for each peer that is not gone.
-    pub(crate) fn to_all(&self, message: &Message) -> Vec<Envelope> {
+    fn to_all(&self, message: &Message) -> Vec<Envelope> {
         let peers = self.peers_by_nearness();
         peers.into_iter().map(|to| Envelope { to, message: message.clone() }).collect()
     }
 
     /// Peers that can answer, the own zone first, then the own region, then the others.
-    fn peers_by_nearness(&self) -> Vec<String> {
+    pub(crate) fn peers_by_nearness(&self) -> Vec<String> {
         let own = self.fleet.identity();
         let region = |zone: &str| {
             let zone = self.snapshot.zones.key(zone)?;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -327,7 +327,7 @@
 
     /// What operators and tests see.
     pub fn status(&mut self, now: Instant) -> Status {
-        let preset = self.snapshot.active_preset.and_then(|it| self.snapshot.presets.value(it));
+        let preset = self.snapshot.preset();
         Status {
             config_version: self.snapshot.version.0,
             preset: preset.map_or_else(String::new, |it| it.name.clone()),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -20,7 +20,7 @@
     lookup::{LookupAnswer, LookupQuery, NamedHost},
     message::{Envelope, Message},
     notice::Notice,
-    reports::{InstanceReport, PollTarget},
+    reports::{InstanceReport, PollTarget, READ_EVERY},
     request::{
         Admission, Attempt, AttemptEnd, Next, Reason, Refusal, RequestHead, ShownKey, Start, Ticket,
     },
--- a/crates/engine/src/lookup.rs
+++ b/crates/engine/src/lookup.rs
@@ -138,8 +138,7 @@
 
     /// Whether the active preset drains a host.
     fn is_host_drained(&self, name: &str) -> bool {
-        let preset = self.snapshot.active_preset.and_then(|it| self.snapshot.presets.value(it));
-        let drains = preset.map(|it| it.drains.as_slice()).unwrap_or_default();
+        let drains = self.snapshot.preset().map(|it| it.drains.as_slice()).unwrap_or_default();
         drains.iter().any(|it| it.target == DrainTarget::Host && it.name == name)
     }
 }
--- a/crates/engine/src/reports.rs
+++ b/crates/engine/src/reports.rs
@@ -19,7 +19,7 @@
 const READERS: usize = 2;
 
 /// Time between two reads of one instance.
-pub(crate) const READ_EVERY: Duration = Duration::from_secs(1);
+pub const READ_EVERY: Duration = Duration::from_secs(1);
 
 /// An instance whose reports this host reads.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,15 +69,13 @@
     pub fn reports_read(&mut self, reports: Vec<InstanceReport>, now: Instant) -> Vec<Envelope> {
         self.receive_reports(&reports, now);
         let Some((_, region)) = self.home() else { return Vec::new() };
-        let near: Vec<String> =
-            self.hosts_of_region(region).iter().map(|it| (*it).to_owned()).collect();
+        let near = self.hosts_of_region(region);
         let draining: Vec<_> = reports.iter().filter(|it| it.draining).cloned().collect();
         let mut res = Vec::new();
-        for envelope in self.to_all(&Message::Reports(Vec::new())) {
-            let reports = if near.contains(&envelope.to) { &reports } else { &draining };
-            if !reports.is_empty() {
-                let message = Message::Reports(reports.clone());
-                res.push(Envelope { to: envelope.to, message });
+        for to in self.peers_by_nearness() {
+            let told = if near.contains(&to.as_str()) { &reports } else { &draining };
+            if !told.is_empty() {
+                res.push(Envelope { to, message: Message::Reports(told.clone()) });
             }
         }
         res
--- a/crates/entry/src/reports.rs
+++ b/crates/entry/src/reports.rs
@@ -3,15 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_util::{StreamExt as _, stream};
-use kingcupford_engine::{InstanceReport, PollTarget};
+use kingcupford_engine::{InstanceReport, PollTarget, READ_EVERY};
 use serde::Deserialize;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::host::Host;
 
-/// Time between two reads of one instance.
-const READ_EVERY: Duration = Duration::from_secs(1);
-
 /// Time for one read; a slow report is of no use.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 
