--- a/crates/engine/src/outcome.rs
+++ b/crates/engine/src/outcome.rs
@@ -4,7 +4,7 @@
 
 use kingcupford_quota::Resource;
 use kingcupford_route::{
-    AttemptFacts, AttemptOutcome, Check, End, Outcome, RetryDecision, RetryRule,
+    AttemptFacts, AttemptOutcome, Check, End, MAX_ATTEMPTS, Outcome, RetryDecision, RetryRule,
 };
 use tokio::time::Instant;
 
@@ -34,6 +34,7 @@
             byte_sent: end.byte_sent,
             earlier_may_have_run: request.may_have_run,
             attempts: request.attempts,
+            max_attempts: MAX_ATTEMPTS,
             budget_left: budget_left && !(broke && was_suspect),
             remaining: request.deadline.saturating_duration_since(now),
         };
--- /dev/null
+++ b/crates/gateway/src/feed.rs
@@ -0,0 +1,481 @@
+//! What the process learns from the platform and writes to it.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use kingcupford_platform::{
+    Answer, Condition, HostEntry, HostState, ObjectStore, Outage, Progress, Reachability,
+    WatchEvent, Watcher, WatcherSettings, WriteOutcome,
+};
+use kingcupford_steer::{
+    Canary, InstanceReport, Lapse, Manifest, Member, Places, Registered, RolloutOrder,
+    RolloutState,
+};
+use kingcupford_telemetry::Event;
+use tokio::time::{Instant, sleep};
+
+use crate::state::State;
+
+/// Wait of one watch on the manifest: each that ends confirms the view.
+const MANIFEST_WAIT_MS: u64 = 1000;
+
+/// Wait of other watches: a change is noticed at once, a watch that hangs after this time.
+const OTHER_WAIT_MS: u64 = 2500;
+
+/// Least time between two watches of one kind, so that a burst of changes takes few calls.
+const SPACING_MS: u64 = 100;
+
+/// Longest wait between two attempts during an outage, so that its end is noticed soon.
+const MAX_BACKOFF_MS: u64 = 300;
+
+/// Outages shorter than this cannot have let registrations lapse: instances register every 1.5 s,
+/// and an entry ends after three silent intervals.
+const LAPSING_OUTAGE: Duration = Duration::from_millis(2500);
+
+/// Time after an outage in which living instances register again.
+const REGISTER_AGAIN: Duration = Duration::from_millis(2200);
+
+/// Time between two attempts to register this host.
+const ANNOUNCE_AGAIN: Duration = Duration::from_millis(300);
+
+/// Time between two checks that this host is still registered.
+const ANNOUNCE_EVERY: Duration = Duration::from_secs(20);
+
+/// Kinds of objects in the platform.
+#[derive(Debug, Clone, Copy)]
+pub struct FeedNames {
+    /// Start of the manifest's name.
+    pub manifest: &'static str,
+    /// Start of the names of registrations.
+    pub instances: &'static str,
+    /// Start of the names of rollout orders.
+    pub rollouts: &'static str,
+    /// End of the name under which a rollout's status is written.
+    pub status: &'static str,
+    /// Start of the names of evacuations.
+    pub evacuations: &'static str,
+    /// Start of the names of this system's hosts.
+    pub hosts: &'static str,
+}
+
+/// Decodes the platform's objects into the product's types; an error names the field.
+pub trait Decoder: 'static {
+    /// Kinds of objects.
+    fn names(&self) -> FeedNames;
+
+    /// A manifest.
+    fn manifest(&self, value: &[u8]) -> anyhow::Result<Manifest>;
+
+    /// A registration.
+    fn instance(&self, id: &str, value: &[u8], places: &Places) -> anyhow::Result<InstanceReport>;
+
+    /// A rollout order with its status.
+    fn rollout(&self, service: &str, value: &[u8]) -> anyhow::Result<RolloutObject>;
+
+    /// A host of this system.
+    fn host(&self, value: &[u8]) -> anyhow::Result<HostEntry>;
+
+    /// The value of a rollout's status.
+    fn encode_status(&self, status: &StoredStatus) -> Bytes;
+}
+
+/// A rollout as the platform holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutObject {
+    /// The order.
+    pub order: RolloutOrder,
+    /// The status that was written last, which may be that of an earlier order.
+    pub status: Option<StoredStatus>,
+}
+
+/// A rollout's status.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredStatus {
+    /// The version that it speaks of.
+    pub target_version: String,
+    /// The state.
+    pub state: RolloutState,
+    /// When the order was first seen.
+    pub started_unix_ms: Option<u64>,
+}
+
+/// Follows the platform until it is dropped.
+pub(crate) struct Feed<S, D> {
+    /// The platform.
+    store: Arc<S>,
+    /// Decodes objects.
+    decoder: Rc<D>,
+    /// The process.
+    state: Rc<State>,
+}
+
+impl<S, D> Clone for Feed<S, D> {
+    fn clone(&self) -> Self {
+        Self {
+            store: Arc::clone(&self.store),
+            decoder: Rc::clone(&self.decoder),
+            state: Rc::clone(&self.state),
+        }
+    }
+}
+
+impl<S: ObjectStore, D: Decoder> Feed<S, D> {
+    /// A feed that has not started.
+    pub(crate) fn new(store: Arc<S>, decoder: Rc<D>, state: Rc<State>) -> Self {
+        Self { store, decoder, state }
+    }
+
+    /// Starts to follow every kind and to register this host.
+    pub(crate) fn start(&self) {
+        let names = self.decoder.names();
+        for prefix in [names.instances, names.rollouts, names.evacuations, names.hosts] {
+            let feed = self.clone();
+            tokio::task::spawn_local(async move { feed.follow(prefix, OTHER_WAIT_MS).await });
+        }
+        let feed = self.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                let behind = feed.state.manifest_behind.notified();
+                tokio::select! {
+                    () = feed.follow(names.manifest, MANIFEST_WAIT_MS) => {}
+                    // Another watch lists at once.
+                    () = async { behind.await; sleep(Duration::from_millis(SPACING_MS)).await } => {}
+                }
+            }
+        });
+        let feed = self.clone();
+        tokio::task::spawn_local(async move { feed.announce().await });
+    }
+
+    /// Writes a rollout's status if nobody else changed it.
+    pub(crate) fn write_status(&self, service: String, version: String, state: RolloutState) {
+        let known = self.state.rollout_versions.borrow().get(&service).copied();
+        let Some(object_version) = known else { return };
+        let started = self.state.rollout_starts.borrow().get(&service).copied();
+        let status = StoredStatus {
+            target_version: version,
+            state,
+            started_unix_ms: Some(started.unwrap_or_else(unix_ms)),
+        };
+        let names = self.decoder.names();
+        let name = format!("{}{service}{}", names.rollouts, names.status);
+        let value = self.decoder.encode_status(&status);
+        let feed = self.clone();
+        tokio::task::spawn_local(async move {
+            let condition = Condition::Version(object_version);
+            let outcome = feed.store.write(&name, value, condition).await;
+            feed.state.metrics.platform_calls.inc();
+            let version = &status.target_version;
+            Event::RolloutStatusWritten.log(format_args!(
+                "service={service} version={version} state={state} \
+                 object_version={object_version} outcome=\"{outcome:?}\""
+            ));
+            if let WriteOutcome::Written { version } = outcome {
+                let mut versions = feed.state.rollout_versions.borrow_mut();
+                let known = versions.entry(service.clone()).or_insert(version);
+                *known = version.max(*known);
+                drop(versions);
+                let mut steering = feed.state.steering.borrow_mut();
+                if let Some(it) = steering.versions.rollout_mut(&service)
+                    && it.order().target_version == status.target_version
+                {
+                    it.set_state(state);
+                }
+            }
+        });
+    }
+
+    /// Ends the registration of this host.
+    pub(crate) async fn retire(&self) {
+        let own = self.state.settings().steering.own.name.clone();
+        let name = format!("{}{own}", self.decoder.names().hosts);
+        let outcome = self.store.delete(&name, Condition::Always).await;
+        log::debug!("registration of {own} deleted: {outcome:?}");
+    }
+
+    /// Registers this host and keeps it registered.
+    async fn announce(&self) {
+        loop {
+            let settings = self.state.settings();
+            let own = &settings.steering.own;
+            let entry = HostEntry {
+                name: own.name.clone(),
+                zone: settings.steering.places.zone_name(own.place.zone).to_owned(),
+                peer_address: own.peer_address,
+                public_addresses: vec![own.caller_address],
+                state: HostState::Live,
+            };
+            self.state.metrics.platform_calls.inc();
+            match self.store.announce(&entry).await {
+                Answer::Value(()) => sleep(ANNOUNCE_EVERY).await,
+                Answer::Unavailable => sleep(ANNOUNCE_AGAIN).await,
+                Answer::Throttled { retry_after_ms } => {
+                    sleep(Duration::from_millis(retry_after_ms)).await;
+                }
+            }
+        }
+    }
+
+    /// Follows the objects of one kind.
+    async fn follow(&self, prefix: &'static str, wait_ms: u64) {
+        let settings = WatcherSettings {
+            prefixes: vec![prefix.to_owned()],
+            wait_ms,
+            short_wait_ms: wait_ms.min(500),
+            spacing_ms: SPACING_MS,
+            max_backoff_ms: MAX_BACKOFF_MS,
+        };
+        let seed = self.state.settings().steering.seed;
+        let mut watcher = Watcher::start(Arc::clone(&self.store), settings, seed);
+        loop {
+            tokio::select! {
+                biased;
+                // Changes go first: progress says that all of them were told.
+                event = watcher.events.recv() => match event {
+                    Some(it) => self.apply(prefix, it),
+                    None => return,
+                },
+                Ok(()) = watcher.progress.changed() => {
+                    let progress = *watcher.progress.borrow_and_update();
+                    if let Some(it) = progress {
+                        self.progressed(prefix, it);
+                    }
+                }
+                Ok(()) = watcher.reachability.changed() => {
+                    let reach = *watcher.reachability.borrow_and_update();
+                    match reach {
+                        Reachability::Unknown => {}
+                        Reachability::Reachable => {
+                            Event::PlatformAvailable.log(format_args!("watch={prefix}"));
+                        }
+                        Reachability::Unreachable { .. } => {
+                            Event::PlatformUnavailable.log(format_args!("watch={prefix}"));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Notes that everything up to a time was told.
+    fn progressed(&self, prefix: &str, progress: Progress) {
+        self.state.metrics.platform_calls.inc();
+        if prefix == self.decoder.names().manifest {
+            let now = Instant::now();
+            self.state.check_pause(now);
+            self.state.steering.borrow_mut().freshness.confirm(progress.sent_at);
+        }
+    }
+
+    /// Takes a change in.
+    fn apply(&self, prefix: &str, event: WatchEvent) {
+        let names = self.decoder.names();
+        let name = event.name.strip_prefix(prefix).unwrap_or(&event.name).to_owned();
+        if prefix == names.manifest {
+            self.apply_manifest(&event);
+        } else if prefix == names.instances {
+            self.apply_instance(&name, event);
+        } else if prefix == names.rollouts {
+            self.apply_rollout(&name, event);
+        } else if prefix == names.evacuations {
+            self.apply_evacuation(&name, event.object.is_some());
+        } else {
+            self.apply_host(&name, event);
+        }
+    }
+
+    /// Takes a manifest in.
+    fn apply_manifest(&self, event: &WatchEvent) {
+        let Some(object) = &event.object else {
+            let name = &event.name;
+            Event::ConfigRejected.log(format_args!("object={name} reason=\"it was deleted\""));
+            return;
+        };
+        let manifest = match self.decoder.manifest(&object.bytes) {
+            Ok(it) => it,
+            Err(error) => {
+                let (name, version) = (&event.name, object.version);
+                Event::ConfigRejected.log(format_args!(
+                    "object={name} object_version={version} reason=\"{error:#}\""
+                ));
+                return;
+            }
+        };
+        let (version, routes) = (manifest.version(), manifest.route_count());
+        let mut steering = self.state.steering.borrow_mut();
+        let in_force = steering.manifest().map_or(0, |it| it.version());
+        if steering.install(manifest, Instant::now()) {
+            Event::ConfigActive
+                .log(format_args!("version={version} before={in_force} routes={routes}"));
+        } else if version < in_force {
+            Event::ConfigOlderIgnored.log(format_args!("version={version} in_force={in_force}"));
+        }
+    }
+
+    /// Takes a registration or its end in.
+    fn apply_instance(&self, id: &str, event: WatchEvent) {
+        let now = Instant::now();
+        let mut steering = self.state.steering.borrow_mut();
+        let known = steering.ready_set.key(id);
+        let Some(object) = event.object else {
+            let lapse = lapse(event.outage, now);
+            if lapse == Lapse::Gone
+                && let Some(key) = known
+            {
+                self.state.pool.forget(key);
+            }
+            steering.ready_set.deregister(id, lapse);
+            Event::InstanceGone.log(format_args!("instance={id} lapse=\"{lapse:?}\""));
+            return;
+        };
+        let report = self.decoder.instance(id, &object.bytes, &steering.settings().places);
+        let report = match report {
+            Ok(it) => it,
+            Err(error) => {
+                let version = object.version;
+                Event::InstanceRejected.log(format_args!(
+                    "instance={id} object_version={version} reason=\"{error:#}\""
+                ));
+                steering.ready_set.deregister(id, Lapse::Gone);
+                return;
+            }
+        };
+        let details = format!(
+            "instance={id} service={} address={} version={} slots={} state={} cold_ms={}",
+            report.service,
+            report.address,
+            report.version,
+            report.slots,
+            report.state,
+            report.cold_remaining.as_millis()
+        );
+        match steering.ready_set.register(report, now) {
+            Registered::Started | Registered::Updated => {
+                Event::InstanceRegistered.log(format_args!("{details}"));
+            }
+            Registered::Draining => {
+                if let Some(key) = known {
+                    self.state.pool.forget(key);
+                }
+                Event::InstanceDraining.log(format_args!("{details}"));
+            }
+            Registered::Unchanged => {}
+        }
+    }
+
+    /// Takes a rollout order, its status, or its end in.
+    fn apply_rollout(&self, service: &str, event: WatchEvent) {
+        let Some(object) = event.object else {
+            self.state.rollout_versions.borrow_mut().remove(service);
+            self.state.rollout_starts.borrow_mut().remove(service);
+            self.state.steering.borrow_mut().versions.remove(service);
+            Event::RolloutChanged.log(format_args!("service={service} state=removed"));
+            return;
+        };
+        let rollout = match self.decoder.rollout(service, &object.bytes) {
+            Ok(it) => it,
+            Err(error) => {
+                let version = object.version;
+                Event::OrderRejected.log(format_args!(
+                    "rollout={service} object_version={version} reason=\"{error:#}\""
+                ));
+                return;
+            }
+        };
+        let now = Instant::now();
+        let order = rollout.order;
+        let status = rollout.status.filter(|it| it.target_version == order.target_version);
+        let started = status.as_ref().and_then(|it| it.started_unix_ms);
+        self.state.rollout_versions.borrow_mut().insert(service.to_owned(), object.version);
+        let mut starts = self.state.rollout_starts.borrow_mut();
+        let mut steering = self.state.steering.borrow_mut();
+        let settings = steering.settings().canary;
+        let known = steering.versions.rollout(service).map(Canary::order);
+        if known != Some(&order) {
+            let started_ms = started.unwrap_or_else(unix_ms);
+            starts.insert(service.to_owned(), started_ms);
+            let elapsed = Duration::from_millis(unix_ms().saturating_sub(started_ms));
+            let canary = Canary::new(order.clone(), settings, elapsed, now);
+            steering.versions.insert(canary);
+        }
+        let state = status.map(|it| it.state);
+        if let (Some(state), Some(it)) = (state, steering.versions.rollout_mut(&order.service)) {
+            it.set_state(state);
+        }
+        Event::RolloutChanged.log(format_args!(
+            "service={service} version={} duration_ms={} state={} object_version={}",
+            order.target_version,
+            order.duration.as_millis(),
+            state.map_or("ordered".to_owned(), |it| it.to_string()),
+            object.version
+        ));
+    }
+
+    /// Takes the evacuation of a zone or its end in.
+    fn apply_evacuation(&self, zone: &str, is_ordered: bool) {
+        let mut steering = self.state.steering.borrow_mut();
+        let Some(place) = steering.settings().places.place(zone) else {
+            Event::OrderRejected.log(format_args!("evacuation={zone} reason=\"unknown zone\""));
+            return;
+        };
+        let mut zones = steering.chooser.evacuated().to_vec();
+        zones.retain(|it| *it != place.zone);
+        if is_ordered {
+            zones.push(place.zone);
+            Event::ZoneEvacuated.log(format_args!("zone={zone}"));
+        } else {
+            Event::ZoneReturned.log(format_args!("zone={zone}"));
+        }
+        steering.chooser.set_evacuated(zones);
+    }
+
+    /// Takes the registration of a host or its end in.
+    fn apply_host(&self, name: &str, event: WatchEvent) {
+        let mut steering = self.state.steering.borrow_mut();
+        if name == steering.settings().own.name {
+            return;
+        }
+        let Some(object) = event.object else {
+            steering.members.deregister(name);
+            Event::MemberGone.log(format_args!("member={name} reason=\"no longer registered\""));
+            return;
+        };
+        let entry = self.decoder.host(&object.bytes);
+        let member = entry.and_then(|it| member(it, &steering.settings().places));
+        match member {
+            Ok(it) => steering.members.register(it),
+            Err(error) => {
+                Event::PeerRefused.log(format_args!("member={name} reason=\"{error:#}\""));
+            }
+        }
+    }
+}
+
+/// A host from its registration.
+fn member(entry: HostEntry, places: &Places) -> anyhow::Result<Member> {
+    let HostEntry { name, zone, peer_address, public_addresses, state: _ } = entry;
+    let place = places.place(&zone);
+    let place = place.ok_or_else(|| anyhow::anyhow!("zone `{zone}` is not in the settings"))?;
+    let address = public_addresses.first();
+    let caller_address =
+        *address.ok_or_else(|| anyhow::anyhow!("public_addresses of `{name}` is empty"))?;
+    Ok(Member { name, place, peer_address, caller_address })
+}
+
+/// What the end of a registration means after an outage.
+fn lapse(outage: Option<Outage>, now: Instant) -> Lapse {
+    let Some(outage) = outage else { return Lapse::Gone };
+    let length = outage.ended_at.saturating_duration_since(outage.began_at);
+    let until = outage.ended_at + REGISTER_AGAIN;
+    if length >= LAPSING_OUTAGE && now < until { Lapse::Until(until) } else { Lapse::Gone }
+}
+
+/// The time of day.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! The process in front of self-registering upstreams: callers in, requests out, and what the
+//! hosts tell each other and the platform.
+
+mod answer;
+mod callers;
+mod clock;
+mod control;
+mod exchange;
+mod feed;
+mod forward;
+mod gateway;
+mod outgoing;
+mod peers;
+mod pool;
+mod request_log;
+mod settings;
+mod state;
+
+pub use crate::{
+    feed::{Decoder, FeedNames, RolloutObject, StoredStatus},
+    gateway::run,
+    settings::{GatewaySettings, HeaderNames, ListenAddresses, SettingsSource},
+};
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,86 @@
+//! What the parts of a process share; it runs on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+};
+
+use kingcupford_steer::{BeatState, Steering};
+use kingcupford_telemetry::{Event, Metrics};
+use tokio::{sync::Notify, time::Instant};
+
+use crate::{clock, pool::Pool, settings::GatewaySettings};
+
+/// Shared state of a process.
+pub(crate) struct State {
+    /// Settings in force.
+    pub(crate) settings: RefCell<Rc<GatewaySettings>>,
+    /// Decisions.
+    pub(crate) steering: RefCell<Steering>,
+    /// Connections to instances.
+    pub(crate) pool: Pool,
+    /// Metrics.
+    pub(crate) metrics: Metrics,
+    /// What the process does.
+    pub(crate) phase: Cell<Phase>,
+    /// Requests that run.
+    pub(crate) in_flight: Cell<usize>,
+    /// Signalled when a peer has a newer manifest, so that a watch that hangs is given up.
+    pub(crate) manifest_behind: Notify,
+    /// Versions of the rollout objects by service, for conditional writes.
+    pub(crate) rollout_versions: RefCell<BTreeMap<String, u64>>,
+    /// Start of each rollout by service, as the platform holds it.
+    pub(crate) rollout_starts: RefCell<BTreeMap<String, u64>>,
+}
+
+/// What the process does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It serves.
+    Serving,
+    /// It shuts down and still serves; responses close their connections.
+    Draining,
+    /// It finishes what runs and refuses the rest.
+    Closing,
+}
+
+impl State {
+    /// The state of a process that has learned nothing.
+    pub(crate) fn new(settings: GatewaySettings) -> Rc<Self> {
+        let steering = Steering::new(settings.steering.clone(), clock::suspended());
+        Rc::new(Self {
+            settings: RefCell::new(Rc::new(settings)),
+            steering: RefCell::new(steering),
+            pool: Pool::default(),
+            metrics: Metrics::new(),
+            phase: Cell::new(Phase::Serving),
+            in_flight: Cell::new(0),
+            manifest_behind: Notify::new(),
+            rollout_versions: RefCell::default(),
+            rollout_starts: RefCell::default(),
+        })
+    }
+
+    /// Settings in force.
+    pub(crate) fn settings(&self) -> Rc<GatewaySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Voids the view after a pause; to be called before any decision that needs a fresh one.
+    pub(crate) fn check_pause(&self, now: Instant) {
+        let pause = self.steering.borrow_mut().freshness.suspended(clock::suspended(), now);
+        if let Some(pause) = pause {
+            Event::ResumedAfterPause.log(format_args!("pause_ms={}", pause.as_millis()));
+        }
+    }
+
+    /// What peers are told of this process.
+    pub(crate) fn beat_state(&self, now: Instant) -> BeatState {
+        match self.phase.get() {
+            Phase::Draining | Phase::Closing => BeatState::Draining,
+            Phase::Serving if self.steering.borrow().is_confirmed(now) => BeatState::Serving,
+            Phase::Serving => BeatState::Unready,
+        }
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -4,18 +4,19 @@
 
 use anyhow::{Context as _, ensure};
 use bytes::Bytes;
-use reqwest::{Client, Method, RequestBuilder, Response, StatusCode, Url, header};
-use serde::{Deserialize, de::DeserializeOwned};
-
-use crate::object::{
-    Answer, Condition, HostEntry, Listing, Object, ObjectChange, ObjectStore, Watched, WriteOutcome,
+use http::StatusCode;
+use reqwest::{Client, Url};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    dialect::{Announce, Call, Dialect, PlainDialect, Reply},
+    object::{
+        Answer, Condition, HostEntry, Listing, Object, ObjectStore, Watched, WriteOutcome,
+    },
 };
 
-/// Wait after a throttled call whose response names no time.
-const DEFAULT_RETRY_AFTER_MS: u64 = 1000;
-
-/// Longest wait that a throttled response may ask for.
-const MAX_RETRY_AFTER_MS: u64 = 30_000;
+/// Pages of one list at most, so that a platform that repeats a page cannot hold a reader.
+const MAX_PAGES: usize = 200;
 
 /// Where the platform is and how long its calls may take.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,18 +48,36 @@
 
 /// Client of the object API; clones share their connections.
 #[derive(Debug, Clone)]
-pub struct HttpObjectStore {
+pub struct HttpObjectStore<D = PlainDialect> {
     /// The HTTP client.
     client: Client,
     /// Base of all URLs.
     base: Url,
     /// Timeouts.
     settings: HttpStoreSettings,
+    /// What calls look like.
+    dialect: D,
+}
+
+/// A call that brought no response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallFailure {
+    /// No byte of it was sent.
+    NotSent,
+    /// It may have been received.
+    NoReply,
 }
 
 impl HttpObjectStore {
-    /// A client that opens connections on demand.
+    /// A client of the plain dialect that opens connections on demand.
     pub fn new(settings: HttpStoreSettings) -> anyhow::Result<Self> {
+        Self::with_dialect(settings, PlainDialect)
+    }
+}
+
+impl<D: Dialect> HttpObjectStore<D> {
+    /// A client that opens connections on demand.
+    pub fn with_dialect(settings: HttpStoreSettings, dialect: D) -> anyhow::Result<Self> {
         let place = format!("platform URL `{}`", settings.base_url);
         let base = Url::parse(&settings.base_url)
             .with_context(|| format!("{place} cannot be read (hint: use http://HOST:PORT)"))?;
@@ -68,96 +87,68 @@
             .redirect(reqwest::redirect::Policy::none())
             .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
             .build()?;
-        Ok(Self { client, base, settings })
+        Ok(Self { client, base, settings, dialect })
     }
 
-    /// A request to the path made of `segments`, which are escaped.
-    fn request<'s>(
-        &self,
-        method: Method,
-        segments: impl IntoIterator<Item = &'s str>,
-    ) -> RequestBuilder {
+    /// Sends a call and reads its response.
+    async fn call(&self, call: Call, timeout: Duration) -> Result<Reply, CallFailure> {
+        let deadline = Instant::now() + timeout;
         let mut url = self.base.clone();
         if let Ok(mut path) = url.path_segments_mut() {
-            path.pop_if_empty().push("v1").extend(segments);
+            path.pop_if_empty().extend(&call.path);
         }
-        self.client.request(method, url)
-    }
-
-    /// A request to an object.
-    fn object_request(&self, method: Method, name: &str) -> RequestBuilder {
-        self.request(method, std::iter::once("objects").chain(name.split('/')))
-    }
-
-    /// Sends a call that has no lasting effect and reads its JSON response.
-    async fn call<T: DeserializeOwned>(
-        &self,
-        request: RequestBuilder,
-        timeout: Duration,
-    ) -> Answer<T> {
-        let response = match self.send(request, timeout).await {
-            Answer::Value(it) if it.status().is_success() => it,
-            Answer::Value(_) | Answer::Unavailable => return Answer::Unavailable,
-            Answer::Throttled { retry_after_ms } => return Answer::Throttled { retry_after_ms },
-        };
-        match response.json().await {
-            Ok(it) => Answer::Value(it),
-            Err(error) => {
-                log::warn!("platform sent an unreadable response: {error}");
-                Answer::Unavailable
-            }
+        let mut request = self.client.request(call.method, url);
+        if !call.query.is_empty() {
+            request = request.query(&call.query);
+        }
+        for (name, value) in call.headers {
+            request = request.header(name, value);
         }
+        if let Some(body) = call.body {
+            request = request.body(body);
+        }
+        let response = match timeout_at(deadline, request.send()).await {
+            Ok(Ok(it)) => it,
+            // Without a connection no byte of the request was sent.
+            Ok(Err(error)) if error.is_connect() => {
+                log::debug!("platform cannot be reached: {error:#}");
+                return Err(CallFailure::NotSent);
+            }
+            Ok(Err(error)) => {
+                log::debug!("platform call got no response: {error:#}");
+                return Err(CallFailure::NoReply);
+            }
+            Err(_) => {
+                log::debug!("platform call got no response in {} ms", timeout.as_millis());
+                return Err(CallFailure::NoReply);
+            }
+        };
+        let (status, headers) = (response.status(), response.headers().clone());
+        let body = timeout_at(deadline, response.bytes()).await;
+        Ok(Reply { status, headers, body: body.ok().and_then(Result::ok) })
     }
 
     /// Sends a call that has no lasting effect.
-    async fn send(&self, request: RequestBuilder, timeout: Duration) -> Answer<Response> {
-        match request.timeout(timeout).send().await {
-            Ok(it) if it.status() == StatusCode::TOO_MANY_REQUESTS => {
-                Answer::Throttled { retry_after_ms: retry_after_ms(it).await }
+    async fn fetch(&self, call: Call, timeout: Duration) -> Answer<Reply> {
+        match self.call(call, timeout).await {
+            Ok(it) if it.status == StatusCode::TOO_MANY_REQUESTS => {
+                Answer::Throttled { retry_after_ms: it.retry_after_ms() }
             }
             Ok(it) => Answer::Value(it),
-            Err(error) => {
-                log::debug!("platform call failed: {error:#}");
-                Answer::Unavailable
-            }
+            Err(_) => Answer::Unavailable,
         }
     }
 
     /// Sends a write or a deletion.
-    async fn change(&self, request: RequestBuilder, condition: Condition) -> WriteOutcome {
-        let request = match condition {
-            Condition::Always => request,
-            Condition::Absent => request.header(header::IF_NONE_MATCH, "*"),
-            Condition::Version(it) => request.header(header::IF_MATCH, format!("\"{it}\"")),
-        };
+    async fn change(&self, call: Call) -> Result<Reply, WriteOutcome> {
         let timeout = Duration::from_millis(self.settings.write_timeout_ms);
-        let response = match request.timeout(timeout).send().await {
-            Ok(it) => it,
-            // Without a connection no byte of the request was sent.
-            Err(error) if error.is_connect() => return WriteOutcome::Unavailable,
-            Err(error) => {
-                log::debug!("platform write got no response: {error:#}");
-                return WriteOutcome::Unknown;
-            }
-        };
-        match response.status() {
-            it if it.is_success() => match version(&response) {
-                Some(version) => WriteOutcome::Written { version },
-                None => WriteOutcome::Unknown,
-            },
-            StatusCode::PRECONDITION_FAILED => {
-                // The condition failed even when the body that names the version was cut off.
-                let body = response.json::<ConflictBody>().await;
-                WriteOutcome::Conflict { current: body.ok().and_then(|it| it.current) }
-            }
-            StatusCode::PAYLOAD_TOO_LARGE => WriteOutcome::TooLarge,
-            StatusCode::TOO_MANY_REQUESTS => {
-                WriteOutcome::Throttled { retry_after_ms: retry_after_ms(response).await }
+        match self.call(call, timeout).await {
+            Ok(it) if it.status == StatusCode::TOO_MANY_REQUESTS => {
+                Err(WriteOutcome::Throttled { retry_after_ms: it.retry_after_ms() })
             }
-            // The platform answers 503 only for calls that it did not begin.
-            StatusCode::SERVICE_UNAVAILABLE => WriteOutcome::Unavailable,
-            it if it.is_client_error() => WriteOutcome::Unavailable,
-            _ => WriteOutcome::Unknown,
+            Ok(it) => Ok(it),
+            Err(CallFailure::NotSent) => Err(WriteOutcome::Unavailable),
+            Err(CallFailure::NoReply) => Err(WriteOutcome::Unknown),
         }
     }
 
@@ -167,121 +158,94 @@
     }
 }
 
-impl ObjectStore for HttpObjectStore {
+impl<D: Dialect> ObjectStore for HttpObjectStore<D> {
     async fn read(&self, name: &str) -> Answer<Option<Object>> {
-        let request = self.object_request(Method::GET, name);
-        let response = match self.send(request, self.read_timeout()).await {
-            Answer::Value(it) => it,
-            Answer::Unavailable => return Answer::Unavailable,
-            Answer::Throttled { retry_after_ms } => return Answer::Throttled { retry_after_ms },
-        };
-        if response.status() == StatusCode::NOT_FOUND {
-            return Answer::Value(None);
-        }
-        let version = version(&response).filter(|_| response.status().is_success());
-        match (version, response.bytes().await) {
-            (Some(version), Ok(bytes)) => Answer::Value(Some(Object { version, bytes })),
-            _ => Answer::Unavailable,
-        }
+        let reply = self.fetch(self.dialect.read(name), self.read_timeout()).await;
+        reply.and_then(|it| self.dialect.read_reply(&it))
     }
 
     async fn write(&self, name: &str, value: Bytes, condition: Condition) -> WriteOutcome {
-        self.change(self.object_request(Method::PUT, name).body(value), condition).await
+        let mut reply = match self.change(self.dialect.write(name, &value, condition)).await {
+            Ok(it) => it,
+            Err(it) => return it,
+        };
+        if let Some(call) = self.dialect.create_after(name, &value, condition, &reply) {
+            reply = match self.change(call).await {
+                Ok(it) => it,
+                Err(it) => return it,
+            };
+        }
+        self.dialect.write_reply(&reply)
     }
 
     async fn delete(&self, name: &str, condition: Condition) -> WriteOutcome {
-        self.change(self.object_request(Method::DELETE, name), condition).await
+        match self.change(self.dialect.delete(name, condition)).await {
+            Ok(it) => self.dialect.write_reply(&it),
+            Err(it) => it,
+        }
     }
 
     async fn list(&self, prefix: &str) -> Answer<Listing> {
-        let request = self.request(Method::GET, ["objects"]).query(&[("prefix", prefix)]);
-        self.call(request, self.read_timeout()).await
+        let mut res: Option<Listing> = None;
+        let mut after: Option<String> = None;
+        for _ in 0..MAX_PAGES {
+            let call = self.dialect.list(prefix, after.as_deref());
+            let reply = self.fetch(call, self.read_timeout()).await;
+            let page = match reply.and_then(|it| self.dialect.list_reply(prefix, &it)) {
+                Answer::Value(it) => it,
+                Answer::Unavailable => return Answer::Unavailable,
+                Answer::Throttled { retry_after_ms } => return Answer::Throttled { retry_after_ms },
+            };
+            match &mut res {
+                // A watch from the first page's revision repeats what later pages already show.
+                Some(listing) => listing.objects.extend(page.listing.objects),
+                None => res = Some(page.listing),
+            }
+            after = page.next_after;
+            if after.is_none() {
+                break;
+            }
+        }
+        if after.is_some() {
+            log::warn!("list of `{prefix}` has more than {MAX_PAGES} pages");
+            return Answer::Unavailable;
+        }
+        res.map_or(Answer::Unavailable, Answer::Value)
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
-        let wait_ms = wait.as_millis().to_string();
-        let query = [("prefix", prefix), ("after", &after.to_string()), ("timeout_ms", &wait_ms)];
-        let request = self.request(Method::GET, ["watch"]).query(&query);
         let timeout = wait + Duration::from_millis(self.settings.watch_margin_ms);
-        let response = match self.send(request, timeout).await {
-            Answer::Value(it) => it,
-            Answer::Unavailable => return Answer::Unavailable,
-            Answer::Throttled { retry_after_ms } => return Answer::Throttled { retry_after_ms },
-        };
-        if response.status() == StatusCode::GONE {
-            return Answer::Value(Watched::TooOld);
-        }
-        if !response.status().is_success() {
-            return Answer::Unavailable;
-        }
-        match response.json::<WatchBody>().await {
-            Ok(WatchBody { revision, changes }) => {
-                Answer::Value(Watched::Changes { revision, changes })
-            }
-            Err(_) => Answer::Unavailable,
-        }
+        let reply = self.fetch(self.dialect.watch(prefix, after, wait), timeout).await;
+        reply.and_then(|it| self.dialect.watch_reply(prefix, &it))
     }
 
     async fn hosts(&self) -> Answer<Vec<HostEntry>> {
-        let request = self.request(Method::GET, ["hosts"]);
-        self.call::<HostsBody>(request, self.read_timeout()).await.map(|it| it.hosts)
+        let reply = self.fetch(self.dialect.hosts(), self.read_timeout()).await;
+        reply.and_then(|it| self.dialect.hosts_reply(&it))
     }
 
     async fn announce(&self, entry: &HostEntry) -> Answer<()> {
-        let request = self.request(Method::PUT, ["hosts", &entry.name]).json(entry);
-        match self.send(request, self.read_timeout()).await {
-            Answer::Value(it) if it.status().is_success() => Answer::Value(()),
-            Answer::Value(it) => {
-                log::warn!("platform refused the announcement of {}: {}", entry.name, it.status());
-                Answer::Unavailable
+        let call = match self.dialect.announce(entry) {
+            Announce::Call(it) => it,
+            Announce::Write { name, value } => {
+                return match self.write(&name, value, Condition::Always).await {
+                    WriteOutcome::Written { .. } => Answer::Value(()),
+                    WriteOutcome::Throttled { retry_after_ms } => {
+                        Answer::Throttled { retry_after_ms }
+                    }
+                    other => {
+                        log::warn!("announcement of {} was not written: {other:?}", entry.name);
+                        Answer::Unavailable
+                    }
+                };
             }
-            Answer::Unavailable => Answer::Unavailable,
-            Answer::Throttled { retry_after_ms } => Answer::Throttled { retry_after_ms },
-        }
+        };
+        self.fetch(call, self.read_timeout()).await.and_then(|reply| {
+            if reply.status.is_success() {
+                return Answer::Value(());
+            }
+            log::warn!("platform refused the announcement of {}: {}", entry.name, reply.status);
+            Answer::Unavailable
+        })
     }
 }
-
-/// Body of a response to a write whose condition did not hold.
-#[derive(Debug, Deserialize)]
-struct ConflictBody {
-    /// Version of the object.
-    current: Option<u64>,
-}
-
-/// Body of a response to a throttled call.
-#[derive(Debug, Deserialize)]
-struct ThrottledBody {
-    /// Time after which to repeat the call.
-    retry_after_ms: u64,
-}
-
-/// Body of a response to a watch.
-#[derive(Debug, Deserialize)]
-struct WatchBody {
-    /// Revision from which to watch on.
-    revision: u64,
-    /// The changed objects.
-    changes: Vec<ObjectChange>,
-}
-
-/// Body of the host list.
-#[derive(Debug, Deserialize)]
-struct HostsBody {
-    /// The hosts.
-    hosts: Vec<HostEntry>,
-}
-
-/// The version in the `ETag` of a response.
-fn version(response: &Response) -> Option<u64> {
-    let text = response.headers().get(header::ETAG)?.to_str().ok()?;
-    text.trim_matches('"').parse().ok()
-}
-
-/// When to repeat a throttled call: by its body, else by its header.
-async fn retry_after_ms(response: Response) -> u64 {
-    let seconds = response.headers().get(header::RETRY_AFTER);
-    let seconds = seconds.and_then(|it| it.to_str().ok()?.parse::<u64>().ok());
-    let body = response.json::<ThrottledBody>().await.ok().map(|it| it.retry_after_ms);
-    let wait_ms = body.or(seconds.map(|it| it.saturating_mul(1000)));
-    wait_ms.unwrap_or(DEFAULT_RETRY_AFTER_MS).min(MAX_RETRY_AFTER_MS)
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 mod change;
 mod chunk_store;
 mod config_store;
+mod dialect;
 mod head_write;
 mod http;
 mod object;
@@ -13,10 +14,11 @@
 pub use crate::{
     change::{ChangeOutcome, ChangeRequest, LostRace},
     config_store::{ConfigStore, ConfigStoreSettings, HEAD_NAME, HeadRead, StoredHead},
+    dialect::{Announce, Call, Dialect, Page, PlainDialect, Reply},
     http::{HttpObjectStore, HttpStoreSettings},
     object::{
         Answer, Condition, HostEntry, HostState, ListedObject, Listing, Object, ObjectChange,
         ObjectStore, Watched, WriteOutcome,
     },
-    watcher::{Reachability, WatchEvent, Watcher, WatcherSettings},
+    watcher::{Outage, Progress, Reachability, WatchEvent, Watcher, WatcherSettings},
 };
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -102,7 +102,7 @@
 }
 
 /// Names and versions at one revision.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listing {
     /// Revision of the store, from which a watch can go on.
     pub revision: u64,
@@ -111,14 +111,16 @@
 }
 
 /// One object of a list.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListedObject {
     /// Its name.
     pub name: String,
     /// Its version.
     pub version: u64,
-    /// Time since its last change by the platform's clock.
+    /// Time since its last change by the platform's clock; 0 where the platform does not say.
     pub age_ms: u64,
+    /// Its value, where the platform lists values.
+    pub value: Option<Bytes>,
 }
 
 /// What a watch answers.
@@ -136,12 +138,14 @@
 }
 
 /// One changed object.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ObjectChange {
     /// Its name.
     pub name: String,
     /// Its version, `None` when it was deleted.
     pub version: Option<u64>,
+    /// Its value, where the platform tells values with changes.
+    pub value: Option<Bytes>,
 }
 
 /// An entry of the host list.
@@ -173,8 +177,13 @@
 impl<T> Answer<T> {
     /// Converts the value.
     pub fn map<U>(self, convert: impl FnOnce(T) -> U) -> Answer<U> {
+        self.and_then(|it| Answer::Value(convert(it)))
+    }
+
+    /// Goes on with the value.
+    pub fn and_then<U>(self, next: impl FnOnce(T) -> Answer<U>) -> Answer<U> {
         match self {
-            Self::Value(it) => Answer::Value(convert(it)),
+            Self::Value(it) => next(it),
             Self::Unavailable => Answer::Unavailable,
             Self::Throttled { retry_after_ms } => Answer::Throttled { retry_after_ms },
         }
--- a/crates/platform/src/retry.rs
+++ b/crates/platform/src/retry.rs
@@ -9,7 +9,7 @@
 const BASE_MS: u64 = 50;
 
 /// Longest wait, so that the end of an outage is noticed within seconds.
-const MAX_MS: u64 = 5000;
+pub(crate) const MAX_MS: u64 = 5000;
 
 /// Waits between the attempts of one change.
 #[derive(Debug)]
@@ -18,6 +18,8 @@
     deadline: Option<Instant>,
     /// Attempts that failed in a row.
     failures: u32,
+    /// Longest wait.
+    max_ms: u64,
     /// Spreads the attempts of many clients.
     rng: SmallRng,
 }
@@ -25,12 +27,12 @@
 impl Retry {
     /// Attempts up to a deadline.
     pub(crate) fn until(deadline: Instant, seed: u64) -> Self {
-        Self { deadline: Some(deadline), failures: 0, rng: SmallRng::seed_from_u64(seed) }
+        Self { deadline: Some(deadline), ..Self::endless(MAX_MS, seed) }
     }
 
     /// Attempts without end.
-    pub(crate) fn endless(seed: u64) -> Self {
-        Self { deadline: None, failures: 0, rng: SmallRng::seed_from_u64(seed) }
+    pub(crate) fn endless(max_ms: u64, seed: u64) -> Self {
+        Self { deadline: None, failures: 0, max_ms, rng: SmallRng::seed_from_u64(seed) }
     }
 
     /// Starts from the shortest wait again.
@@ -40,7 +42,7 @@
 
     /// The next wait, at least `at_least_ms`.
     pub(crate) fn next_wait(&mut self, at_least_ms: u64) -> Duration {
-        let longest_ms = (BASE_MS << self.failures.min(16)).min(MAX_MS);
+        let longest_ms = (BASE_MS << self.failures.min(16)).min(self.max_ms);
         self.failures += 1;
         let jitter_ms = self.rng.random_range(longest_ms / 2..=longest_ms);
         Duration::from_millis(at_least_ms + jitter_ms)
--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use tokio::{
     sync::{mpsc, watch},
     task::JoinHandle,
@@ -10,7 +11,7 @@
 
 use crate::{
     object::{Answer, Object, ObjectStore, Watched},
-    retry::Retry,
+    retry::{MAX_MS, Retry},
 };
 
 /// Events that may wait for the receiver.
@@ -27,6 +28,8 @@
     pub short_wait_ms: u64,
     /// Least time between two watches, so that a burst of changes takes few calls.
     pub spacing_ms: u64,
+    /// Longest wait between two attempts during an outage.
+    pub max_backoff_ms: u64,
 }
 
 impl Default for WatcherSettings {
@@ -36,6 +39,7 @@
             wait_ms: 3000,
             short_wait_ms: 500,
             spacing_ms: 200,
+            max_backoff_ms: MAX_MS,
         }
     }
 }
@@ -47,6 +51,8 @@
     pub name: String,
     /// The object, `None` when it was deleted.
     pub object: Option<Object>,
+    /// The newest outage that was over when the change was seen.
+    pub outage: Option<Outage>,
 }
 
 /// Whether the platform answers.
@@ -63,6 +69,24 @@
     },
 }
 
+/// How far a watcher has followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// When the newest answered call was sent: what was reported is at least as new as this.
+    pub sent_at: Instant,
+    /// The newest time without answers that is over.
+    pub outage: Option<Outage>,
+}
+
+/// A time in which calls failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Outage {
+    /// End of the last call that was answered before it.
+    pub began_at: Instant,
+    /// End of the first call that was answered after it.
+    pub ended_at: Instant,
+}
+
 /// A running watcher; dropping it stops it.
 #[derive(Debug)]
 pub struct Watcher {
@@ -70,6 +94,8 @@
     pub events: mpsc::Receiver<WatchEvent>,
     /// Whether the platform answers.
     pub reachability: watch::Receiver<Reachability>,
+    /// How far it has followed, `None` before the first list is reported.
+    pub progress: watch::Receiver<Option<Progress>>,
     /// The task.
     task: JoinHandle<()>,
 }
@@ -79,19 +105,25 @@
     pub fn start<S: ObjectStore>(store: Arc<S>, settings: WatcherSettings, seed: u64) -> Self {
         let (sender, events) = mpsc::channel(EVENT_BUFFER);
         let (reach, reachability) = watch::channel(Reachability::Unknown);
+        let (progress_sender, progress) = watch::channel(None);
+        let retry = Retry::endless(settings.max_backoff_ms, seed);
         let follower = Follower {
             store,
             settings,
             events: sender,
             reach,
+            progress: progress_sender,
+            answered_at: Instant::now(),
+            is_failing: false,
+            outage: None,
             known: BTreeMap::new(),
-            retry: Retry::endless(seed),
+            retry,
         };
         let task = tokio::spawn(async move {
             // Ends when the receiver of the events is gone.
             follower.run().await;
         });
-        Self { events, reachability, task }
+        Self { events, reachability, progress, task }
     }
 }
 
@@ -119,6 +151,14 @@
     events: mpsc::Sender<WatchEvent>,
     /// Receiver of the reachability.
     reach: watch::Sender<Reachability>,
+    /// Receiver of the progress.
+    progress: watch::Sender<Option<Progress>>,
+    /// End of the newest call that was answered.
+    answered_at: Instant,
+    /// Whether the newest call failed.
+    is_failing: bool,
+    /// The newest outage that is over.
+    outage: Option<Outage>,
     /// Versions that were reported, by name.
     known: BTreeMap<String, u64>,
     /// Waits after failures.
@@ -145,6 +185,7 @@
 
     /// Reports everything that differs from what is known; answers the revision to watch from.
     async fn list(&mut self) -> Result<u64, Stop> {
+        let sent_at = Instant::now();
         let mut first_revision = None;
         let mut listed = Vec::new();
         for prefix in self.settings.prefixes.clone() {
@@ -152,18 +193,19 @@
             let listing = self.value(answer)?;
             // Later lists may already show changes that the watch reports again.
             first_revision.get_or_insert(listing.revision);
-            listed.extend(listing.objects.into_iter().map(|it| (it.name, it.version)));
+            listed.extend(listing.objects);
         }
-        listed.sort();
+        listed.sort_by(|a, b| a.name.cmp(&b.name));
         let known: Vec<String> = self.known.keys().cloned().collect();
         for name in known {
-            if listed.binary_search_by(|it| it.0.cmp(&name)).is_err() {
+            if listed.binary_search_by(|it| it.name.cmp(&name)).is_err() {
                 self.report(name, None).await?;
             }
         }
-        for (name, version) in listed {
-            self.update(name, Some(version)).await?;
+        for it in listed {
+            self.update(it.name, Some(it.version), it.value).await?;
         }
+        self.followed(sent_at);
         Ok(first_revision.unwrap_or(0))
     }
 
@@ -171,7 +213,8 @@
     async fn follow(&mut self, mut after: u64, wait_ms: &mut u64) -> Stop {
         let spacing = Duration::from_millis(self.settings.spacing_ms);
         loop {
-            let next_at = Instant::now() + spacing;
+            let sent_at = Instant::now();
+            let next_at = sent_at + spacing;
             // One watch on all names counts as one pending call instead of one for each prefix.
             let prefix = match self.settings.prefixes.as_slice() {
                 [single] => single.clone(),
@@ -187,10 +230,12 @@
                         if !self.follows(&change.name) {
                             continue;
                         }
-                        if let Err(it) = self.update(change.name, change.version).await {
+                        let update = self.update(change.name, change.version, change.value);
+                        if let Err(it) = update.await {
                             return it;
                         }
                     }
+                    self.followed(sent_at);
                 }
                 Answer::Value(Watched::TooOld) => {
                     self.answered();
@@ -199,10 +244,14 @@
                 }
                 // Only watches may be disturbed; the list that follows finds out.
                 Answer::Unavailable => {
+                    self.failed();
                     *wait_ms = self.settings.short_wait_ms;
                     return Stop::Failed(0);
                 }
-                Answer::Throttled { retry_after_ms } => return Stop::Failed(retry_after_ms),
+                Answer::Throttled { retry_after_ms } => {
+                    self.failed();
+                    return Stop::Failed(retry_after_ms);
+                }
             }
             sleep_until(next_at).await;
         }
@@ -214,12 +263,22 @@
     }
 
     /// Reads and reports an object whose version differs from the reported one.
-    async fn update(&mut self, name: String, version: Option<u64>) -> Result<(), Stop> {
+    async fn update(
+        &mut self,
+        name: String,
+        version: Option<u64>,
+        value: Option<Bytes>,
+    ) -> Result<(), Stop> {
         if self.known.get(&name).copied() == version {
             return Ok(());
         }
-        if version.is_none() {
-            return self.report(name, None).await;
+        let Some(version) = version else { return self.report(name, None).await };
+        if let Some(bytes) = value {
+            // A list that was answered late may show less than a watch did.
+            if self.known.get(&name).is_some_and(|it| *it > version) {
+                return Ok(());
+            }
+            return self.report(name, Some(Object { version, bytes })).await;
         }
         let answer = self.store.read(&name).await;
         let object = self.value(answer)?;
@@ -236,7 +295,7 @@
                 self.known.remove(&name);
             }
         }
-        self.events.send(WatchEvent { name, object }).await.map_err(|_| Stop::Closed)
+        self.events.send(WatchEvent { name, object, outage: self.outage }).await.map_err(|_| Stop::Closed)
     }
 
     /// Takes the value of an answer and notes whether the platform is reachable.
@@ -247,18 +306,37 @@
                 Ok(it)
             }
             Answer::Unavailable => {
+                self.failed();
                 let since = Instant::now();
                 self.set_reach(Reachability::Unreachable { since });
                 Err(Stop::Failed(0))
             }
             // The platform is there, only this client asks too often.
-            Answer::Throttled { retry_after_ms } => Err(Stop::Failed(retry_after_ms)),
+            Answer::Throttled { retry_after_ms } => {
+                self.failed();
+                Err(Stop::Failed(retry_after_ms))
+            }
         }
     }
 
+    /// Notes that everything up to a call's sending was reported.
+    fn followed(&self, sent_at: Instant) {
+        self.progress.send_replace(Some(Progress { sent_at, outage: self.outage }));
+    }
+
+    /// Notes that a call failed.
+    fn failed(&mut self) {
+        self.is_failing = true;
+    }
+
     /// Notes that a call was answered.
     fn answered(&mut self) {
         self.retry.reset();
+        let now = Instant::now();
+        if std::mem::take(&mut self.is_failing) {
+            self.outage = Some(Outage { began_at: self.answered_at, ended_at: now });
+        }
+        self.answered_at = now;
         self.set_reach(Reachability::Reachable);
     }
 
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -20,6 +20,7 @@
     fault_test::{Assessment, FaultTest, Outcome, TestPlan, Verdict},
     operator::{RollBackError, StartError, StartRequest, roll_back, start},
     rollout::{FORMAT, FaultKind, Reason, Rollout, RouteExposure, State},
+    sequential::{Ratios, SequentialTest},
     splitter::{Pick, Side, Splitter, SplitterExposure},
     stage::Stage,
     timeline::{CLOCK_MARGIN_MS, MIN_DURATION_MS, MIN_WATCH_MS, ROLLBACK_MS, Timeline},
--- a/crates/rollout/src/sequential.rs
+++ b/crates/rollout/src/sequential.rs
@@ -16,7 +16,7 @@
 
 /// Which ratios of bad responses between the versions are told apart.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Ratios {
+pub struct Ratios {
     /// Ratio up to which the new version is good.
     null: f64,
     /// Ratios of a faulty version.
@@ -27,14 +27,14 @@
 
 impl Ratios {
     /// Ratios of failures; 25% more than the old version has are tolerated.
-    pub(crate) const FAILURES: Self =
+    pub const FAILURES: Self =
         Self { null: 1.25, alternatives: [3.0, 10.0, 50.0, 300.0], cap_per_s: f64::INFINITY };
 
     /// Ratios of slow responses, of which the old version has 5%.
     ///
     /// One pause of one instance makes a burst of slow responses that are not independent; the cap
     /// makes an alarm need slow responses in at least two different seconds, later on three.
-    pub(crate) const SLOW: Self =
+    pub const SLOW: Self =
         Self { null: 2.0, alternatives: [4.0, 10.0, 25.0, 100.0], cap_per_s: 8.0 };
 }
 
@@ -46,7 +46,7 @@
 /// any degree, is no evidence. The capital below is a supermartingale while `r <= null`; by Ville's
 /// inequality it ever exceeds `1 / p` with probability `p` at most, however often it is looked at.
 #[derive(Debug, Clone)]
-pub(crate) struct SequentialTest {
+pub struct SequentialTest {
     /// What is told apart.
     ratios: Ratios,
     /// Logarithm of the capital of each alternative.
@@ -67,7 +67,7 @@
 
 impl SequentialTest {
     /// A test that takes `part` of the allowed false alarms of a rollout.
-    pub(crate) fn new(ratios: Ratios, part: f64, duration_ms: u64, now: Instant) -> Self {
+    pub fn new(ratios: Ratios, part: f64, duration_ms: u64, now: Instant) -> Self {
         // Half as many again, since outages can make a rollout end after its deadline.
         let restarts = (duration_ms * 3 / 2 / RESTART_EVERY.as_millis() as u64).max(1);
         Self {
@@ -83,7 +83,7 @@
     }
 
     /// Adds bad responses that came while `share` of the requests went to the new version.
-    pub(crate) fn observe(&mut self, share: f64, new_bad: u64, old_bad: u64, now: Instant) {
+    pub fn observe(&mut self, share: f64, new_bad: u64, old_bad: u64, now: Instant) {
         self.restart(now);
         if now.saturating_duration_since(self.second) >= Duration::from_secs(1) {
             self.second = now;
@@ -105,12 +105,12 @@
     }
 
     /// Whether the evidence suffices.
-    pub(crate) fn is_faulty(&self) -> bool {
+    pub fn is_faulty(&self) -> bool {
         self.evidence() >= self.threshold
     }
 
     /// Logarithm of the capital over all alternatives.
-    pub(crate) fn evidence(&self) -> f64 {
+    pub fn evidence(&self) -> f64 {
         let largest = self.capital.into_iter().fold(f64::NEG_INFINITY, f64::max);
         let sum: f64 = self.capital.iter().map(|it| (it - largest).exp()).sum();
         largest + (sum / ALTERNATIVES as f64).ln()
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -18,6 +18,10 @@
 pub struct RetryBudget {
     /// When second 0 began.
     origin: Instant,
+    /// Retries allowed per request of the window.
+    ratio: f64,
+    /// Retries that the window always allows.
+    floor: u32,
     /// The newest second counted.
     second: u64,
     /// First attempts in each of the last seconds, by second modulo the window.
@@ -29,8 +33,15 @@
 impl RetryBudget {
     /// A budget without any request counted.
     pub fn new(now: Instant) -> Self {
+        Self::with_limits(RETRY_SHARE, MIN_RETRIES, now)
+    }
+
+    /// A budget of `ratio` retries per request, and of `floor` retries in any case.
+    pub fn with_limits(ratio: f64, floor: u32, now: Instant) -> Self {
         Self {
             origin: now,
+            ratio,
+            floor,
             second: 0,
             requests: [0; WINDOW_S as usize],
             retries: [0; WINDOW_S as usize],
@@ -48,7 +59,7 @@
         self.advance(now);
         let requests: u32 = self.requests.iter().fold(0, |sum, it| sum.saturating_add(*it));
         let retries: u32 = self.retries.iter().sum();
-        retries < MIN_RETRIES.max((f64::from(requests) * RETRY_SHARE) as u32)
+        retries < self.floor.max((f64::from(requests) * self.ratio) as u32)
     }
 
     /// Takes one retry if it is allowed.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,5 +17,5 @@
     observe::LoadReport,
     quarantine::{Announcement, Check, Fingerprint, Quarantine},
     request_id::{Begin, End, RequestIds, RequestKey},
-    retry::{AttemptFacts, AttemptOutcome, Outcome, RetryDecision, RetryRule},
+    retry::{MAX_ATTEMPTS, AttemptFacts, AttemptOutcome, Outcome, RetryDecision, RetryRule},
 };
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -4,8 +4,8 @@
 
 use strum::{Display, EnumString};
 
-/// Attempts of one request at most, the first one included.
-const MAX_ATTEMPTS: u32 = 3;
+/// Attempts of one request at most where its route sets no limit, the first one included.
+pub const MAX_ATTEMPTS: u32 = 3;
 
 /// A retry with less time left would end at the deadline before an upstream could answer.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(5);
@@ -58,6 +58,8 @@
     pub earlier_may_have_run: bool,
     /// Attempts so far, this one included.
     pub attempts: u32,
+    /// Attempts allowed, the first one included.
+    pub max_attempts: u32,
     /// Whether the service's retry budget allows one more.
     pub budget_left: bool,
     /// Time until the caller's deadline.
@@ -120,7 +122,7 @@
         outcome_allows
             // A request whose earlier attempt broke went to its one further instance.
             && !facts.earlier_may_have_run
-            && facts.attempts < MAX_ATTEMPTS
+            && facts.attempts < facts.max_attempts
             && facts.budget_left
             && facts.remaining >= MIN_RETRY_TIME
     }
--- a/crates/route/tests/it/retry.rs
+++ b/crates/route/tests/it/retry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kingcupford_route::{
-    AttemptFacts, AttemptOutcome, Outcome, RetryBudget, RetryDecision, RetryRule,
+    AttemptFacts, AttemptOutcome, MAX_ATTEMPTS, Outcome, RetryBudget, RetryDecision, RetryRule,
 };
 use tokio::time::Instant;
 
@@ -30,6 +30,7 @@
                         byte_sent: bits & 2 != 0,
                         earlier_may_have_run: bits & 4 != 0,
                         attempts,
+                        max_attempts: MAX_ATTEMPTS,
                         budget_left: bits & 8 != 0,
                         remaining: Duration::from_millis(remaining_ms),
                     });
--- /dev/null
+++ b/crates/steer/src/allowance.rs
@@ -0,0 +1,205 @@
+//! Tenants' rates over all hosts, divided by demand.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::{
+    beat::{DemandEntry, name_hash},
+    manifest::{Manifest, Tenant},
+    members::Members,
+};
+
+/// Time constant of the demand estimate: long against the gaps of small tenants, short against a
+/// burst.
+const DEMAND_TIME: Duration = Duration::from_secs(1);
+
+/// Part of the tolerated overage that hosts may spend for unevenness; the rest covers views that
+/// differ while demand moves.
+const SLACK_PART: f64 = 0.6;
+
+/// Demand that each host is taken to have at least, as a part of an even share, so that a host
+/// without requests can admit the first ones.
+const IDLE_PART: f64 = 0.05;
+
+/// Longest time that a refused request is told to wait.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Shortest time that a refused request is told to wait.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Tolerated excess over a tenant's rate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AllowanceSettings {
+    /// Window in which requests are counted, in seconds.
+    pub window_s: f64,
+    /// Tolerated part above the allowance of a window.
+    pub overage: f64,
+    /// Tolerated requests on top.
+    pub slack: f64,
+}
+
+/// The tenants' buckets at this host.
+#[derive(Debug)]
+pub struct Allowances {
+    /// Tolerated excess.
+    settings: AllowanceSettings,
+    /// Buckets by tenant, sorted by name.
+    buckets: Vec<Bucket>,
+}
+
+/// One tenant's bucket.
+#[derive(Debug)]
+struct Bucket {
+    /// Name of the tenant.
+    tenant: String,
+    /// Hash of the name.
+    hash: u32,
+    /// Rate over all hosts, 0 for no limit.
+    rate_per_s: f64,
+    /// Burst over all hosts.
+    burst: f64,
+    /// This host's part of both.
+    share: f64,
+    /// Requests on top that this host may admit at once.
+    slack: f64,
+    /// Requests that may be admitted now.
+    tokens: f64,
+    /// When tokens were last added.
+    filled_at: Instant,
+    /// Requests per second.
+    demand: f64,
+    /// When the demand was last brought up to date.
+    demand_at: Instant,
+}
+
+impl Allowances {
+    /// No tenants.
+    pub fn new(settings: AllowanceSettings) -> Self {
+        Self { settings, buckets: Vec::new() }
+    }
+
+    /// Takes the tenants of a manifest over; those that stay keep their tokens.
+    pub fn install(&mut self, manifest: &Manifest, members: &Members, now: Instant) {
+        let mut old = std::mem::take(&mut self.buckets);
+        for tenant in manifest.tenants() {
+            let known = old.iter().position(|it| it.tenant == tenant.name);
+            let bucket = match known {
+                Some(at) => old.swap_remove(at).with_limits(tenant),
+                None => Bucket::new(tenant, now),
+            };
+            self.buckets.push(bucket);
+        }
+        self.divide(members, now);
+    }
+
+    /// Takes changed tolerances over.
+    pub fn set_settings(&mut self, settings: AllowanceSettings) {
+        self.settings = settings;
+    }
+
+    /// Recomputes this host's share of every tenant's rate.
+    pub fn divide(&mut self, members: &Members, now: Instant) {
+        let hosts = members.known() as f64;
+        for it in &mut self.buckets {
+            it.fill(now);
+            let even = it.rate_per_s / hosts;
+            let idle = even * IDLE_PART;
+            let own = it.demand_at(now) + idle;
+            let others = members.demand(it.hash, even, now) + idle * (hosts - 1.0);
+            it.share = if own + others > 0.0 { own / (own + others) } else { 1.0 / hosts };
+            let tolerated = self.settings.overage
+                * (it.rate_per_s * self.settings.window_s + it.burst)
+                + self.settings.slack;
+            it.slack = tolerated * SLACK_PART / hosts;
+        }
+    }
+
+    /// Admits a request or answers when to come back.
+    pub fn admit(&mut self, tenant: &str, now: Instant) -> Result<(), Duration> {
+        let at = self.buckets.binary_search_by(|it| it.tenant.as_str().cmp(tenant));
+        let Ok(at) = at else { return Ok(()) };
+        let bucket = &mut self.buckets[at];
+        bucket.count_demand(now);
+        if bucket.rate_per_s <= 0.0 {
+            return Ok(());
+        }
+        bucket.fill(now);
+        if bucket.tokens >= 1.0 {
+            bucket.tokens -= 1.0;
+            return Ok(());
+        }
+        let own_rate = bucket.rate_per_s * bucket.share;
+        let wait_s = (1.0 - bucket.tokens) / own_rate.max(f64::MIN_POSITIVE);
+        let wait = Duration::from_secs_f64(wait_s.min(MAX_RETRY_AFTER.as_secs_f64()));
+        Err(wait.max(MIN_RETRY_AFTER))
+    }
+
+    /// Gives back what a request took that was refused before it was sent anywhere.
+    pub fn give_back(&mut self, tenant: &str) {
+        if let Ok(at) = self.buckets.binary_search_by(|it| it.tenant.as_str().cmp(tenant)) {
+            self.buckets[at].tokens += 1.0;
+        }
+    }
+
+    /// The demand of all tenants, for peers.
+    pub fn demand(&self, now: Instant) -> Vec<DemandEntry> {
+        let entries = self.buckets.iter().filter(|it| it.rate_per_s > 0.0);
+        entries
+            .map(|it| DemandEntry { tenant: it.hash, per_s: it.demand_at(now) as f32 })
+            .filter(|it| it.per_s > 0.0)
+            .collect()
+    }
+
+    /// This host's part of a tenant's rate and its tokens, for logs.
+    pub fn describe(&self, tenant: &str) -> Option<(f64, f64)> {
+        let at = self.buckets.binary_search_by(|it| it.tenant.as_str().cmp(tenant)).ok()?;
+        Some((self.buckets[at].share, self.buckets[at].tokens))
+    }
+}
+
+impl Bucket {
+    /// A bucket of a tenant that is new to this process; it holds no burst, since a former process
+    /// may just have spent it.
+    fn new(tenant: &Tenant, now: Instant) -> Self {
+        Self {
+            tenant: tenant.name.clone(),
+            hash: name_hash(&tenant.name),
+            rate_per_s: tenant.rate_per_s,
+            burst: tenant.burst,
+            share: 0.0,
+            slack: 0.0,
+            tokens: 1.0,
+            filled_at: now,
+            demand: 0.0,
+            demand_at: now,
+        }
+    }
+
+    /// Takes changed limits over.
+    fn with_limits(mut self, tenant: &Tenant) -> Self {
+        self.rate_per_s = tenant.rate_per_s;
+        self.burst = tenant.burst;
+        self
+    }
+
+    /// Adds the tokens since the last call.
+    fn fill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        let capacity = self.burst * self.share + self.slack;
+        self.tokens = (self.tokens + passed * self.rate_per_s * self.share).min(capacity.max(1.0));
+    }
+
+    /// Counts a request in the demand.
+    fn count_demand(&mut self, now: Instant) {
+        self.demand = self.demand_at(now) + 1.0 / DEMAND_TIME.as_secs_f64();
+        self.demand_at = now;
+    }
+
+    /// Requests per second.
+    fn demand_at(&self, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.demand_at);
+        self.demand * (-passed.as_secs_f64() / DEMAND_TIME.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/crates/steer/src/beat.rs
@@ -0,0 +1,93 @@
+//! What hosts tell each other several times a second.
+
+use bincode::{Decode, Encode};
+use kingcupford_route::Announcement;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Version of the messages; beats of another version are ignored.
+pub const PROTOCOL: u16 = 1;
+
+/// One message between two hosts.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Beat {
+    /// Version of the messages.
+    pub protocol: u16,
+    /// Name of the sender.
+    pub from: String,
+    /// Start of the sender's process.
+    pub incarnation: u64,
+    /// Number of the message in this process.
+    pub sequence: u64,
+    /// The newest message that the sender got from the receiver.
+    pub echo: Option<Echo>,
+    /// What the sender does.
+    pub state: BeatState,
+    /// Version of the manifest in force at the sender, 0 for none.
+    pub manifest_version: u64,
+    /// Age of the sender's view of the manifest, `None` when it is not confirmed.
+    pub view_age_ms: Option<u32>,
+    /// Requests of tenants at the sender.
+    pub demand: Vec<DemandEntry>,
+    /// What the sender counted in running rollouts.
+    pub rollouts: Vec<RolloutTally>,
+    /// News about requests that crash instances.
+    pub announcements: Vec<Announcement>,
+}
+
+/// Acknowledges a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct Echo {
+    /// The receiver's incarnation when it sent the message.
+    pub incarnation: u64,
+    /// Number of the message.
+    pub sequence: u64,
+    /// Time since the message arrived.
+    pub held_ms: u32,
+}
+
+/// What a host does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum BeatState {
+    /// It has no confirmed view yet, or lost it.
+    Unready,
+    /// It takes requests.
+    Serving,
+    /// It shuts down.
+    Draining,
+}
+
+/// A tenant's requests at one host.
+#[derive(Debug, Clone, Copy, PartialEq, Encode, Decode)]
+pub struct DemandEntry {
+    /// Hash of the tenant's name.
+    pub tenant: u32,
+    /// Requests per second.
+    pub per_s: f32,
+}
+
+/// What a process counted in one rollout since it saw the order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
+pub struct RolloutTally {
+    /// Hash of the service's name and the new version.
+    pub rollout: u32,
+    /// Responses of the new version.
+    pub new_total: u64,
+    /// Failures among them.
+    pub new_failed: u64,
+    /// Slow ones among the others.
+    pub new_slow: u64,
+    /// Responses of the old versions.
+    pub old_total: u64,
+    /// Failures among them.
+    pub old_failed: u64,
+    /// Slow ones among the others.
+    pub old_slow: u64,
+    /// Whether the sender found the new version to be faulty.
+    pub faulty: bool,
+}
+
+/// A name as messages carry it.
+pub fn name_hash(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
+}
--- /dev/null
+++ b/crates/steer/src/choose.rs
@@ -0,0 +1,498 @@
+//! The choice of an instance for one request.
+
+use std::time::Duration;
+
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use tokio::time::Instant;
+
+use crate::{
+    cold::FEEDERS,
+    health::Failure,
+    instance::{InstanceKey, LoadReport},
+    manifest::Repeat,
+    place::{Place, Places, RegionKey, ZoneKey},
+    ready_set::{Instance, ReadySet},
+    versions::{Side, Versions},
+    warmth::{Warmth, mix},
+};
+
+/// Instances of the own region that may handle one object. A short list that all hosts agree on
+/// keeps objects cached where they are asked for, also under load.
+const LOCAL_CHOICES: usize = 3;
+
+/// Instances of other regions that may handle one object.
+const REMOTE_CHOICES: usize = 2;
+
+/// Cost of the second and each further choice, in milliseconds of latency: below it a shorter
+/// queue is not worth spreading an object over more caches.
+const RANK_COST_MS: f64 = 10.0;
+
+/// Cost of leaving the zone, in milliseconds of latency; traffic between zones is paid for.
+const ZONE_COST_MS: f64 = 4.0;
+
+/// Cost of leaving the region, in milliseconds of latency.
+const REGION_COST_MS: f64 = 12.0;
+
+/// The costs of leaving for an upload, whose body is a hundred times as long.
+const UPLOAD_COST_FACTOR: f64 = 20.0;
+
+/// Part of the target latency up to which a choice may be expected to take.
+const TARGET_PART: f64 = 0.9;
+
+/// Part of the target latency for which a request may wait in any case, so that slow work does not
+/// forbid all queues.
+const MIN_WAIT_PART: f64 = 0.25;
+
+/// Part of the allowed wait left to each further rank of priority, so that the less urgent give
+/// way first.
+const PRIORITY_PART: f64 = 0.85;
+
+/// Weight of a new observation of the time for work.
+const WORK_WEIGHT: f64 = 0.05;
+
+/// Weight of a new observation of an instance's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.25;
+
+/// Time after which half of an instance's slowness is forgotten, so that it is tried again.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// Slowness beyond which an observation counts no further.
+const MAX_SLOWNESS: f64 = 10.0;
+
+/// First guess of the time for work on a cached object, as a part of the target latency.
+const WARM_PART: f64 = 0.35;
+
+/// First guess of the time for other work, as a part of the target latency.
+const COLD_PART: f64 = 1.0;
+
+/// Instances of a new version that are used while only few requests are exposed.
+const CANARY_INSTANCES: usize = 2;
+
+/// What a refused caller waits before it comes back: a few requests end in that time.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// A request that needs an instance.
+#[derive(Debug, Clone, Copy)]
+pub struct Query<'a> {
+    /// Its service.
+    pub service: &'a str,
+    /// Name of its route.
+    pub route: &'a str,
+    /// Hash of the object that it concerns, or of the request.
+    pub object: u64,
+    /// Whether instances cache objects.
+    pub affinity: bool,
+    /// What may be repeated.
+    pub repeat: Repeat,
+    /// Rank, 0 first.
+    pub priority: u32,
+    /// Time within which the response is as good as an instant one.
+    pub target_latency: Duration,
+    /// The only regions that may serve it; all when `None`.
+    pub homes: Option<&'a [RegionKey]>,
+    /// Instances that already had it.
+    pub exclude: &'a [InstanceKey],
+    /// Side of a rollout.
+    pub side: Side,
+}
+
+/// The answer to a [`Query`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Choice {
+    /// This instance.
+    Instance {
+        /// Its key.
+        key: InstanceKey,
+        /// Expected time to the response.
+        expected: Duration,
+        /// Whether it is expected to have the object cached.
+        is_warm: bool,
+    },
+    /// Every instance that may handle it is full.
+    Full(Full),
+    /// No instance may handle it.
+    NoInstance,
+}
+
+/// When a refused request may come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Full {
+    /// Time to wait.
+    pub retry_after: Duration,
+}
+
+/// Chooses instances and learns from how they answer.
+#[derive(Debug)]
+pub struct Chooser {
+    /// Objects that instances have cached.
+    warmth: Warmth,
+    /// Times for work by route name, sorted.
+    work: Vec<(String, Work)>,
+    /// Zones that get no requests.
+    evacuated: Vec<ZoneKey>,
+    /// Breaks ties among requests without an object.
+    rng: SmallRng,
+}
+
+/// Times for the work of one route.
+#[derive(Debug, Clone, Copy)]
+struct Work {
+    /// On a cached object, in milliseconds.
+    warm_ms: f64,
+    /// On another one, in milliseconds.
+    cold_ms: f64,
+    /// On any object, in milliseconds.
+    mean_ms: f64,
+}
+
+/// An instance that may handle a request.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    /// Its key.
+    key: InstanceKey,
+    /// Place in the ranking of the object, by which all hosts order alike; the smallest is first.
+    score: f64,
+    /// How far away it is.
+    distance: Distance,
+}
+
+/// How far away an instance is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Distance {
+    /// In the own zone.
+    Zone,
+    /// In the own region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+/// What a request at a candidate is expected to cost.
+#[derive(Debug, Clone, Copy)]
+struct Cost {
+    /// Time to the response, in milliseconds.
+    expected_ms: f64,
+    /// Part of it that is spent waiting, in milliseconds.
+    wait_ms: f64,
+    /// Everything, in milliseconds of latency.
+    total_ms: f64,
+    /// Whether the object is expected to be cached.
+    is_warm: bool,
+}
+
+impl Chooser {
+    /// A chooser that has learned nothing.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            warmth: Warmth::new(),
+            work: Vec::new(),
+            evacuated: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Replaces the zones that get no requests.
+    pub fn set_evacuated(&mut self, zones: Vec<ZoneKey>) {
+        self.evacuated = zones;
+    }
+
+    /// Zones that get no requests.
+    pub fn evacuated(&self) -> &[ZoneKey] {
+        &self.evacuated
+    }
+
+    /// Chooses an instance.
+    pub fn choose(
+        &mut self,
+        query: &Query<'_>,
+        ready_set: &ReadySet,
+        versions: &Versions,
+        places: &Places,
+        feeder: &dyn Fn(u64, Place) -> usize,
+        now: Instant,
+    ) -> Choice {
+        let object = if query.affinity { query.object } else { self.rng.random() };
+        let candidates = self.candidates(query, object, ready_set, versions, places, now);
+        if candidates.is_empty() {
+            return Choice::NoInstance;
+        }
+        let mut best: Option<(Candidate, Cost)> = None;
+        for (rank, candidate) in candidates.iter().enumerate() {
+            let Some(instance) = ready_set.get(candidate.key) else { continue };
+            if instance.health.is_ejected(now) || !may_feed(instance, feeder, now) {
+                continue;
+            }
+            let cost = self.cost(query, candidate, instance, rank, object, places, now);
+            if cost.wait_ms > self.allowed_wait_ms(query, &cost) {
+                continue;
+            }
+            if best.is_none_or(|it| cost.total_ms < it.1.total_ms) {
+                best = Some((*candidate, cost));
+            }
+        }
+        if best.is_none() {
+            best = self.last_resort(query, &candidates, object, ready_set, places, feeder, now);
+        }
+        match best {
+            Some((candidate, cost)) => Choice::Instance {
+                key: candidate.key,
+                expected: Duration::from_secs_f64(cost.expected_ms / 1000.0),
+                is_warm: cost.is_warm,
+            },
+            None => Choice::Full(Full { retry_after: RETRY_AFTER }),
+        }
+    }
+
+    /// Counts a request that is sent to an instance.
+    pub fn started(
+        &mut self,
+        key: InstanceKey,
+        ready_set: &mut ReadySet,
+        cold_rate_per_s: f64,
+        feeders: usize,
+        now: Instant,
+    ) {
+        if let Some(it) = ready_set.get_mut(key) {
+            it.load.started();
+            if it.is_cold(now) {
+                it.cold_pace.sent(cold_rate_per_s, feeders, now);
+            }
+        }
+    }
+
+    /// Counts a request that ended at an instance, however it did.
+    pub fn finished(&mut self, key: InstanceKey, ready_set: &mut ReadySet) {
+        if let Some(it) = ready_set.get_mut(key) {
+            it.load.finished();
+        }
+    }
+
+    /// Takes the load in that an instance told with a response.
+    pub fn load_report(
+        &mut self,
+        key: InstanceKey,
+        report: LoadReport,
+        ready_set: &mut ReadySet,
+        now: Instant,
+    ) {
+        if let Some(it) = ready_set.get_mut(key) {
+            it.load.report(report, now);
+        }
+    }
+
+    /// Learns from a good response; answers whether it ends an ejection.
+    pub fn succeeded(
+        &mut self,
+        query: &Query<'_>,
+        key: InstanceKey,
+        latency: Duration,
+        was_queued: bool,
+        ready_set: &mut ReadySet,
+        places: &Places,
+        now: Instant,
+    ) -> bool {
+        let is_warm = self.warmth.is_warm(key, query.object, now);
+        let work = self.work_mut(query);
+        let Some(it) = ready_set.get_mut(key) else { return false };
+        let round_trip = places.round_trip(it.report.place);
+        let work_ms = latency.saturating_sub(round_trip).as_secs_f64() * 1000.0;
+        let usual_ms = if is_warm { work.warm_ms } else { work.cold_ms };
+        if !was_queued {
+            let ratio = (work_ms / usual_ms.max(1.0)).min(MAX_SLOWNESS);
+            let slowness = slowness(it, now);
+            // An object that turned out to be cached says nothing about the instance.
+            if is_warm || ratio > 0.7 {
+                it.slowness = slowness * (1.0 - SLOWNESS_WEIGHT) + ratio * SLOWNESS_WEIGHT;
+                it.slowness_at = now;
+            }
+            if it.slowness < 2.0 {
+                let learned = if is_warm { &mut work.warm_ms } else { &mut work.cold_ms };
+                *learned += (work_ms - *learned) * WORK_WEIGHT;
+            }
+        }
+        work.mean_ms += (work_ms.min(usual_ms * 2.0) - work.mean_ms) * WORK_WEIGHT;
+        let res = it.health.succeeded();
+        self.warmth.handled(key, query.object, now);
+        res
+    }
+
+    /// Learns from a failed exchange; answers whether the instance is ejected by it.
+    pub fn failed(
+        &mut self,
+        key: InstanceKey,
+        failure: Failure,
+        ready_set: &mut ReadySet,
+        now: Instant,
+    ) -> bool {
+        ready_set.get_mut(key).is_some_and(|it| it.health.failed(failure, now))
+    }
+
+    /// The usual time to a response of a route once its objects are cached.
+    pub fn usual_latency(&self, route: &str) -> Option<Duration> {
+        let at = self.work.binary_search_by(|it| it.0.as_str().cmp(route)).ok()?;
+        Some(Duration::from_secs_f64(self.work[at].1.mean_ms / 1000.0))
+    }
+
+    /// The instances that may handle a request, in the order that all hosts of a place agree on.
+    fn candidates(
+        &self,
+        query: &Query<'_>,
+        object: u64,
+        ready_set: &ReadySet,
+        versions: &Versions,
+        places: &Places,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let mut all: Vec<Candidate> = ready_set
+            .of_service(query.service)
+            .filter(|(key, it)| {
+                it.takes_requests()
+                    && !query.exclude.contains(key)
+                    && !self.evacuated.contains(&it.report.place.zone)
+                    && query.homes.is_none_or(|homes| homes.contains(&it.report.place.region))
+                    && versions.allows(it, query.side)
+            })
+            .map(|(key, it)| Candidate {
+                key,
+                score: score(object, it.id_hash, it.report.slots),
+                distance: distance(it.report.place, places.own()),
+            })
+            .collect();
+        let concentrated = query.side == Side::New
+            && versions.rollout(query.service).is_some_and(|it| it.is_concentrated(now));
+        if concentrated {
+            // The same few instances for all objects, so that they see load.
+            for it in &mut all {
+                let id_hash = ready_set.get(it.key).map_or(0, |it| it.id_hash);
+                it.score = score(0, id_hash, 1);
+            }
+            all.sort_by(|a, b| a.score.total_cmp(&b.score));
+            all.truncate(CANARY_INSTANCES);
+            return all;
+        }
+        let is_upload = query.repeat == Repeat::Upload;
+        all.sort_by(|a, b| {
+            let group = |it: &Candidate| match it.distance {
+                Distance::Region if !is_upload => Distance::Zone,
+                other => other,
+            };
+            group(a).cmp(&group(b)).then(a.score.total_cmp(&b.score))
+        });
+        let local = all.iter().filter(|it| it.distance != Distance::Far).take(LOCAL_CHOICES);
+        let remote = all.iter().filter(|it| it.distance == Distance::Far).take(REMOTE_CHOICES);
+        local.chain(remote).copied().collect()
+    }
+
+    /// What a request at a candidate is expected to cost.
+    fn cost(
+        &mut self,
+        query: &Query<'_>,
+        candidate: &Candidate,
+        instance: &Instance,
+        rank: usize,
+        object: u64,
+        places: &Places,
+        now: Instant,
+    ) -> Cost {
+        let is_warm = query.affinity && self.warmth.is_warm(candidate.key, object, now);
+        let work = *self.work_mut(query);
+        let slowness = slowness(instance, now).max(0.5);
+        let work_ms = slowness * if is_warm { work.warm_ms } else { work.cold_ms };
+        let slots = f64::from(instance.report.slots.max(1));
+        let excess = instance.load.total(now) + 1.0 - slots;
+        let wait_ms = excess.max(0.0) / slots * work.mean_ms * slowness;
+        let round_trip_ms = places.round_trip(instance.report.place).as_secs_f64() * 1000.0;
+        let expected_ms = round_trip_ms + wait_ms + work_ms;
+        let factor = if query.repeat == Repeat::Upload { UPLOAD_COST_FACTOR } else { 1.0 };
+        let distance_ms = match candidate.distance {
+            Distance::Zone => 0.0,
+            Distance::Region => ZONE_COST_MS * factor,
+            Distance::Far => REGION_COST_MS * factor,
+        };
+        // An exchange that fails costs about a whole target latency.
+        let failure_ms =
+            instance.health.failure_rate() * query.target_latency.as_secs_f64() * 1000.0;
+        let total_ms = expected_ms + distance_ms + failure_ms + rank as f64 * RANK_COST_MS;
+        Cost { expected_ms, wait_ms, total_ms, is_warm }
+    }
+
+    /// The longest wait that is allowed at a candidate.
+    fn allowed_wait_ms(&self, query: &Query<'_>, cost: &Cost) -> f64 {
+        let target_ms = query.target_latency.as_secs_f64() * 1000.0;
+        let work_ms = cost.expected_ms - cost.wait_ms;
+        let allowed = (target_ms * TARGET_PART - work_ms).max(target_ms * MIN_WAIT_PART);
+        allowed * PRIORITY_PART.powi(query.priority.min(8) as i32)
+    }
+
+    /// A choice when no candidate is both well and free: an ejected one with room, which may have
+    /// recovered, for requests that may be repeated.
+    fn last_resort(
+        &mut self,
+        query: &Query<'_>,
+        candidates: &[Candidate],
+        object: u64,
+        ready_set: &ReadySet,
+        places: &Places,
+        feeder: &dyn Fn(u64, Place) -> usize,
+        now: Instant,
+    ) -> Option<(Candidate, Cost)> {
+        for (rank, candidate) in candidates.iter().enumerate() {
+            let Some(instance) = ready_set.get(candidate.key) else { continue };
+            if !instance.health.is_ejected(now) || !may_feed(instance, feeder, now) {
+                continue;
+            }
+            let cost = self.cost(query, candidate, instance, rank, object, places, now);
+            if cost.wait_ms <= self.allowed_wait_ms(query, &cost) {
+                return Some((*candidate, cost));
+            }
+        }
+        None
+    }
+
+    /// The times for the work of a route.
+    fn work_mut(&mut self, query: &Query<'_>) -> &mut Work {
+        let at = match self.work.binary_search_by(|it| it.0.as_str().cmp(query.route)) {
+            Ok(at) => at,
+            Err(at) => {
+                let target_ms = query.target_latency.as_secs_f64() * 1000.0;
+                let (warm_ms, cold_ms) = (target_ms * WARM_PART, target_ms * COLD_PART);
+                let work = Work { warm_ms, cold_ms, mean_ms: (warm_ms + cold_ms) / 2.0 };
+                self.work.insert(at, (query.route.to_owned(), work));
+                at
+            }
+        };
+        &mut self.work[at].1
+    }
+}
+
+/// Whether an instance may get a request now as far as its coldness goes.
+fn may_feed(instance: &Instance, feeder: &dyn Fn(u64, Place) -> usize, now: Instant) -> bool {
+    if !instance.is_cold(now) {
+        return true;
+    }
+    feeder(instance.id_hash, instance.report.place) < FEEDERS && instance.cold_pace.allows(now)
+}
+
+/// How much longer an instance takes, the longer ago the nearer to 1.
+fn slowness(instance: &Instance, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(instance.slowness_at).as_secs_f64();
+    let kept = 0.5f64.powf(age / SLOWNESS_HALF_LIFE.as_secs_f64());
+    1.0 + (instance.slowness - 1.0) * kept
+}
+
+/// Rendezvous score of an instance for an object, weighted by slots; the smallest is first.
+fn score(object: u64, id_hash: u64, slots: u32) -> f64 {
+    let unit = ((mix(object ^ id_hash) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -unit.ln() / f64::from(slots.max(1))
+}
+
+/// How far away a place is.
+fn distance(place: Place, own: Place) -> Distance {
+    if place.zone == own.zone {
+        Distance::Zone
+    } else if place.region == own.region {
+        Distance::Region
+    } else {
+        Distance::Far
+    }
+}
--- /dev/null
+++ b/crates/steer/src/lib.rs
@@ -0,0 +1,44 @@
+//! Decisions for upstreams that register themselves: which requests run, where, and since when.
+//!
+//! Nothing here does I/O; time comes in as an argument, so that tests drive every rule directly.
+
+mod allowance;
+mod beat;
+mod canary;
+mod choose;
+mod cold;
+mod freshness;
+mod health;
+mod instance;
+mod load;
+mod manifest;
+mod members;
+mod place;
+mod ready_set;
+mod split;
+mod versions;
+mod steering;
+mod warmth;
+
+pub use crate::{
+    allowance::{Allowances, AllowanceSettings},
+    beat::{Beat, BeatState, DemandEntry, Echo, PROTOCOL, RolloutTally, name_hash},
+    canary::{Canary, CanarySettings, RolloutOrder, RolloutState, StatusWrite},
+    choose::{Choice, Chooser, Full, Query},
+    freshness::Freshness,
+    health::Failure,
+    instance::{InstanceKey, InstanceReport, LoadReport, ServingState},
+    load::LoadEstimate,
+    manifest::{
+        CallerLimits, KeyDigest, Manifest, Repeat, Route, Service, Target, Tenant,
+    },
+    members::{Member, MemberChange, Members},
+    place::{Place, Places, RegionKey, ZoneKey},
+    ready_set::{Instance, Lapse, ReadySet, Registered},
+    split::Splits,
+    steering::{
+        Admission, Attempts, Denial, Outcome, Plan, Report, RequestHead, Steering, SteeringEvent,
+        SteeringSettings, describe_instance,
+    },
+    versions::{Side, Versions},
+};
--- /dev/null
+++ b/crates/steer/src/members.rs
@@ -0,0 +1,280 @@
+//! The hosts of the system as this process sees them.
+
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+
+use kingcupford_route::Announcement;
+use tokio::time::Instant;
+
+use crate::{
+    beat::{Beat, BeatState, Echo, PROTOCOL, RolloutTally},
+    place::{Place, Places},
+};
+
+/// Silence after which a host is taken to be down: several beats, and below the time after which
+/// naming a dead host to callers breaks the deployments' bound of 7 s.
+const SILENT_AFTER: Duration = Duration::from_millis(1500);
+
+/// Time for which a silent host's demand still counts, since it may serve behind a partition.
+const DEMAND_KEPT: Duration = Duration::from_secs(30);
+
+/// Sent beats remembered for each peer to date its echoes.
+const SENT_KEPT: usize = 32;
+
+/// Addresses in one answer to a lookup; callers use no more.
+const MAX_ADDRESSES: usize = 64;
+
+/// A host as it registered itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Where it runs.
+    pub place: Place,
+    /// Where other hosts reach it.
+    pub peer_address: SocketAddr,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+}
+
+/// All hosts but this one.
+#[derive(Debug, Default)]
+pub struct Members {
+    /// The hosts, sorted by name.
+    peers: Vec<Peer>,
+}
+
+/// Another host.
+#[derive(Debug)]
+struct Peer {
+    /// What it registered.
+    member: Member,
+    /// Its newest beat.
+    beat: Option<Beat>,
+    /// When that arrived.
+    heard_at: Option<Instant>,
+    /// Whether it was heard lately at the last look.
+    was_live: bool,
+    /// Beats sent to it with their times.
+    sent: VecDeque<(u64, Instant)>,
+}
+
+/// A change of the view of a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MemberChange {
+    /// It is heard again, or for the first time.
+    Live(String),
+    /// It is silent.
+    Silent(String),
+}
+
+impl Members {
+    /// Takes a registration in.
+    pub fn register(&mut self, member: Member) {
+        match self.position(&member.name) {
+            Ok(at) if self.peers[at].member == member => {}
+            Ok(at) => self.peers[at] = Peer::new(member),
+            Err(at) => self.peers.insert(at, Peer::new(member)),
+        }
+    }
+
+    /// Forgets a host.
+    pub fn deregister(&mut self, name: &str) {
+        if let Ok(at) = self.position(name) {
+            self.peers.remove(at);
+        }
+    }
+
+    /// Takes a beat in; one from an unknown host or address is ignored.
+    pub fn receive(&mut self, beat: Beat, from: SocketAddr, now: Instant) -> Option<&Beat> {
+        let at = self.position(&beat.from).ok()?;
+        let peer = &mut self.peers[at];
+        let is_newer = peer.beat.as_ref().is_none_or(|it| {
+            (it.incarnation, it.sequence) < (beat.incarnation, beat.sequence)
+        });
+        if beat.protocol != PROTOCOL || peer.member.peer_address != from || !is_newer {
+            return None;
+        }
+        peer.heard_at = Some(now);
+        Some(peer.beat.insert(beat))
+    }
+
+    /// A time at which a peer's view was current, from its newest beat.
+    ///
+    /// The peer sent the beat after it received the echoed one, so the time of sending that, plus
+    /// the time for which the peer held it, is a lower bound that needs no common clock.
+    pub fn confirmed_at(&self, name: &str, incarnation: u64) -> Option<(u64, Instant)> {
+        let peer = &self.peers[self.position(name).ok()?];
+        let beat = peer.beat.as_ref()?;
+        let echo = beat.echo.filter(|it| it.incarnation == incarnation)?;
+        let (_, sent_at) = peer.sent.iter().find(|it| it.0 == echo.sequence)?;
+        let held = Duration::from_millis(u64::from(echo.held_ms));
+        let age = Duration::from_millis(u64::from(beat.view_age_ms?));
+        Some((beat.manifest_version, (*sent_at + held).checked_sub(age)?))
+    }
+
+    /// The hosts to send beats to, with the echo for each; notes the sending.
+    pub fn send(&mut self, sequence: u64, now: Instant) -> Vec<(SocketAddr, Option<Echo>)> {
+        self.peers
+            .iter_mut()
+            .map(|it| {
+                if it.sent.len() == SENT_KEPT {
+                    it.sent.pop_front();
+                }
+                it.sent.push_back((sequence, now));
+                (it.member.peer_address, it.echo(now))
+            })
+            .collect()
+    }
+
+    /// Changes since the last call.
+    pub fn changes(&mut self, now: Instant) -> Vec<MemberChange> {
+        let mut res = Vec::new();
+        for it in &mut self.peers {
+            let is_live = it.is_live(now);
+            if is_live != it.was_live {
+                it.was_live = is_live;
+                let name = it.member.name.clone();
+                let change = if is_live { MemberChange::Live } else { MemberChange::Silent };
+                res.push(change(name));
+            }
+        }
+        res
+    }
+
+    /// Callers' addresses of hosts near a place, nearest kind first that has any: the zone, its
+    /// region, anywhere; hosts that serve go before those that merely run.
+    pub fn lookup(
+        &self,
+        own: &Member,
+        own_state: BeatState,
+        near: Option<Place>,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let live: Vec<(Place, SocketAddr, BeatState)> = self
+            .peers
+            .iter()
+            .filter(|it| it.is_live(now))
+            .map(|it| (it.member.place, it.member.caller_address, it.state()))
+            .chain([(own.place, own.caller_address, own_state)])
+            .collect();
+        let place = near.unwrap_or(own.place);
+        let is_near: [&dyn Fn(&Place) -> bool; 3] =
+            [&|it| it.zone == place.zone, &|it| it.region == place.region, &|_| true];
+        for wanted in [BeatState::Serving, BeatState::Unready, BeatState::Draining] {
+            for is_near in is_near {
+                let found = live.iter().filter(|it| it.2 == wanted && is_near(&it.0));
+                let found: Vec<SocketAddr> = found.map(|it| it.1).take(MAX_ADDRESSES).collect();
+                if !found.is_empty() {
+                    return found;
+                }
+            }
+        }
+        Vec::new()
+    }
+
+    /// Known hosts, this one included, whether they are heard or not.
+    pub fn known(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Hosts that are heard, this one included.
+    pub fn live(&self, now: Instant) -> usize {
+        self.peers.iter().filter(|it| it.is_live(now)).count() + 1
+    }
+
+    /// Rank of this host among the live ones for a duty, 0 first.
+    pub fn rank(&self, own_name: &str, duty: u64, now: Instant) -> usize {
+        let score = |name: &str| {
+            crate::warmth::mix(duty ^ xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
+        };
+        let own = score(own_name);
+        let live = self.peers.iter().filter(|it| it.is_live(now));
+        live.filter(|it| score(&it.member.name) > own).count()
+    }
+
+    /// Rank of this host among all known ones for a cold instance; hosts in its zone go first.
+    pub fn feeder_rank(&self, own: &Member, instance: u64, place: Place) -> usize {
+        let score = |member: &Member| {
+            let near = member.place.zone == place.zone;
+            let hash = crate::warmth::mix(
+                instance ^ xxhash_rust::xxh3::xxh3_64(member.name.as_bytes()),
+            );
+            (near, hash)
+        };
+        let own = score(own);
+        self.peers.iter().filter(|it| score(&it.member) > own).count()
+    }
+
+    /// Demand of a tenant at the other hosts; `unheard` is assumed of hosts that never told.
+    pub fn demand(&self, tenant: u32, unheard: f64, now: Instant) -> f64 {
+        self.peers.iter().map(|it| it.demand(tenant, unheard, now)).sum()
+    }
+
+    /// What the other hosts counted in a rollout, by name and incarnation.
+    pub fn tallies(&self, rollout: u32) -> impl Iterator<Item = (&str, u64, &RolloutTally)> {
+        self.peers.iter().filter_map(move |it| {
+            let beat = it.beat.as_ref()?;
+            let tally = beat.rollouts.iter().find(|it| it.rollout == rollout)?;
+            Some((it.member.name.as_str(), beat.incarnation, tally))
+        })
+    }
+
+    /// Announcements in a peer's newest beat.
+    pub fn announcements(&self, name: &str) -> &[Announcement] {
+        let beat = self.position(name).ok().and_then(|at| self.peers[at].beat.as_ref());
+        beat.map_or(&[], |it| &it.announcements)
+    }
+
+    /// Describes the known hosts for logs: name, zone and state.
+    pub fn describe(&self, places: &Places, now: Instant) -> Vec<(String, String, &'static str)> {
+        let peers = self.peers.iter().map(|it| {
+            let zone = places.zone_name(it.member.place.zone).to_owned();
+            let state = if it.is_live(now) { "live" } else { "silent" };
+            (it.member.name.clone(), zone, state)
+        });
+        peers.collect()
+    }
+
+    /// Where a host stands, or would stand.
+    fn position(&self, name: &str) -> Result<usize, usize> {
+        self.peers.binary_search_by(|it| it.member.name.as_str().cmp(name))
+    }
+}
+
+impl Peer {
+    /// A host that was not heard yet.
+    fn new(member: Member) -> Self {
+        Self { member, beat: None, heard_at: None, was_live: false, sent: VecDeque::new() }
+    }
+
+    /// Whether it was heard lately.
+    fn is_live(&self, now: Instant) -> bool {
+        self.heard_at.is_some_and(|it| now.saturating_duration_since(it) < SILENT_AFTER)
+    }
+
+    /// What it does.
+    fn state(&self) -> BeatState {
+        self.beat.as_ref().map_or(BeatState::Unready, |it| it.state)
+    }
+
+    /// The acknowledgement of its newest beat.
+    fn echo(&self, now: Instant) -> Option<Echo> {
+        let beat = self.beat.as_ref()?;
+        let held = now.saturating_duration_since(self.heard_at?);
+        Some(Echo {
+            incarnation: beat.incarnation,
+            sequence: beat.sequence,
+            held_ms: u32::try_from(held.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Demand of a tenant at it.
+    fn demand(&self, tenant: u32, unheard: f64, now: Instant) -> f64 {
+        let (Some(beat), Some(heard_at)) = (&self.beat, self.heard_at) else { return unheard };
+        if now.saturating_duration_since(heard_at) > DEMAND_KEPT {
+            return 0.0;
+        }
+        let entry = beat.demand.iter().find(|it| it.tenant == tenant);
+        entry.map_or(0.0, |it| f64::from(it.per_s.max(0.0)))
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -4,6 +4,8 @@
 
 use strum::{EnumIter, IntoStaticStr};
 
+use crate::budget;
+
 /// A log event; its number never changes its meaning and is never used again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter, IntoStaticStr)]
 #[repr(u16)]
@@ -24,6 +26,14 @@
     CertificatesReloaded = 1007,
     /// Certificates could not be read again and the former ones stay in use.
     CertificatesRejected = 1008,
+    /// Changed settings are in force.
+    SettingsReloaded = 1009,
+    /// The process begins to serve; its settings follow.
+    ProcessStarted = 1010,
+    /// The process ends.
+    ProcessStopped = 1011,
+    /// Lines of an event were left out, since they came too often.
+    LinesLeftOut = 1012,
     /// A configuration version became active.
     ConfigActive = 2001,
     /// A configuration version could not be used.
@@ -40,6 +50,10 @@
     PlatformConflict = 3003,
     /// The outcome of a write is not known yet.
     PlatformWriteUnknown = 3004,
+    /// The view of the platform is confirmed and requests are taken.
+    ViewConfirmed = 3005,
+    /// The view of the platform is too old and requests with keys are refused.
+    ViewStale = 3006,
     /// A host joined the membership view.
     MemberJoined = 4001,
     /// A host left the membership view.
@@ -66,6 +80,14 @@
     InstanceEjected = 6001,
     /// An upstream instance takes requests again.
     InstanceReturned = 6002,
+    /// An upstream instance registered itself, or started again.
+    InstanceRegistered = 6004,
+    /// An upstream instance takes no new requests.
+    InstanceDraining = 6005,
+    /// An upstream instance is no longer registered.
+    InstanceGone = 6006,
+    /// A registration cannot be used.
+    InstanceRejected = 6007,
     /// A request fingerprint was quarantined.
     FingerprintQuarantined = 6003,
     /// This host stopped sending requests to a new version.
@@ -74,6 +96,22 @@
     RolloutChanged = 7002,
     /// This host took the controller lease of a rollout.
     ControllerLeaseTaken = 7003,
+    /// A rollout's status was written or refused.
+    RolloutStatusWritten = 7004,
+    /// An order of operators cannot be used.
+    OrderRejected = 7005,
+    /// Nothing more is sent to the instances of a zone.
+    ZoneEvacuated = 7101,
+    /// Instances of an evacuated zone take requests again.
+    ZoneReturned = 7102,
+    /// A request got a response of an instance.
+    RequestAnswered = 8001,
+    /// A request was refused and did not run.
+    RequestRefused = 8002,
+    /// A request got no response of an instance and may have run.
+    RequestFailed = 8003,
+    /// The caller left before the response.
+    RequestAbandoned = 8004,
 }
 
 impl Event {
@@ -103,6 +141,11 @@
             | Self::PeerFailed
             | Self::ShareReclaimed
             | Self::InstanceEjected
+            | Self::InstanceRejected
+            | Self::OrderRejected
+            | Self::ViewStale
+            | Self::LinesLeftOut
+            | Self::RequestFailed
             | Self::FingerprintQuarantined
             | Self::RolloutStopped => log::Level::Warn,
             Self::HostStarted
@@ -117,12 +160,28 @@
             | Self::LedgerChanged
             | Self::InstanceReturned
             | Self::RolloutChanged
-            | Self::ControllerLeaseTaken => log::Level::Info,
+            | Self::ControllerLeaseTaken
+            | Self::SettingsReloaded
+            | Self::ProcessStarted
+            | Self::ProcessStopped
+            | Self::ViewConfirmed
+            | Self::InstanceRegistered
+            | Self::InstanceDraining
+            | Self::InstanceGone
+            | Self::RolloutStatusWritten
+            | Self::ZoneEvacuated
+            | Self::ZoneReturned
+            | Self::RequestAnswered
+            | Self::RequestRefused
+            | Self::RequestAbandoned => log::Level::Info,
         }
     }
 
     /// Logs the event with its number and name.
     pub fn log(self, details: fmt::Arguments<'_>) {
+        if !budget::allows(self) {
+            return;
+        }
         let name: &'static str = self.into();
         log::log!(target: "kingcupford", self.level(), "KC{} {name}: {details}", self.code());
     }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -74,6 +74,14 @@
     pub control_bytes: Family<TrafficLabels, Counter>,
     /// Calls to the platform.
     pub platform_calls: Counter,
+    /// Known instances of upstreams.
+    pub instances: Gauge,
+    /// Open connections of callers.
+    pub caller_connections: Gauge,
+    /// Unused connections to instances.
+    pub idle_upstream_connections: Gauge,
+    /// Age of the view of the platform in milliseconds, -1 when it is not confirmed.
+    pub view_age: Gauge,
 }
 
 impl Metrics {
@@ -94,6 +102,10 @@
             isolated: Gauge::default(),
             control_bytes: Family::default(),
             platform_calls: Counter::default(),
+            instances: Gauge::default(),
+            caller_connections: Gauge::default(),
+            idle_upstream_connections: Gauge::default(),
+            view_age: Gauge::default(),
         };
         res.register();
         res
@@ -132,6 +144,18 @@
             self.control_bytes.clone(),
         );
         it.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
+        it.register("instances", "Known instances of upstreams", self.instances.clone());
+        it.register(
+            "caller_connections",
+            "Open connections of callers",
+            self.caller_connections.clone(),
+        );
+        it.register(
+            "idle_upstream_connections",
+            "Unused connections to instances",
+            self.idle_upstream_connections.clone(),
+        );
+        it.register("view_age_ms", "Age of the view, -1 if unconfirmed", self.view_age.clone());
     }
 }
 
