Restart a hanging manifest watch only after a list could have ended

Cause: every beat of a peer with a newer manifest restarted the watcher, and 100 ms later the next one did so again, before its list (110 ms between regions) was answered.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -39,6 +39,13 @@
 /// Time after an outage in which living instances register again.
 const REGISTER_AGAIN: Duration = Duration::from_millis(2200);
 
+/// Time for which a peer may have a newer manifest before the own watch is taken to hang: several
+/// round trips between regions, and short against the bound for new manifests.
+const HANGING_WATCH: Duration = Duration::from_millis(800);
+
+/// Time between two looks at the peers' manifests.
+const BEHIND_CHECK: Duration = Duration::from_millis(200);
+
 /// Time between two attempts to register this host.
 const ANNOUNCE_AGAIN: Duration = Duration::from_millis(300);
 
@@ -139,11 +146,10 @@
         let feed = self.clone();
         tokio::task::spawn_local(async move {
             loop {
-                let behind = feed.state.manifest_behind.notified();
                 tokio::select! {
                     () = feed.follow(names.manifest, MANIFEST_WAIT_MS) => {}
-                    // Another watch lists at once.
-                    () = async { behind.await; sleep(Duration::from_millis(SPACING_MS)).await } => {}
+                    // A new watcher begins with a list.
+                    () = feed.falls_behind() => {}
                 }
             }
         });
@@ -197,6 +203,17 @@
         log::debug!("registration of {own} deleted: {outcome:?}");
     }
 
+    /// Waits until a peer has had a newer manifest for so long that the own watch must hang.
+    async fn falls_behind(&self) {
+        // A list takes a round trip; a watcher that has just started gets the time for it.
+        sleep(HANGING_WATCH).await;
+        while self.state.behind_for(Instant::now()).is_none_or(|it| it < HANGING_WATCH) {
+            sleep(BEHIND_CHECK).await;
+        }
+        let behind = self.state.newer_manifest.get().map_or(0, |it| it.0);
+        log::warn!("watch of the manifest hangs: a peer has version {behind}");
+    }
+
     /// Registers this host and keeps it registered.
     async fn announce(&self) {
         loop {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -74,12 +74,8 @@
             }
         };
         let now = Instant::now();
-        let mut steering = state.steering.borrow_mut();
-        let known = steering.manifest().map_or(0, |it| it.version());
-        if beat.manifest_version > known {
-            state.manifest_behind.notify_one();
-        }
-        steering.receive(beat, from, now);
+        state.peer_manifest(beat.manifest_version, now);
+        state.steering.borrow_mut().receive(beat, from, now);
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,11 +4,12 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
+    time::Duration,
 };
 
 use kingcupford_steer::{BeatState, Steering};
 use kingcupford_telemetry::{Event, Metrics};
-use tokio::{sync::Notify, time::Instant};
+use tokio::time::Instant;
 
 use crate::{clock, pool::Pool, settings::GatewaySettings};
 
@@ -26,8 +27,8 @@
     pub(crate) phase: Cell<Phase>,
     /// Requests that run.
     pub(crate) in_flight: Cell<usize>,
-    /// Signalled when a peer has a newer manifest, so that a watch that hangs is given up.
-    pub(crate) manifest_behind: Notify,
+    /// The newest manifest that a peer has and this process lacks, and since when.
+    pub(crate) newer_manifest: Cell<Option<(u64, Instant)>>,
     /// Versions of the rollout objects by service, for conditional writes.
     pub(crate) rollout_versions: RefCell<BTreeMap<String, u64>>,
     /// Start of each rollout by service, as the platform holds it.
@@ -56,7 +57,7 @@
             metrics: Metrics::new(),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
-            manifest_behind: Notify::new(),
+            newer_manifest: Cell::new(None),
             rollout_versions: RefCell::default(),
             rollout_starts: RefCell::default(),
         })
@@ -75,6 +76,22 @@
         }
     }
 
+    /// Notes the version of a peer's manifest.
+    pub(crate) fn peer_manifest(&self, version: u64, now: Instant) {
+        let known = self.steering.borrow().manifest().map_or(0, |it| it.version());
+        match self.newer_manifest.get() {
+            Some((newer, _)) if newer > known => {}
+            _ => self.newer_manifest.set((version > known).then_some((version, now))),
+        }
+    }
+
+    /// For how long a peer has had a manifest that this process lacks.
+    pub(crate) fn behind_for(&self, now: Instant) -> Option<Duration> {
+        let known = self.steering.borrow().manifest().map_or(0, |it| it.version());
+        let (newer, since) = self.newer_manifest.get()?;
+        (newer > known).then(|| now.saturating_duration_since(since))
+    }
+
     /// What peers are told of this process.
     pub(crate) fn beat_state(&self, now: Instant) -> BeatState {
         match self.phase.get() {
