Keep objects at their first instance

Cause: with a cost of 10 ms for each further choice, short queues sent objects to a second and third instance, where they displace others from the cache; Kumamoto's two instances cannot keep all objects of the region twice. Change: the cost is 0.4 of the target latency, about the time of uncached work.

--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -23,9 +23,10 @@
 /// Instances of other regions that may handle one object.
 const REMOTE_CHOICES: usize = 2;
 
-/// Cost of the second and each further choice, in milliseconds of latency: below it a shorter
-/// queue is not worth spreading an object over more caches.
-const RANK_COST_MS: f64 = 10.0;
+/// Cost of the second and each further choice, as a part of the target latency: about what work on
+/// an object takes that is not cached. Below it a shorter queue is not worth spreading objects over
+/// more caches, which displace each other's objects.
+const RANK_COST_PART: f64 = 0.4;
 
 /// Cost of leaving the zone, in milliseconds of latency; traffic between zones is paid for.
 const ZONE_COST_MS: f64 = 4.0;
@@ -409,10 +410,11 @@
             Distance::Region => ZONE_COST_MS * factor,
             Distance::Far => REGION_COST_MS * factor,
         };
+        let target_ms = query.target_latency.as_secs_f64() * 1000.0;
         // An exchange that fails costs about a whole target latency.
-        let failure_ms =
-            instance.health.failure_rate() * query.target_latency.as_secs_f64() * 1000.0;
-        let total_ms = expected_ms + distance_ms + failure_ms + rank as f64 * RANK_COST_MS;
+        let failure_ms = instance.health.failure_rate() * target_ms;
+        let rank_ms = rank as f64 * RANK_COST_PART * target_ms;
+        let total_ms = expected_ms + distance_ms + failure_ms + rank_ms;
         Cost { expected_ms, wait_ms, total_ms, is_warm }
     }
 
