--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -97,6 +97,32 @@
     pub side: Side,
 }
 
+/// What a choice is made among.
+#[derive(Clone, Copy)]
+pub struct View<'a> {
+    /// The instances.
+    pub ready_set: &'a ReadySet,
+    /// Versions and rollouts.
+    pub versions: &'a Versions,
+    /// Zones and regions.
+    pub places: &'a Places,
+    /// Rank of this host among the feeders of a cold instance, by the hash of its id and place.
+    pub feeder_rank: &'a dyn Fn(u64, Place) -> usize,
+    /// The time.
+    pub now: Instant,
+}
+
+/// A good response.
+#[derive(Debug, Clone, Copy)]
+pub struct Observation {
+    /// The instance.
+    pub key: InstanceKey,
+    /// Time from sending to the response.
+    pub latency: Duration,
+    /// Whether requests waited at the instance.
+    pub was_queued: bool,
+}
+
 /// The answer to a [`Query`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Choice {
@@ -203,37 +229,33 @@
     }
 
     /// Chooses an instance.
-    pub fn choose(
-        &mut self,
-        query: &Query<'_>,
-        ready_set: &ReadySet,
-        versions: &Versions,
-        places: &Places,
-        feeder: &dyn Fn(u64, Place) -> usize,
-        now: Instant,
-    ) -> Choice {
+    pub fn choose(&mut self, query: &Query<'_>, view: &View<'_>) -> Choice {
         let object = if query.affinity { query.object } else { self.rng.random() };
-        let candidates = self.candidates(query, object, ready_set, versions, places, now);
+        let candidates = self.candidates(query, object, view);
         if candidates.is_empty() {
             return Choice::NoInstance;
         }
         let mut best: Option<(Candidate, Cost)> = None;
-        for (rank, candidate) in candidates.iter().enumerate() {
-            let Some(instance) = ready_set.get(candidate.key) else { continue };
-            if instance.health.is_ejected(now) || !may_feed(instance, feeder, now) {
-                continue;
-            }
-            let cost = self.cost(query, candidate, instance, rank, object, places, now);
-            if cost.wait_ms > self.allowed_wait_ms(query, &cost) {
-                continue;
+        // One that was ejected may have recovered; it is tried when no other has room.
+        for use_ejected in [false, true] {
+            for (rank, candidate) in candidates.iter().enumerate() {
+                let Some(instance) = view.ready_set.get(candidate.key) else { continue };
+                let is_ejected = instance.health.is_ejected(view.now);
+                if is_ejected != use_ejected || !may_feed(instance, view) {
+                    continue;
+                }
+                let cost = self.cost(query, (candidate, instance), rank, object, view);
+                if cost.wait_ms > allowed_wait_ms(query, &cost) {
+                    continue;
+                }
+                if best.is_none_or(|it| cost.total_ms < it.1.total_ms) {
+                    best = Some((*candidate, cost));
+                }
             }
-            if best.is_none_or(|it| cost.total_ms < it.1.total_ms) {
-                best = Some((*candidate, cost));
+            if best.is_some() {
+                break;
             }
         }
-        if best.is_none() {
-            best = self.last_resort(query, &candidates, object, ready_set, places, feeder, now);
-        }
         match best {
             Some((candidate, cost)) => Choice::Instance {
                 key: candidate.key,
@@ -285,13 +307,12 @@
     pub fn succeeded(
         &mut self,
         query: &Query<'_>,
-        key: InstanceKey,
-        latency: Duration,
-        was_queued: bool,
+        observation: &Observation,
         ready_set: &mut ReadySet,
         places: &Places,
         now: Instant,
     ) -> bool {
+        let Observation { key, latency, was_queued } = *observation;
         let is_warm = self.warmth.is_warm(key, query.object, now);
         let work = self.work_mut(query);
         let Some(it) = ready_set.get_mut(key) else { return false };
@@ -339,32 +360,30 @@
         &self,
         query: &Query<'_>,
         object: u64,
-        ready_set: &ReadySet,
-        versions: &Versions,
-        places: &Places,
-        now: Instant,
+        view: &View<'_>,
     ) -> Vec<Candidate> {
-        let mut all: Vec<Candidate> = ready_set
+        let mut all: Vec<Candidate> = view
+            .ready_set
             .of_service(query.service)
             .filter(|(key, it)| {
                 it.takes_requests()
                     && !query.exclude.contains(key)
                     && !self.evacuated.contains(&it.report.place.zone)
                     && query.homes.is_none_or(|homes| homes.contains(&it.report.place.region))
-                    && versions.allows(it, query.side)
+                    && view.versions.allows(it, query.side)
             })
             .map(|(key, it)| Candidate {
                 key,
                 score: score(object, it.id_hash, it.report.slots),
-                distance: distance(it.report.place, places.own()),
+                distance: distance(it.report.place, view.places.own()),
             })
             .collect();
         let concentrated = query.side == Side::New
-            && versions.rollout(query.service).is_some_and(|it| it.is_concentrated(now));
+            && view.versions.rollout(query.service).is_some_and(|it| it.is_concentrated(view.now));
         if concentrated {
             // The same few instances for all objects, so that they see load.
             for it in &mut all {
-                let id_hash = ready_set.get(it.key).map_or(0, |it| it.id_hash);
+                let id_hash = view.ready_set.get(it.key).map_or(0, |it| it.id_hash);
                 it.score = score(0, id_hash, 1);
             }
             all.sort_by(|a, b| a.score.total_cmp(&b.score));
@@ -388,13 +407,12 @@
     fn cost(
         &mut self,
         query: &Query<'_>,
-        candidate: &Candidate,
-        instance: &Instance,
+        (candidate, instance): (&Candidate, &Instance),
         rank: usize,
         object: u64,
-        places: &Places,
-        now: Instant,
+        view: &View<'_>,
     ) -> Cost {
+        let View { places, now, .. } = *view;
         let is_warm = query.affinity && self.warmth.is_warm(candidate.key, object, now);
         let work = *self.work_mut(query);
         let slowness = slowness(instance, now).max(0.5);
@@ -418,39 +436,6 @@
         Cost { expected_ms, wait_ms, total_ms, is_warm }
     }
 
-    /// The longest wait that is allowed at a candidate.
-    fn allowed_wait_ms(&self, query: &Query<'_>, cost: &Cost) -> f64 {
-        let target_ms = query.target_latency.as_secs_f64() * 1000.0;
-        let work_ms = cost.expected_ms - cost.wait_ms;
-        let allowed = (target_ms * TARGET_PART - work_ms).max(target_ms * MIN_WAIT_PART);
-        allowed * PRIORITY_PART.powi(query.priority.min(8) as i32)
-    }
-
-    /// A choice when no candidate is both well and free: an ejected one with room, which may have
-    /// recovered, for requests that may be repeated.
-    fn last_resort(
-        &mut self,
-        query: &Query<'_>,
-        candidates: &[Candidate],
-        object: u64,
-        ready_set: &ReadySet,
-        places: &Places,
-        feeder: &dyn Fn(u64, Place) -> usize,
-        now: Instant,
-    ) -> Option<(Candidate, Cost)> {
-        for (rank, candidate) in candidates.iter().enumerate() {
-            let Some(instance) = ready_set.get(candidate.key) else { continue };
-            if !instance.health.is_ejected(now) || !may_feed(instance, feeder, now) {
-                continue;
-            }
-            let cost = self.cost(query, candidate, instance, rank, object, places, now);
-            if cost.wait_ms <= self.allowed_wait_ms(query, &cost) {
-                return Some((*candidate, cost));
-            }
-        }
-        None
-    }
-
     /// The times for the work of a route.
     fn work_mut(&mut self, query: &Query<'_>) -> &mut Work {
         let at = match self.work.binary_search_by(|it| it.0.as_str().cmp(query.route)) {
@@ -467,12 +452,21 @@
     }
 }
 
+/// The longest wait that is allowed at a candidate, in milliseconds.
+fn allowed_wait_ms(query: &Query<'_>, cost: &Cost) -> f64 {
+    let target_ms = query.target_latency.as_secs_f64() * 1000.0;
+    let work_ms = cost.expected_ms - cost.wait_ms;
+    let allowed = (target_ms * TARGET_PART - work_ms).max(target_ms * MIN_WAIT_PART);
+    allowed * PRIORITY_PART.powi(query.priority.min(8) as i32)
+}
+
 /// Whether an instance may get a request now as far as its coldness goes.
-fn may_feed(instance: &Instance, feeder: &dyn Fn(u64, Place) -> usize, now: Instant) -> bool {
-    if !instance.is_cold(now) {
+fn may_feed(instance: &Instance, view: &View<'_>) -> bool {
+    if !instance.is_cold(view.now) {
         return true;
     }
-    feeder(instance.id_hash, instance.report.place) < FEEDERS && instance.cold_pace.allows(now)
+    let rank = (view.feeder_rank)(instance.id_hash, instance.report.place);
+    rank < FEEDERS && instance.cold_pace.allows(view.now)
 }
 
 /// How much longer an instance takes, the longer ago the nearer to 1.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -24,7 +24,7 @@
     allowance::{Allowances, AllowanceSettings},
     beat::{Beat, BeatState, DemandEntry, Echo, PROTOCOL, RolloutTally, name_hash},
     canary::{Canary, CanarySettings, RolloutOrder, RolloutState, StatusWrite},
-    choose::{Choice, Chooser, Full, Query},
+    choose::{Choice, Chooser, Full, Observation, Query, View},
     freshness::Freshness,
     health::Failure,
     instance::{InstanceKey, InstanceReport, LoadReport, ServingState},
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -13,7 +13,7 @@
     allowance::{AllowanceSettings, Allowances},
     beat::{Beat, BeatState, PROTOCOL},
     canary::{CanarySettings, RolloutState},
-    choose::{Choice, Chooser, Query},
+    choose::{Choice, Chooser, Observation, Query, View},
     cold::FEEDERS,
     freshness::Freshness,
     health::Failure,
@@ -552,9 +552,14 @@
     fn choose(&mut self, plan: &Plan, exclude: &[InstanceKey], now: Instant) -> Choice {
         let query = query(plan, exclude);
         let (members, own) = (&self.members, &self.settings.own);
-        let feeder = |id_hash, place| members.feeder_rank(own, id_hash, place);
-        let (ready_set, versions) = (&self.ready_set, &self.versions);
-        self.chooser.choose(&query, ready_set, versions, &self.settings.places, &feeder, now)
+        let view = View {
+            ready_set: &self.ready_set,
+            versions: &self.versions,
+            places: &self.settings.places,
+            feeder_rank: &|id_hash, place| members.feeder_rank(own, id_hash, place),
+            now,
+        };
+        self.chooser.choose(&query, &view)
     }
 
     /// Learns from a good response.
@@ -573,15 +578,9 @@
         }
         let was_queued = report.load.is_some_and(|it| it.waiting > 0);
         let query = query(plan, &[]);
-        let recovered = self.chooser.succeeded(
-            &query,
-            key,
-            latency,
-            was_queued,
-            &mut self.ready_set,
-            &self.settings.places,
-            now,
-        );
+        let observation = Observation { key, latency, was_queued };
+        let (ready_set, places) = (&mut self.ready_set, &self.settings.places);
+        let recovered = self.chooser.succeeded(&query, &observation, ready_set, places, now);
         recovered.then_some(false)
     }
 
