Follow the platform through one reader per region, and move objects of overloaded regions slowly

Change: one host of each region follows the platform, the others follow it with the same client and its age; the next host takes over when the reader is silent or its answers grow old.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -90,8 +90,7 @@
 fn readiness(state: &State) -> Response<Full<Bytes>> {
     let now = Instant::now();
     state.check_pause(now);
-    let is_ready =
-        state.phase.get() == Phase::Serving && state.steering.borrow().is_confirmed(now);
+    let is_ready = state.phase.get() == Phase::Serving && state.steering.borrow().is_confirmed(now);
     if is_ready {
         text(StatusCode::OK, "text/plain", "ready\n".to_owned())
     } else {
@@ -117,7 +116,7 @@
 }
 
 /// A parameter of a query; names of zones and hosts need no escapes.
-fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+pub(crate) fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     let mut pairs = query.split('&').filter_map(|it| it.split_once('='));
     pairs.find(|it| it.0 == name).map(|it| it.1)
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -12,13 +12,18 @@
     WatchEvent, Watcher, WatcherSettings, WriteOutcome,
 };
 use kingcupford_steer::{
-    Canary, InstanceReport, Lapse, Manifest, Member, Places, Registered, RolloutOrder,
-    RolloutState,
+    Canary, InstanceReport, Lapse, Manifest, Member, Places, Registered, RolloutOrder, RolloutState,
 };
 use kingcupford_telemetry::Event;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
 
-use crate::state::State;
+use crate::{
+    relay::{RelayedStore, Source},
+    state::State,
+};
 
 /// Wait of one watch on the manifest: each that ends confirms the view.
 const MANIFEST_WAIT_MS: u64 = 1000;
@@ -112,8 +117,10 @@
 
 /// Follows the platform until it is dropped.
 pub(crate) struct Feed<S, D> {
-    /// The platform.
-    store: Arc<S>,
+    /// The platform, followed through another host where one reads.
+    store: Arc<RelayedStore<S>>,
+    /// Where it is followed.
+    source: Rc<watch::Sender<Source>>,
     /// Decodes objects.
     decoder: Rc<D>,
     /// The process.
@@ -124,6 +131,7 @@
     fn clone(&self) -> Self {
         Self {
             store: Arc::clone(&self.store),
+            source: Rc::clone(&self.source),
             decoder: Rc::clone(&self.decoder),
             state: Rc::clone(&self.state),
         }
@@ -133,7 +141,26 @@
 impl<S: ObjectStore, D: Decoder> Feed<S, D> {
     /// A feed that has not started.
     pub(crate) fn new(store: Arc<S>, decoder: Rc<D>, state: Rc<State>) -> Self {
-        Self { store, decoder, state }
+        let (source, receiver) = watch::channel(Source::Platform);
+        let store = Arc::new(RelayedStore::new(store, receiver));
+        Self { store, source: Rc::new(source), decoder, state }
+    }
+
+    /// Follows the platform through whichever host reads it for the region now.
+    pub(crate) fn choose_source(&self, now: Instant) {
+        let mut steering = self.state.steering.borrow_mut();
+        let reader = steering.reader(now);
+        let source = reader.map_or(Source::Platform, Source::Reader);
+        if *self.source.borrow() == source {
+            return;
+        }
+        steering.followed_through(reader);
+        drop(steering);
+        match source {
+            Source::Platform => Event::ReaderChanged.log(format_args!("reader=self")),
+            Source::Reader(it) => Event::ReaderChanged.log(format_args!("reader={it}")),
+        }
+        self.source.send_replace(source);
     }
 
     /// Starts to follow every kind and to register this host.
@@ -280,17 +307,27 @@
 
     /// Notes that everything up to a time was told.
     fn progressed(&self, prefix: &str, progress: Progress) {
-        self.state.metrics.platform_calls.inc();
+        let now = Instant::now();
+        let is_direct = *self.source.borrow() == Source::Platform;
+        if is_direct {
+            self.state.metrics.platform_calls.inc();
+        }
+        self.state.mirror.progress(prefix, progress.revision, progress.sent_at);
         if prefix == self.decoder.names().manifest {
-            let now = Instant::now();
             self.state.check_pause(now);
-            self.state.steering.borrow_mut().freshness.confirm(progress.sent_at);
+            let mut steering = self.state.steering.borrow_mut();
+            steering.freshness.confirm(progress.sent_at);
+            if is_direct {
+                steering.platform_answered(now);
+            }
         }
     }
 
     /// Takes a change in.
     fn apply(&self, prefix: &str, event: WatchEvent) {
         let names = self.decoder.names();
+        let object = event.object.as_ref().map(|it| (it.version, it.bytes.clone()));
+        self.state.mirror.change(prefix, &event.name, object);
         let name = event.name.strip_prefix(prefix).unwrap_or(&event.name).to_owned();
         if prefix == names.manifest {
             self.apply_manifest(&event);
@@ -464,7 +501,10 @@
         let entry = self.decoder.host(&object.bytes);
         let member = entry.and_then(|it| member(it, &steering.settings().places));
         match member {
-            Ok(it) => steering.members.register(it),
+            Ok(it) => {
+                let own = steering.settings().own.place;
+                steering.members.register(it, own);
+            }
             Err(error) => {
                 Event::PeerRefused.log(format_args!("member={name} reason=\"{error:#}\""));
             }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt as _, stream::FuturesUnordered};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use kingcupford_steer::{
@@ -77,7 +79,8 @@
     let arrived = Instant::now();
     let id = request.headers().get(&state.settings().headers.request_id).cloned();
     let text = id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("-").to_owned();
-    let mut log = LogGuard { state: Rc::clone(&state), log: RequestLog::new(text, arrived), ended: false };
+    let mut log =
+        LogGuard { state: Rc::clone(&state), log: RequestLog::new(text, arrived), ended: false };
     let mut res = forward(&state, request, id, arrived, &mut log).await;
     if state.phase.get() != Phase::Serving {
         res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -190,9 +193,8 @@
             return deny(denial, log);
         }
     };
-    let max_body = state.steering.borrow().manifest().map_or(u64::MAX, |it| {
-        it.limits().max_body_bytes
-    });
+    let max_body =
+        state.steering.borrow().manifest().map_or(u64::MAX, |it| it.limits().max_body_bytes);
     log.log.plan = Some(plan.clone());
     if length.is_some_and(|it| it > max_body) {
         state.steering.borrow_mut().give_back(&plan);
@@ -228,9 +230,8 @@
     if let Some(Ok(tenant)) = tenant {
         headers.insert(&names.tenant, tenant);
     }
-    let uri = head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |it| {
-        Uri::from(it.clone())
-    });
+    let uri =
+        head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |it| Uri::from(it.clone()));
     let incomings = Incomings { method: head.method, uri, headers, id, body, deadline };
     run(state, incomings, plan, log).await
 }
@@ -262,7 +263,15 @@
                     hedge_at = Some(now + overdue);
                 }
                 Err(refusal) if running.is_empty() => {
-                    return give_up(state, &plan, &attempts, failed_answer, refusal, last_reason, log);
+                    return give_up(
+                        state,
+                        &plan,
+                        &attempts,
+                        failed_answer,
+                        refusal,
+                        last_reason,
+                        log,
+                    );
                 }
                 Err(_) => {}
             }
@@ -351,7 +360,10 @@
     let (key, expected) = match steering.place(plan, tried, now) {
         Choice::Instance { key, expected, .. } => (key, expected),
         Choice::Full(full) => {
-            return Err(Refusal { reason: "all instances are full", retry_after: full.retry_after });
+            return Err(Refusal {
+                reason: "all instances are full",
+                retry_after: full.retry_after,
+            });
         }
         Choice::NoInstance => {
             return Err(Refusal { reason: "no instance is ready", retry_after: RETRY_AFTER });
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,7 +15,7 @@
     callers::{self, Callers},
     control,
     feed::{Decoder, Feed},
-    peers,
+    peers, relay,
     settings::{GatewaySettings, SettingsSource},
     state::{Phase, State},
 };
@@ -57,9 +57,8 @@
     let state = State::new(settings);
     let callers = Rc::new(Callers::default());
     let listen = state.settings().listen;
-    let bind = |address| {
-        callers::listen(address).with_context(|| format!("cannot listen on {address}"))
-    };
+    let bind =
+        |address| callers::listen(address).with_context(|| format!("cannot listen on {address}"));
     let caller_listener = bind(listen.callers)?;
     let mut control_addresses = vec![listen.readiness, listen.lookup, listen.metrics];
     control_addresses.sort();
@@ -72,6 +71,7 @@
     let socket = socket.with_context(|| format!("cannot listen on {} (UDP)", listen.peers))?;
     tokio::task::spawn_local(peers::send(Rc::clone(&socket), Rc::clone(&state)));
     tokio::task::spawn_local(peers::receive(socket, Rc::clone(&state)));
+    tokio::task::spawn_local(relay::serve(bind(listen.peers)?, Rc::clone(&state)));
     let feed = Feed::new(store, Rc::new(decoder), Rc::clone(&state));
     feed.start();
     let accepting =
@@ -112,6 +112,7 @@
         for event in events {
             apply(&feed, event);
         }
+        feed.choose_source(now);
         let is_confirmed = state.steering.borrow().is_confirmed(now);
         if is_confirmed != was_confirmed {
             was_confirmed = is_confirmed;
@@ -140,8 +141,7 @@
             Event::MemberGone.log(format_args!("member={name} reason=\"silent\""));
         }
         SteeringEvent::InstanceExpired { id } => {
-            Event::InstanceGone
-                .log(format_args!("instance={id} reason=\"not registered again\""));
+            Event::InstanceGone.log(format_args!("instance={id} reason=\"not registered again\""));
         }
         SteeringEvent::RolloutFaulty { service, version, reason } => {
             Event::RolloutStopped
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,7 +16,8 @@
 /// counts as silent, also when some are lost.
 const BEAT_EVERY: Duration = Duration::from_millis(200);
 
-/// Time between two beats for each known host, so that their number a second stays bounded.
+/// Time between two beats to other regions for each known host, so that their number a second
+/// stays bounded.
 const BEAT_EVERY_PER_HOST: Duration = Duration::from_millis(8);
 
 /// Largest datagram.
@@ -32,22 +33,27 @@
 
 /// Sends beats to all known hosts until it is dropped.
 pub(crate) async fn send(socket: Rc<UdpSocket>, state: Rc<State>) {
+    let mut far_at = Instant::now();
     loop {
         let now = Instant::now();
-        let known = {
+        {
+            let far = now >= far_at;
             let beat_state = state.beat_state(now);
             let mut steering = state.steering.borrow_mut();
             let mut beat = steering.beat(beat_state, now);
-            let receivers = steering.members.send(beat.sequence, now);
-            let known = receivers.len() as u32;
+            let own = steering.settings().own.place;
+            let receivers = steering.members.send(beat.sequence, own, far, now);
+            if far {
+                far_at =
+                    now + BEAT_EVERY.max(BEAT_EVERY_PER_HOST * steering.members.known() as u32);
+            }
             drop(steering);
             for (address, echo) in receivers {
                 beat.echo = echo;
                 send_one(&socket, &state, &beat, address);
             }
-            known
-        };
-        sleep(BEAT_EVERY.max(BEAT_EVERY_PER_HOST * known)).await;
+        }
+        sleep(BEAT_EVERY).await;
     }
 }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,12 +1,6 @@
 //! Connections to instances.
 
-use std::{
-    cell::RefCell,
-    collections::HashMap,
-    io,
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration};
 
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,7 @@
 use kingcupford_telemetry::{Event, Metrics};
 use tokio::time::Instant;
 
-use crate::{clock, pool::Pool, settings::GatewaySettings};
+use crate::{clock, mirror::Mirror, pool::Pool, settings::GatewaySettings};
 
 /// Shared state of a process.
 pub(crate) struct State {
@@ -29,6 +29,8 @@
     pub(crate) in_flight: Cell<usize>,
     /// The newest manifest that a peer has and this process lacks, and since when.
     pub(crate) newer_manifest: Cell<Option<(u64, Instant)>>,
+    /// What is followed, for other hosts.
+    pub(crate) mirror: Mirror,
     /// Versions of the rollout objects by service, for conditional writes.
     pub(crate) rollout_versions: RefCell<BTreeMap<String, u64>>,
     /// Start of each rollout by service, as the platform holds it.
@@ -49,7 +51,7 @@
 impl State {
     /// The state of a process that has learned nothing.
     pub(crate) fn new(settings: GatewaySettings) -> Rc<Self> {
-        let steering = Steering::new(settings.steering.clone(), clock::suspended());
+        let steering = Steering::new(settings.steering.clone(), clock::suspended(), Instant::now());
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             steering: RefCell::new(steering),
@@ -58,6 +60,7 @@
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
             newer_manifest: Cell::new(None),
+            mirror: Mirror::default(),
             rollout_versions: RefCell::default(),
             rollout_starts: RefCell::default(),
         })
--- a/crates/platform/src/dialect.rs
+++ b/crates/platform/src/dialect.rs
@@ -251,7 +251,8 @@
                 age_ms: it.age_ms,
                 value: None,
             });
-            let listing = Listing { revision: it.revision, objects: objects.collect() };
+            let listing =
+                Listing { revision: it.revision, objects: objects.collect(), age: Duration::ZERO };
             Page { listing, next_after: None }
         })
     }
@@ -273,7 +274,11 @@
                 version: it.version,
                 value: None,
             });
-            Watched::Changes { revision: it.revision, changes: changes.collect() }
+            Watched::Changes {
+                revision: it.revision,
+                changes: changes.collect(),
+                age: Duration::ZERO,
+            }
         })
     }
 
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -10,9 +10,7 @@
 
 use crate::{
     dialect::{Announce, Call, Dialect, PlainDialect, Reply},
-    object::{
-        Answer, Condition, HostEntry, Listing, Object, ObjectStore, Watched, WriteOutcome,
-    },
+    object::{Answer, Condition, HostEntry, Listing, Object, ObjectStore, Watched, WriteOutcome},
 };
 
 /// Pages of one list at most, so that a platform that repeats a page cannot hold a reader.
@@ -194,7 +192,9 @@
             let page = match reply.and_then(|it| self.dialect.list_reply(prefix, &it)) {
                 Answer::Value(it) => it,
                 Answer::Unavailable => return Answer::Unavailable,
-                Answer::Throttled { retry_after_ms } => return Answer::Throttled { retry_after_ms },
+                Answer::Throttled { retry_after_ms } => {
+                    return Answer::Throttled { retry_after_ms };
+                }
             };
             match &mut res {
                 // A watch from the first page's revision repeats what later pages already show.
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -108,6 +108,8 @@
     pub revision: u64,
     /// The objects by name.
     pub objects: Vec<ListedObject>,
+    /// How much older than the answer the list may be; zero from the platform itself.
+    pub age: Duration,
 }
 
 /// One object of a list.
@@ -132,6 +134,8 @@
         revision: u64,
         /// The changed objects.
         changes: Vec<ObjectChange>,
+        /// How much older than the answer the changes may be; zero from the platform itself.
+        age: Duration,
     },
     /// The platform no longer knows all changes since then; list again.
     TooOld,
--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -72,8 +72,11 @@
 /// How far a watcher has followed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Progress {
-    /// When the newest answered call was sent: what was reported is at least as new as this.
+    /// What was reported is at least as new as this: when the newest answered call was sent, less
+    /// the age of its answer.
     pub sent_at: Instant,
+    /// Revision of the store up to which everything was reported.
+    pub revision: u64,
     /// The newest time without answers that is over.
     pub outage: Option<Outage>,
 }
@@ -187,12 +190,14 @@
     async fn list(&mut self) -> Result<u64, Stop> {
         let sent_at = Instant::now();
         let mut first_revision = None;
+        let mut age = Duration::ZERO;
         let mut listed = Vec::new();
         for prefix in self.settings.prefixes.clone() {
             let answer = self.store.list(&prefix).await;
             let listing = self.value(answer)?;
             // Later lists may already show changes that the watch reports again.
             first_revision.get_or_insert(listing.revision);
+            age = age.max(listing.age);
             listed.extend(listing.objects);
         }
         listed.sort_by(|a, b| a.name.cmp(&b.name));
@@ -205,8 +210,9 @@
         for it in listed {
             self.update(it.name, Some(it.version), it.value).await?;
         }
-        self.followed(sent_at);
-        Ok(first_revision.unwrap_or(0))
+        let revision = first_revision.unwrap_or(0);
+        self.followed(sent_at, age, revision);
+        Ok(revision)
     }
 
     /// Watches until a call fails or changes were missed.
@@ -222,7 +228,7 @@
             };
             let wait = Duration::from_millis(*wait_ms);
             match self.store.watch(&prefix, after, wait).await {
-                Answer::Value(Watched::Changes { revision, changes }) => {
+                Answer::Value(Watched::Changes { revision, changes, age }) => {
                     self.answered();
                     *wait_ms = self.settings.wait_ms;
                     after = revision;
@@ -235,7 +241,7 @@
                             return it;
                         }
                     }
-                    self.followed(sent_at);
+                    self.followed(sent_at, age, revision);
                 }
                 Answer::Value(Watched::TooOld) => {
                     self.answered();
@@ -295,7 +301,10 @@
                 self.known.remove(&name);
             }
         }
-        self.events.send(WatchEvent { name, object, outage: self.outage }).await.map_err(|_| Stop::Closed)
+        self.events
+            .send(WatchEvent { name, object, outage: self.outage })
+            .await
+            .map_err(|_| Stop::Closed)
     }
 
     /// Takes the value of an answer and notes whether the platform is reachable.
@@ -320,8 +329,9 @@
     }
 
     /// Notes that everything up to a call's sending was reported.
-    fn followed(&self, sent_at: Instant) {
-        self.progress.send_replace(Some(Progress { sent_at, outage: self.outage }));
+    fn followed(&self, sent_at: Instant, age: Duration, revision: u64) {
+        let sent_at = sent_at.checked_sub(age).unwrap_or(sent_at);
+        self.progress.send_replace(Some(Progress { sent_at, revision, outage: self.outage }));
     }
 
     /// Notes that a call failed.
--- a/crates/platform/tests/http_store.rs
+++ b/crates/platform/tests/http_store.rs
@@ -146,7 +146,7 @@
     }
     store.delete("config/a", Condition::Always).await;
     let wait = Duration::from_millis(100);
-    let Answer::Value(Watched::Changes { revision, changes }) =
+    let Answer::Value(Watched::Changes { revision, changes, .. }) =
         store.watch("config/", 0, wait).await
     else {
         panic!("no changes");
@@ -154,7 +154,7 @@
     let changes: Vec<_> = changes.into_iter().map(|it| (it.name, it.version)).collect();
     assert_eq!(revision, 4);
     assert_eq!(changes, [("config/a".to_owned(), None), ("config/b".to_owned(), Some(3))]);
-    let quiet = Watched::Changes { revision: 4, changes: Vec::new() };
+    let quiet = Watched::Changes { revision: 4, changes: Vec::new(), age: Duration::ZERO };
     assert_eq!(store.watch("config/", 4, wait).await, Answer::Value(quiet));
     platform.forget_changes();
     assert_eq!(store.watch("config/", 3, wait).await, Answer::Value(Watched::TooOld));
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,5 +17,5 @@
     observe::LoadReport,
     quarantine::{Announcement, Check, Fingerprint, Quarantine},
     request_id::{Begin, End, RequestIds, RequestKey},
-    retry::{MAX_ATTEMPTS, AttemptFacts, AttemptOutcome, Outcome, RetryDecision, RetryRule},
+    retry::{AttemptFacts, AttemptOutcome, MAX_ATTEMPTS, Outcome, RetryDecision, RetryRule},
 };
--- a/crates/steer/src/beat.rs
+++ b/crates/steer/src/beat.rs
@@ -26,8 +26,13 @@
     pub manifest_version: u64,
     /// Age of the sender's view of the manifest, `None` when it is not confirmed.
     pub view_age_ms: Option<u32>,
+    /// Time since the platform itself last answered the sender; `None` when another host reads for
+    /// it.
+    pub platform_age_ms: Option<u32>,
     /// Requests of tenants at the sender.
     pub demand: Vec<DemandEntry>,
+    /// Load of the services in the sender's region.
+    pub loads: Vec<ServiceLoad>,
     /// What the sender counted in running rollouts.
     pub rollouts: Vec<RolloutTally>,
     /// News about requests that crash instances.
@@ -66,6 +71,17 @@
     pub per_s: f32,
 }
 
+/// A service in the sender's region, as the sender sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Encode, Decode)]
+pub struct ServiceLoad {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Requests at the region's instances per slot.
+    pub utilization: f32,
+    /// Part of the region's objects that other regions handle.
+    pub share: f32,
+}
+
 /// What a process counted in one rollout since it saw the order.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
 pub struct RolloutTally {
--- a/crates/steer/src/canary.rs
+++ b/crates/steer/src/canary.rs
@@ -236,10 +236,8 @@
         let delta = difference(&own, &self.own_tested);
         self.own_tested = own;
         self.test(&delta, now);
-        let peers: Vec<(String, u64, RolloutTally)> = members
-            .tallies(self.own.rollout)
-            .map(|it| (it.0.to_owned(), it.1, *it.2))
-            .collect();
+        let peers: Vec<(String, u64, RolloutTally)> =
+            members.tallies(self.own.rollout).map(|it| (it.0.to_owned(), it.1, *it.2)).collect();
         for (name, incarnation, tally) in peers {
             let known = self.peers_tested.iter().position(|it| it.0 == name);
             let seen = known
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -6,12 +6,15 @@
 use tokio::time::Instant;
 
 use crate::{
+    beat::ServiceLoad,
     cold::FEEDERS,
     health::Failure,
     instance::{InstanceKey, LoadReport},
     manifest::Repeat,
+    members::Members,
     place::{Place, Places, RegionKey, ZoneKey},
     ready_set::{Instance, ReadySet},
+    shift::Shifts,
     versions::{Side, Versions},
     warmth::{Warmth, mix},
 };
@@ -157,6 +160,8 @@
     work: Vec<(String, Work)>,
     /// Zones that get no requests.
     evacuated: Vec<ZoneKey>,
+    /// Objects that other regions handle.
+    shifts: Shifts,
     /// Breaks ties among requests without an object.
     rng: SmallRng,
 }
@@ -214,6 +219,7 @@
             warmth: Warmth::new(),
             work: Vec::new(),
             evacuated: Vec::new(),
+            shifts: Shifts::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -228,6 +234,27 @@
         &self.evacuated
     }
 
+    /// Moves the regions' shares on.
+    pub(crate) fn tick(
+        &mut self,
+        ready_set: &ReadySet,
+        members: &Members,
+        places: &Places,
+        now: Instant,
+    ) {
+        self.shifts.update(ready_set, &self.evacuated, members, places, now);
+    }
+
+    /// Load of the services in the own region, for the other hosts.
+    pub(crate) fn loads(&self) -> Vec<ServiceLoad> {
+        self.shifts.loads()
+    }
+
+    /// Part of a service's objects that other regions handle, and the utilization here.
+    pub fn describe(&self, service: &str) -> Option<(f64, f64)> {
+        self.shifts.describe(service)
+    }
+
     /// Chooses an instance.
     pub fn choose(&mut self, query: &Query<'_>, view: &View<'_>) -> Choice {
         let object = if query.affinity { query.object } else { self.rng.random() };
@@ -271,16 +298,17 @@
         &mut self,
         key: InstanceKey,
         ready_set: &mut ReadySet,
-        cold_rate_per_s: f64,
-        feeders: usize,
+        (cold_rate_per_s, feeders): (f64, usize),
+        places: &Places,
         now: Instant,
     ) {
-        if let Some(it) = ready_set.get_mut(key) {
-            it.load.started();
-            if it.is_cold(now) {
-                it.cold_pace.sent(cold_rate_per_s, feeders, now);
-            }
+        let Some(it) = ready_set.get_mut(key) else { return };
+        it.load.started();
+        if it.is_cold(now) {
+            it.cold_pace.sent(cold_rate_per_s, feeders, now);
         }
+        let is_far = it.report.place.region != places.own().region;
+        self.shifts.sent(&it.report.service, is_far, now);
     }
 
     /// Counts a request that ended at an instance, however it did.
@@ -356,12 +384,7 @@
     }
 
     /// The instances that may handle a request, in the order that all hosts of a place agree on.
-    fn candidates(
-        &self,
-        query: &Query<'_>,
-        object: u64,
-        view: &View<'_>,
-    ) -> Vec<Candidate> {
+    fn candidates(&self, query: &Query<'_>, object: u64, view: &View<'_>) -> Vec<Candidate> {
         let mut all: Vec<Candidate> = view
             .ready_set
             .of_service(query.service)
@@ -400,6 +423,13 @@
         });
         let local = all.iter().filter(|it| it.distance != Distance::Far).take(LOCAL_CHOICES);
         let remote = all.iter().filter(|it| it.distance == Distance::Far).take(REMOTE_CHOICES);
+        let has_local = all.first().is_some_and(|it| it.distance != Distance::Far);
+        if query.affinity && !is_upload && self.shifts.is_moved(query.service, object) {
+            return remote.chain(local).copied().collect();
+        }
+        if has_local && !self.shifts.may_spill(query.service) {
+            return local.copied().collect();
+        }
         local.chain(remote).copied().collect()
     }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -15,23 +15,22 @@
 mod members;
 mod place;
 mod ready_set;
+mod shift;
 mod split;
 mod versions;
 mod steering;
 mod warmth;
 
 pub use crate::{
-    allowance::{Allowances, AllowanceSettings},
-    beat::{Beat, BeatState, DemandEntry, Echo, PROTOCOL, RolloutTally, name_hash},
+    allowance::{AllowanceSettings, Allowances},
+    beat::{Beat, BeatState, DemandEntry, Echo, PROTOCOL, RolloutTally, ServiceLoad, name_hash},
     canary::{Canary, CanarySettings, RolloutOrder, RolloutState, StatusWrite},
     choose::{Choice, Chooser, Full, Observation, Query, View},
     freshness::Freshness,
     health::Failure,
     instance::{InstanceKey, InstanceReport, LoadReport, ServingState},
     load::LoadEstimate,
-    manifest::{
-        CallerLimits, KeyDigest, Manifest, Repeat, Route, Service, Target, Tenant,
-    },
+    manifest::{CallerLimits, KeyDigest, Manifest, Repeat, Route, Service, Target, Tenant},
     members::{Member, MemberChange, Members},
     place::{Place, Places, RegionKey, ZoneKey},
     ready_set::{Instance, Lapse, ReadySet, Registered},
--- a/crates/steer/src/manifest.rs
+++ b/crates/steer/src/manifest.rs
@@ -141,9 +141,8 @@
         for route in &routes {
             check_route(route, &services)?;
         }
-        routes.sort_by(|a, b| {
-            a.host.cmp(&b.host).then_with(|| b.prefix.len().cmp(&a.prefix.len()))
-        });
+        routes
+            .sort_by(|a, b| a.host.cmp(&b.host).then_with(|| b.prefix.len().cmp(&a.prefix.len())));
         tenants.sort_by(|a, b| a.name.cmp(&b.name));
         let mut keys = Vec::new();
         for (at, tenant) in tenants.iter().enumerate() {
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -6,13 +6,25 @@
 use tokio::time::Instant;
 
 use crate::{
-    beat::{Beat, BeatState, Echo, PROTOCOL, RolloutTally},
+    beat::{Beat, BeatState, Echo, PROTOCOL, RolloutTally, ServiceLoad},
     place::{Place, Places},
 };
 
 /// Silence after which a host is taken to be down: several beats, and below the time after which
 /// naming a dead host to callers breaks the deployments' bound of 7 s.
-const SILENT_AFTER: Duration = Duration::from_millis(1500);
+const SILENT_AFTER: Duration = Duration::from_millis(2500);
+
+/// Silence after which a host of the own region is taken to be down; hosts of a region hear each
+/// other more often.
+const SILENT_AFTER_NEAR: Duration = Duration::from_millis(1200);
+
+/// Time without an answer of the platform after which a reader is replaced: watches of the manifest
+/// end every second.
+const READER_AGE: Duration = Duration::from_millis(1900);
+
+/// Time by which each further host of a region waits longer before it reads, so that one outage of
+/// the platform does not make all hosts read.
+const READER_STAGGER: Duration = Duration::from_millis(700);
 
 /// Time for which a silent host's demand still counts, since it may serve behind a partition.
 const DEMAND_KEPT: Duration = Duration::from_secs(30);
@@ -52,6 +64,8 @@
     beat: Option<Beat>,
     /// When that arrived.
     heard_at: Option<Instant>,
+    /// Silence after which it counts as down.
+    silent_after: Duration,
     /// Whether it was heard lately at the last look.
     was_live: bool,
     /// Beats sent to it with their times.
@@ -69,11 +83,12 @@
 
 impl Members {
     /// Takes a registration in.
-    pub fn register(&mut self, member: Member) {
+    pub fn register(&mut self, member: Member, own: Place) {
+        let is_near = member.place.region == own.region;
         match self.position(&member.name) {
             Ok(at) if self.peers[at].member == member => {}
-            Ok(at) => self.peers[at] = Peer::new(member),
-            Err(at) => self.peers.insert(at, Peer::new(member)),
+            Ok(at) => self.peers[at] = Peer::new(member, is_near),
+            Err(at) => self.peers.insert(at, Peer::new(member, is_near)),
         }
     }
 
@@ -88,9 +103,10 @@
     pub fn receive(&mut self, beat: Beat, from: SocketAddr, now: Instant) -> Option<&Beat> {
         let at = self.position(&beat.from).ok()?;
         let peer = &mut self.peers[at];
-        let is_newer = peer.beat.as_ref().is_none_or(|it| {
-            (it.incarnation, it.sequence) < (beat.incarnation, beat.sequence)
-        });
+        let is_newer = peer
+            .beat
+            .as_ref()
+            .is_none_or(|it| (it.incarnation, it.sequence) < (beat.incarnation, beat.sequence));
         if beat.protocol != PROTOCOL || peer.member.peer_address != from || !is_newer {
             return None;
         }
@@ -112,10 +128,18 @@
         Some((beat.manifest_version, (*sent_at + held).checked_sub(age)?))
     }
 
-    /// The hosts to send beats to, with the echo for each; notes the sending.
-    pub fn send(&mut self, sequence: u64, now: Instant) -> Vec<(SocketAddr, Option<Echo>)> {
+    /// The hosts to send beats to, with the echo for each; notes the sending. Hosts of other
+    /// regions get one only when `far` is set.
+    pub fn send(
+        &mut self,
+        sequence: u64,
+        own: Place,
+        far: bool,
+        now: Instant,
+    ) -> Vec<(SocketAddr, Option<Echo>)> {
         self.peers
             .iter_mut()
+            .filter(|it| far || it.member.place.region == own.region)
             .map(|it| {
                 if it.sent.len() == SENT_KEPT {
                     it.sent.pop_front();
@@ -177,16 +201,61 @@
         self.peers.len() + 1
     }
 
+    /// Part of the known hosts that run in a region, this one included.
+    pub fn part_in(&self, own: Place) -> f64 {
+        let near = self.peers.iter().filter(|it| it.member.place.region == own.region).count();
+        (near + 1) as f64 / self.known() as f64
+    }
+
     /// Hosts that are heard, this one included.
     pub fn live(&self, now: Instant) -> usize {
         self.peers.iter().filter(|it| it.is_live(now)).count() + 1
     }
 
+    /// The host that reads the platform for this one's region, `None` when it is this one.
+    ///
+    /// `own_age` is the time since the platform answered this host itself, `idle` the time for
+    /// which no host was seen to read.
+    pub fn reader(
+        &self,
+        own: &Member,
+        own_age: Option<Duration>,
+        idle: Duration,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let score = |name: &str| crate::warmth::mix(xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
+        let mut better: Vec<&Peer> = self
+            .peers
+            .iter()
+            .filter(|it| it.member.place.region == own.place.region && it.is_live(now))
+            .filter(|it| it.state() != BeatState::Draining)
+            .collect();
+        better.sort_by_key(|it| std::cmp::Reverse(score(&it.member.name)));
+        let own_score = score(&own.name);
+        let rank = better.iter().filter(|it| score(&it.member.name) > own_score).count();
+        let is_reading = own_age.is_some_and(|it| it < READER_AGE);
+        let reading = better.iter().position(|it| it.reads(now));
+        match reading {
+            // A better ranked one reads, or this one does not.
+            Some(at) if at < rank || !is_reading => Some(better[at].member.peer_address),
+            Some(_) => None,
+            None if is_reading || rank == 0 || better.is_empty() => None,
+            None if idle >= READER_STAGGER * rank.min(8) as u32 => None,
+            // Its answers tell their age, so that nothing old is taken for new.
+            None => better.first().map(|it| it.member.peer_address),
+        }
+    }
+
+    /// Whether another host of the region reads the platform.
+    pub fn has_reader(&self, own: Place, now: Instant) -> bool {
+        let near = self.peers.iter().filter(|it| it.member.place.region == own.region);
+        near.into_iter().any(|it| it.is_live(now) && it.reads(now))
+    }
+
     /// Rank of this host among the live ones for a duty, 0 first.
     pub fn rank(&self, own_name: &str, duty: u64, now: Instant) -> usize {
-        let score = |name: &str| {
-            crate::warmth::mix(duty ^ xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
-        };
+        let score =
+            |name: &str| crate::warmth::mix(duty ^ xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
         let own = score(own_name);
         let live = self.peers.iter().filter(|it| it.is_live(now));
         live.filter(|it| score(&it.member.name) > own).count()
@@ -196,9 +265,8 @@
     pub fn feeder_rank(&self, own: &Member, instance: u64, place: Place) -> usize {
         let score = |member: &Member| {
             let near = member.place.zone == place.zone;
-            let hash = crate::warmth::mix(
-                instance ^ xxhash_rust::xxh3::xxh3_64(member.name.as_bytes()),
-            );
+            let hash =
+                crate::warmth::mix(instance ^ xxhash_rust::xxh3::xxh3_64(member.name.as_bytes()));
             (near, hash)
         };
         let own = score(own);
@@ -219,6 +287,19 @@
         })
     }
 
+    /// Load of a service as the live hosts see it in their regions.
+    pub fn service_loads(
+        &self,
+        service: u32,
+        now: Instant,
+    ) -> impl Iterator<Item = (Place, ServiceLoad)> {
+        self.peers.iter().filter(move |it| it.is_live(now)).filter_map(move |it| {
+            let loads = &it.beat.as_ref()?.loads;
+            let load = loads.iter().find(|it| it.service == service)?;
+            Some((it.member.place, *load))
+        })
+    }
+
     /// Announcements in a peer's newest beat.
     pub fn announcements(&self, name: &str) -> &[Announcement] {
         let beat = self.position(name).ok().and_then(|at| self.peers[at].beat.as_ref());
@@ -243,13 +324,29 @@
 
 impl Peer {
     /// A host that was not heard yet.
-    fn new(member: Member) -> Self {
-        Self { member, beat: None, heard_at: None, was_live: false, sent: VecDeque::new() }
+    fn new(member: Member, is_near: bool) -> Self {
+        Self {
+            silent_after: if is_near { SILENT_AFTER_NEAR } else { SILENT_AFTER },
+            member,
+            beat: None,
+            heard_at: None,
+            was_live: false,
+            sent: VecDeque::new(),
+        }
     }
 
     /// Whether it was heard lately.
     fn is_live(&self, now: Instant) -> bool {
-        self.heard_at.is_some_and(|it| now.saturating_duration_since(it) < SILENT_AFTER)
+        self.heard_at.is_some_and(|it| now.saturating_duration_since(it) < self.silent_after)
+    }
+
+    /// Whether the platform answers it.
+    fn reads(&self, now: Instant) -> bool {
+        let (Some(beat), Some(heard_at)) = (&self.beat, self.heard_at) else { return false };
+        let Some(age_ms) = beat.platform_age_ms else { return false };
+        let age =
+            now.saturating_duration_since(heard_at) + Duration::from_millis(u64::from(age_ms));
+        age < READER_AGE
     }
 
     /// What it does.
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -71,7 +71,10 @@
 
     /// The key of a region by its name.
     pub fn region(&self, name: &str) -> Option<RegionKey> {
-        self.regions.binary_search_by(|it| it.as_str().cmp(name)).ok().map(|at| RegionKey(at as u16))
+        self.regions
+            .binary_search_by(|it| it.as_str().cmp(name))
+            .ok()
+            .map(|at| RegionKey(at as u16))
     }
 
     /// The name of a zone.
--- a/crates/steer/src/ready_set.rs
+++ b/crates/steer/src/ready_set.rs
@@ -173,6 +173,11 @@
         })
     }
 
+    /// The services that have instances.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.by_service.iter().filter(|it| !it.1.is_empty()).map(|it| it.0.as_str())
+    }
+
     /// The address and id of an instance.
     pub fn address(&self, key: InstanceKey) -> Option<(SocketAddr, &str)> {
         self.get(key).map(|it| (it.report.address, it.report.id.as_str()))
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -1,6 +1,6 @@
 //! Everything one host decides, behind one type.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use kingcupford_route::{
     Announcement, AttemptFacts, AttemptOutcome, Check, Fingerprint, Quarantine, RetryBudget,
@@ -245,11 +245,15 @@
     announcements: Vec<(Announcement, u32)>,
     /// Number of the last beat.
     sequence: u64,
+    /// When the platform itself last answered; `None` while another host reads for this one.
+    platform_at: Option<Instant>,
+    /// When another host of the region was last seen to read the platform.
+    reader_seen_at: Instant,
 }
 
 impl Steering {
     /// A host that knows nothing yet; `suspended` is the suspended time up to now.
-    pub fn new(settings: SteeringSettings, suspended: Duration) -> Self {
+    pub fn new(settings: SteeringSettings, suspended: Duration, now: Instant) -> Self {
         Self {
             manifest: None,
             ready_set: ReadySet::default(),
@@ -263,6 +267,8 @@
             budgets: Vec::new(),
             announcements: Vec::new(),
             sequence: 0,
+            platform_at: None,
+            reader_seen_at: now,
             settings,
         }
     }
@@ -368,9 +374,10 @@
             return choice;
         }
         // A new version without room or instances must not cost requests while the old one stays.
-        let is_running = self.versions.rollout(&plan.service).is_some_and(|it| {
-            it.state() != Some(RolloutState::Completed)
-        });
+        let is_running = self
+            .versions
+            .rollout(&plan.service)
+            .is_some_and(|it| it.state() != Some(RolloutState::Completed));
         if !is_running {
             return choice;
         }
@@ -383,7 +390,8 @@
         let manifest = self.manifest.as_ref();
         let rate = manifest.and_then(|it| it.service(&plan.service)).map(|it| it.cold_rate_per_s);
         let feeders = self.members.known().min(FEEDERS);
-        self.chooser.started(key, &mut self.ready_set, rate.unwrap_or(1.0), feeders, now);
+        let cold = (rate.unwrap_or(1.0), feeders);
+        self.chooser.started(key, &mut self.ready_set, cold, &self.settings.places, now);
         if let Some(it) = self.versions.rollout_mut(&plan.service) {
             it.sent(plan.side);
         }
@@ -484,7 +492,7 @@
     }
 
     /// Takes a peer's beat in; answers whether it dates this host's view anew.
-    pub fn receive(&mut self, beat: Beat, from: std::net::SocketAddr, now: Instant) -> bool {
+    pub fn receive(&mut self, beat: Beat, from: SocketAddr, now: Instant) -> bool {
         let Some(beat) = self.members.receive(beat, from, now) else { return false };
         let name = beat.from.clone();
         for announcement in beat.announcements.clone() {
@@ -499,6 +507,29 @@
         }
     }
 
+    /// Notes that the platform itself answered this host.
+    pub fn platform_answered(&mut self, at: Instant) {
+        self.platform_at = self.platform_at.max(Some(at));
+    }
+
+    /// Notes where the platform is followed from now on.
+    pub fn followed_through(&mut self, reader: Option<SocketAddr>) {
+        if reader.is_some() {
+            self.platform_at = None;
+        }
+    }
+
+    /// The host through which this one follows the platform, `None` for the platform itself.
+    pub fn reader(&mut self, now: Instant) -> Option<SocketAddr> {
+        let own = &self.settings.own;
+        let own_age = self.platform_at.map(|it| now.saturating_duration_since(it));
+        if self.members.has_reader(own.place, now) {
+            self.reader_seen_at = now;
+        }
+        let idle = now.saturating_duration_since(self.reader_seen_at);
+        self.members.reader(own, own_age, idle, now)
+    }
+
     /// The next beat, without the echo for its receiver.
     pub fn beat(&mut self, state: BeatState, now: Instant) -> Beat {
         self.sequence += 1;
@@ -516,8 +547,10 @@
             echo: None,
             state,
             manifest_version: self.manifest.as_ref().map_or(0, |it| it.version()),
-            view_age_ms: age.map(|it| u32::try_from(it.as_millis()).unwrap_or(u32::MAX)),
+            view_age_ms: age.map(millis),
+            platform_age_ms: self.platform_at.map(|it| millis(now.saturating_duration_since(it))),
             demand: self.allowances.demand(now),
+            loads: self.chooser.loads(),
             rollouts: self.versions.rollouts().map(|it| it.tally()).collect(),
             announcements,
         }
@@ -531,6 +564,7 @@
         res.extend(expired.map(|it| SteeringEvent::InstanceExpired { id: it.report.id }));
         self.allowances.divide(&self.members, now);
         self.versions.learn(&self.ready_set);
+        self.chooser.tick(&self.ready_set, &self.members, &self.settings.places, now);
         let own_name = self.settings.own.name.as_str();
         for canary in self.versions.rollouts_mut() {
             let is_news = canary.judge(&self.members, now);
@@ -652,6 +686,11 @@
     }
 }
 
+/// A time in whole milliseconds, as messages carry it.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Describes an instance for logs.
 pub fn describe_instance(instance: &Instance) -> String {
     let report = &instance.report;
--- a/crates/steer/src/versions.rs
+++ b/crates/steer/src/versions.rs
@@ -68,16 +68,11 @@
 
     /// Learns the version in use of each service from its instances.
     pub fn learn(&mut self, ready_set: &ReadySet) {
-        let mut services: Vec<&str> =
-            ready_set.iter().map(|it| it.1.report.service.as_str()).collect();
-        services.sort_unstable();
-        services.dedup();
-        for service in services {
+        for service in ready_set.services() {
             let instances: Vec<&Instance> = ready_set.of_service(service).map(|it| it.1).collect();
             let in_use = self.base(service);
-            let is_known = in_use.is_some_and(|base| {
-                instances.iter().any(|it| it.report.version == base)
-            });
+            let is_known =
+                in_use.is_some_and(|base| instances.iter().any(|it| it.report.version == base));
             if is_known {
                 continue;
             }
--- a/crates/telemetry/src/budget.rs
+++ b/crates/telemetry/src/budget.rs
@@ -68,7 +68,8 @@
         let count = counter.left_out.swap(0, Ordering::Relaxed);
         if count > 0 {
             let name: &'static str = event.into();
-            Event::LinesLeftOut.log(format_args!("of=KC{} of_name={name} count={count}", event.code()));
+            Event::LinesLeftOut
+                .log(format_args!("of=KC{} of_name={name} count={count}", event.code()));
         }
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -54,6 +54,8 @@
     ViewConfirmed = 3005,
     /// The view of the platform is too old and requests with keys are refused.
     ViewStale = 3006,
+    /// Another host, or this one, reads the platform for the region.
+    ReaderChanged = 3007,
     /// A host joined the membership view.
     MemberJoined = 4001,
     /// A host left the membership view.
@@ -165,6 +167,7 @@
             | Self::ProcessStarted
             | Self::ProcessStopped
             | Self::ViewConfirmed
+            | Self::ReaderChanged
             | Self::InstanceRegistered
             | Self::InstanceDraining
             | Self::InstanceGone
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -51,7 +51,10 @@
                 .duration_since(SystemTime::UNIX_EPOCH)
                 .map_or(0, |it| it.as_millis());
             let text = escape(&message.to_string());
-            out.finish(format_args!("ts_ms={unix_ms} level={} host={source} {text}", record.level()));
+            out.finish(format_args!(
+                "ts_ms={unix_ms} level={} host={source} {text}",
+                record.level()
+            ));
         })
         .level(LevelFilter::Warn)
         .level_for("kingcupford", level)
