Test the decisions; new buckets start with the tolerated excess

allowance::admit_within_rate failed first: a process refused the second request of a tenant that is far below its rate, since its bucket started with one token.

--- a/crates/steer/src/allowance.rs
+++ b/crates/steer/src/allowance.rs
@@ -79,18 +79,25 @@
         Self { settings, buckets: Vec::new() }
     }
 
-    /// Takes the tenants of a manifest over; those that stay keep their tokens.
+    /// Takes the tenants of a manifest over; those that stay keep their tokens. New ones start with
+    /// the tolerated excess and without a burst, since a former process may just have spent that.
     pub fn install(&mut self, manifest: &Manifest, members: &Members, now: Instant) {
         let mut old = std::mem::take(&mut self.buckets);
+        let mut news = Vec::new();
         for tenant in manifest.tenants() {
             let known = old.iter().position(|it| it.tenant == tenant.name);
+            let is_new = known.is_none();
             let bucket = match known {
                 Some(at) => old.swap_remove(at).with_limits(tenant),
                 None => Bucket::new(tenant, now),
             };
             self.buckets.push(bucket);
+            news.push(is_new);
         }
         self.divide(members, now);
+        for (bucket, _) in self.buckets.iter_mut().zip(news).filter(|it| it.1) {
+            bucket.tokens = bucket.slack.max(1.0);
+        }
     }
 
     /// Takes changed tolerances over.
@@ -159,8 +166,7 @@
 }
 
 impl Bucket {
-    /// A bucket of a tenant that is new to this process; it holds no burst, since a former process
-    /// may just have spent it.
+    /// An empty bucket of a tenant that is new to this process.
     fn new(tenant: &Tenant, now: Instant) -> Self {
         Self {
             tenant: tenant.name.clone(),
@@ -169,7 +175,7 @@
             burst: tenant.burst,
             share: 0.0,
             slack: 0.0,
-            tokens: 1.0,
+            tokens: 0.0,
             filled_at: now,
             demand: 0.0,
             demand_at: now,
--- /dev/null
+++ b/crates/steer/tests/it/common.rs
@@ -0,0 +1,150 @@
+//! A small deployment for tests: two regions with two zones each, one service.
+
+use std::{net::SocketAddr, time::Duration};
+
+use kingcupford_steer::{
+    AllowanceSettings, Beat, BeatState, CallerLimits, CanarySettings, InstanceReport, KeyDigest,
+    Manifest, Member, PROTOCOL, Places, Repeat, Route, Service, ServingState, Steering,
+    SteeringSettings, Target, Tenant,
+};
+use tokio::time::Instant;
+
+/// Start of this process in tests.
+pub(crate) const INCARNATION: u64 = 7;
+
+/// The zones, seen from `a1`.
+pub(crate) fn places() -> Places {
+    let zones = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")];
+    let zones: Vec<(String, String)> =
+        zones.iter().map(|it| (it.0.to_owned(), it.1.to_owned())).collect();
+    Places::new(&zones, "a1").unwrap()
+}
+
+/// A host of a zone.
+pub(crate) fn member(name: &str, zone: &str, port: u16) -> Member {
+    Member {
+        name: name.to_owned(),
+        place: places().place(zone).unwrap(),
+        peer_address: address(port),
+        caller_address: address(port + 1),
+    }
+}
+
+/// An address on loopback.
+pub(crate) fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Settings of the host `own` in `a1`.
+pub(crate) fn settings() -> SteeringSettings {
+    SteeringSettings {
+        own: member("own", "a1", 1000),
+        incarnation: INCARNATION,
+        places: places(),
+        revocation: Some(Duration::from_secs(5)),
+        retry_ratio: 0.2,
+        retry_slack: 10.0,
+        allowance: AllowanceSettings { window_s: 5.0, overage: 0.1, slack: 20.0 },
+        canary: CanarySettings { exposure_share: 0.1 },
+        seed: 1,
+    }
+}
+
+/// A host with a confirmed manifest of version 1.
+pub(crate) fn steering(now: Instant) -> Steering {
+    let mut res = Steering::new(settings(), Duration::ZERO, now);
+    res.install(manifest(1), now);
+    res.freshness.confirm(now);
+    res
+}
+
+/// A route to `svc` at `host.example/p/`.
+pub(crate) fn route() -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "host.example".to_owned(),
+        prefix: "/p/".to_owned(),
+        repeat: Repeat::Idempotent,
+        timeout: Some(Duration::from_millis(1200)),
+        target_latency: Duration::from_millis(250),
+        priority: 1,
+        targets: vec![Target { service: "svc".to_owned(), weight: 1.0 }],
+        max_attempts: 2,
+        open: false,
+        affinity: true,
+        homes: Vec::new(),
+    }
+}
+
+/// A tenant with one key, `key-NAME`.
+pub(crate) fn tenant(name: &str, rate_per_s: f64) -> Tenant {
+    Tenant {
+        name: name.to_owned(),
+        keys: vec![KeyDigest::of(format!("key-{name}").as_bytes())],
+        priority: None,
+        rate_per_s,
+        burst: rate_per_s,
+        homes: Vec::new(),
+    }
+}
+
+/// A service.
+pub(crate) fn service(name: &str) -> Service {
+    Service {
+        name: name.to_owned(),
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+        cold_start: Duration::from_secs(3),
+        cold_rate_per_s: 20.0,
+    }
+}
+
+/// What callers may send.
+pub(crate) fn limits() -> CallerLimits {
+    CallerLimits {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    }
+}
+
+/// A manifest with the route, the service and two tenants.
+pub(crate) fn manifest(version: u64) -> Manifest {
+    let tenants = vec![tenant("one", 100.0), tenant("two", 0.0)];
+    Manifest::new(version, vec![route()], vec![service("svc")], tenants, limits()).unwrap()
+}
+
+/// A ready instance with four slots.
+pub(crate) fn instance(id: &str, zone: &str) -> InstanceReport {
+    InstanceReport {
+        id: id.to_owned(),
+        service: "svc".to_owned(),
+        address: address(2000),
+        place: places().place(zone).unwrap(),
+        version: "v1".to_owned(),
+        slots: 4,
+        state: ServingState::Ready,
+        cold_remaining: Duration::ZERO,
+        started_unix_ms: Some(1),
+    }
+}
+
+/// A beat of another host without news.
+pub(crate) fn beat(from: &str, sequence: u64) -> Beat {
+    Beat {
+        protocol: PROTOCOL,
+        from: from.to_owned(),
+        incarnation: 1,
+        sequence,
+        echo: None,
+        state: BeatState::Serving,
+        manifest_version: 1,
+        view_age_ms: Some(0),
+        platform_age_ms: None,
+        demand: Vec::new(),
+        loads: Vec::new(),
+        rollouts: Vec::new(),
+        announcements: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/it/manifest.rs
@@ -0,0 +1,57 @@
+//! Checks and look-ups of manifests.
+
+use kingcupford_steer::Manifest;
+use tokio::time::Instant;
+
+use crate::common::{limits, manifest, route, service, steering, tenant};
+
+/// Guards against a shorter prefix that hides a longer one.
+#[test]
+fn route_longest_prefix() {
+    let mut long = route();
+    long.name = "long".to_owned();
+    long.prefix = "/p/q/".to_owned();
+    let manifest =
+        Manifest::new(1, vec![route(), long], vec![service("svc")], Vec::new(), limits()).unwrap();
+    assert_eq!(manifest.route("host.example", "/p/q/1").unwrap().name, "long");
+    assert_eq!(manifest.route("host.example", "/p/1").unwrap().name, "r");
+    assert!(manifest.route("host.example", "/q/").is_none());
+    assert!(manifest.route("other.example", "/p/1").is_none());
+}
+
+/// Guards against a manifest that cannot work and errors that do not name the field.
+#[test]
+fn new_faults() {
+    let faulty = |change: fn(&mut kingcupford_steer::Route)| {
+        let mut route = route();
+        change(&mut route);
+        let res = Manifest::new(1, vec![route], vec![service("svc")], Vec::new(), limits());
+        res.unwrap_err().to_string()
+    };
+    assert!(faulty(|it| it.prefix = "/p".to_owned()).contains("path_prefix `/p`"));
+    assert!(faulty(|it| it.max_attempts = 0).contains("max_attempts"));
+    assert!(faulty(|it| it.targets.clear()).contains("service nor split"));
+    assert!(faulty(|it| it.targets[0].service = "x".to_owned()).contains("`x` is not declared"));
+    assert!(faulty(|it| it.targets[0].weight = 0.0).contains("add up to 0"));
+}
+
+/// Guards against a key that belongs to two tenants.
+#[test]
+fn new_key_twice() {
+    let mut second = tenant("two", 1.0);
+    second.keys = tenant("one", 1.0).keys;
+    let tenants = vec![tenant("one", 1.0), second];
+    let res = Manifest::new(1, vec![route()], vec![service("svc")], tenants, limits());
+    assert!(res.unwrap_err().to_string().contains("hold the same key"));
+}
+
+/// Guards against a manifest that goes back to an older version.
+#[tokio::test(start_paused = true)]
+async fn install_older() {
+    let now = Instant::now();
+    let mut steering = steering(now);
+    assert!(steering.install(manifest(5), now));
+    assert!(!steering.install(manifest(4), now));
+    assert!(!steering.install(manifest(5), now));
+    assert_eq!(steering.manifest().unwrap().version(), 5);
+}
--- /dev/null
+++ b/crates/steer/tests/it/shift.rs
@@ -0,0 +1,121 @@
+//! Objects that other regions handle.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use kingcupford_steer::{Choice, RegionKey, RequestHead, ServiceLoad, Steering, name_hash};
+use tokio::time::{Instant, advance};
+
+use crate::common::{address, beat, instance, member, steering};
+
+/// Sends requests for 500 objects and answers the part that left the region.
+fn far_part(steering: &mut Steering, now: Instant) -> f64 {
+    let own_region = steering.settings().places.own().region;
+    let mut far = 0;
+    let mut all = 0;
+    for object in 0..500u32 {
+        let text = object.to_string();
+        let head = RequestHead {
+            host: "host.example",
+            method: "GET",
+            path: "/p/1",
+            key: Some(b"key-two"),
+            object: Some(text.as_bytes()),
+            content_length: None,
+        };
+        let mut plan = steering.admit(&head, now).unwrap();
+        if let Choice::Instance { key, .. } = steering.place(&mut plan, &[], now) {
+            let region = steering.ready_set.get(key).unwrap().report.place.region;
+            all += 1;
+            far += u32::from(region != own_region);
+        }
+    }
+    f64::from(far) / f64::from(all)
+}
+
+/// A host in region `a` with as many instances there and in `b`.
+fn two_regions(local: usize, remote: usize, now: Instant) -> Steering {
+    let mut res = steering(now);
+    for at in 0..local {
+        res.ready_set.register(instance(&format!("l{at}"), "a1"), now);
+    }
+    for at in 0..remote {
+        res.ready_set.register(instance(&format!("r{at}"), "b1"), now);
+    }
+    let own = res.settings().places.own();
+    res.members.register(member("far", "b1", 1100), own);
+    res
+}
+
+/// Guards against requests that leave a region with room.
+#[tokio::test(start_paused = true)]
+async fn share_idle_region() {
+    let now = Instant::now();
+    let mut steering = two_regions(4, 4, now);
+    steering.tick(now);
+    assert_eq!(far_part(&mut steering, now), 0.0);
+}
+
+/// Guards against a region's share that jumps: deployments allow 0.15 of its requests to change
+/// their region within 2 s.
+#[tokio::test(start_paused = true)]
+async fn share_moves_slowly() {
+    let mut now = Instant::now();
+    let mut steering = two_regions(1, 8, now);
+    let head = RequestHead {
+        host: "host.example",
+        method: "GET",
+        path: "/p/1",
+        key: Some(b"key-two"),
+        object: Some(b"x"),
+        content_length: None,
+    };
+    let plan = steering.admit(&head, now).unwrap();
+    let busy = steering.ready_set.key("l0").unwrap();
+    // Four requests on four slots, and an idle region beside.
+    for _ in 0..4 {
+        steering.started(&plan, busy, now);
+    }
+    let mut shares: Vec<f64> = Vec::new();
+    for step in 0..200u64 {
+        advance(Duration::from_millis(100)).await;
+        now = Instant::now();
+        let mut idle = beat("far", step + 1);
+        let service = name_hash("svc");
+        idle.loads = vec![ServiceLoad { service, utilization: 0.1, share: 0.0 }];
+        steering.receive(idle, address(1100), now);
+        steering.tick(now);
+        shares.push(steering.chooser.describe("svc").unwrap().0);
+    }
+    assert!(shares.last().unwrap() > &0.4, "{:?}", shares.last());
+    let largest = shares.windows(20).map(|it| it[19] - it[0]).fold(0.0, f64::max);
+    assert!(largest <= 0.075, "{largest}");
+}
+
+/// Guards against homes that are left.
+#[tokio::test(start_paused = true)]
+async fn homes_bind() {
+    let now = Instant::now();
+    let mut steering = two_regions(0, 4, now);
+    let mut manifest_route = crate::common::route();
+    manifest_route.homes = vec!["a".to_owned()];
+    let manifest = kingcupford_steer::Manifest::new(
+        2,
+        vec![manifest_route],
+        vec![crate::common::service("svc")],
+        vec![crate::common::tenant("two", 0.0)],
+        crate::common::limits(),
+    );
+    steering.install(manifest.unwrap(), now);
+    let head = RequestHead {
+        host: "host.example",
+        method: "GET",
+        path: "/p/1",
+        key: Some(b"key-two"),
+        object: None,
+        content_length: None,
+    };
+    let mut plan = steering.admit(&head, now).unwrap();
+    let homes: BTreeSet<RegionKey> = plan.homes.clone().unwrap().into_iter().collect();
+    assert_eq!(homes.len(), 1);
+    assert_eq!(steering.place(&mut plan, &[], now), Choice::NoInstance);
+}
