--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -427,7 +427,7 @@
         if query.affinity && !is_upload && self.shifts.is_moved(query.service, object) {
             return remote.chain(local).copied().collect();
         }
-        if has_local && !self.shifts.may_spill(query.service) {
+        if has_local && !self.shifts.may_spill(query.service, view.now) {
             return local.copied().collect();
         }
         local.chain(remote).copied().collect()
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -39,6 +39,12 @@
 /// Part of the requests that may leave the region on top of the share, for short queues at home.
 const SPILL_PART: f64 = 0.07;
 
+/// The same while a service gets its first requests, when no object is cached anywhere.
+const FIRST_SPILL_PART: f64 = 0.25;
+
+/// How long a service gets its first requests: half of the window of the deployments' bound.
+const FIRST_REQUESTS: Duration = Duration::from_secs(1);
+
 /// How fast hosts of a region take over each other's share, per second.
 const AGREEMENT_PER_S: f64 = 1.0;
 
@@ -137,9 +143,12 @@
     }
 
     /// Whether one more request may leave the region although its object has its home here.
-    pub(crate) fn may_spill(&self, service: &str) -> bool {
+    pub(crate) fn may_spill(&self, service: &str, now: Instant) -> bool {
         self.shift(service).is_none_or(|it| {
-            it.has_loss || it.sent_far < (it.share + SPILL_PART) * it.sent.max(1.0)
+            let first =
+                it.first_at.is_none_or(|it| now.saturating_duration_since(it) < FIRST_REQUESTS);
+            let spill = if first { FIRST_SPILL_PART } else { SPILL_PART };
+            it.has_loss || it.sent_far < (it.share + spill) * it.sent.max(1.0)
         })
     }
 
