--- /dev/null
+++ b/crates/gateway/tests/it/follow.rs
@@ -0,0 +1,137 @@
+//! What the process learns from the platform.
+
+use std::{sync::Arc, time::Duration};
+
+use reqwest::Client;
+use tokio::{
+    task::LocalSet,
+    time::{Instant, sleep},
+};
+
+use crate::{
+    harness::{Harness, MemoryStore, addresses, spawn, wait_for, with_process},
+    upstream::{Behaviour, Upstream},
+};
+
+/// Guards against a revoked key that works on, and a new one that does not work.
+#[tokio::test]
+async fn keys_change() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[&upstream], async |harness| {
+        harness.answers("/read/1", 200).await;
+        harness.store.put("config/main", "2 other");
+        harness.answers("/read/1", 401).await;
+        harness.store.put("config/main", "3 good,other");
+        harness.answers("/read/1", 200).await;
+    })
+    .await;
+}
+
+/// Guards against keys that are taken although the platform was away for so long that they may be
+/// revoked, and against a process that does not recover.
+#[tokio::test]
+async fn platform_away() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[&upstream], async |harness| {
+        harness.answers("/read/1", 200).await;
+        *harness.store.is_away.lock() = true;
+        let away_at = Instant::now();
+        harness.answers("/read/1", 503).await;
+        // The last answer may have been a second old.
+        assert!(away_at.elapsed() < crate::harness::REVOCATION + Duration::from_millis(200));
+        *harness.store.is_away.lock() = false;
+        harness.answers("/read/1", 200).await;
+    })
+    .await;
+}
+
+/// Guards against an unreadable manifest that takes the place of the last good one.
+#[tokio::test]
+async fn manifest_unreadable() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[&upstream], async |harness| {
+        harness.answers("/read/1", 200).await;
+        harness.store.put("config/main", "unreadable");
+        harness.store.put("servers/i9", "unreadable");
+        sleep(Duration::from_millis(300)).await;
+        harness.answers("/read/1", 200).await;
+        harness.store.put("config/main", "2 other");
+        harness.answers("/read/1", 401).await;
+    })
+    .await;
+}
+
+/// Guards against requests to instances that leave or are gone.
+#[tokio::test]
+async fn instance_leaves() {
+    let first = Upstream::start("i1", Behaviour::Echo).await;
+    let second = Upstream::start("i2", Behaviour::Echo).await;
+    with_process(&[&first, &second], async |harness| {
+        harness.answers("/read/1", 200).await;
+        harness.store.put("servers/i1", &format!("{} draining", first.address));
+        sleep(Duration::from_millis(300)).await;
+        let before = first.seen().len();
+        for at in 0..30 {
+            let request = harness.request("GET", "/read/1", &format!("id-{at}"));
+            let request = request.header("x-object", at.to_string());
+            assert_eq!(request.send().await.unwrap().status(), 200);
+        }
+        assert_eq!(first.seen().len(), before);
+        harness.store.remove("servers/i2");
+        harness.answers("/read/1", 503).await;
+    })
+    .await;
+}
+
+/// Guards against calls to the platform that grow with the hosts, and against a region that stands
+/// still when its reader cannot reach the platform.
+#[tokio::test]
+async fn hosts_follow_one_reader() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            store.put("servers/i1", &format!("{} ready", upstream.address));
+            let client = Client::builder().no_proxy().build().unwrap();
+            let hosts: Vec<Harness> = ["n1", "n2", "n3", "n4"]
+                .into_iter()
+                .map(|name| {
+                    let listen = addresses();
+                    spawn(name, listen, &store);
+                    Harness { store: Arc::clone(&store), listen, client: client.clone() }
+                })
+                .collect();
+            for host in &hosts {
+                host.ready().await;
+            }
+            sleep(Duration::from_secs(3)).await;
+            let before = *store.calls.lock();
+            sleep(Duration::from_secs(3)).await;
+            let calls = *store.calls.lock() - before;
+            // One host's watches end 1 + 4 * 0.4 times a second.
+            assert!(calls <= 14, "{calls} calls in 3 s");
+            store.put("config/main", "2 other");
+            let changed_at = Instant::now();
+            for host in &hosts {
+                host.answers("/read/1", 401).await;
+            }
+            assert!(changed_at.elapsed() < Duration::from_millis(500));
+            *store.is_away.lock() = true;
+            sleep(Duration::from_millis(2500)).await;
+            *store.is_away.lock() = false;
+            store.put("config/main", "3 good");
+            let returned_at = Instant::now();
+            wait_for(async || {
+                let mut all = true;
+                for host in &hosts {
+                    let response = host.request("GET", "/read/1", "id").send().await;
+                    all &= response.is_ok_and(|it| it.status() == 200);
+                }
+                all
+            })
+            .await;
+            assert!(returned_at.elapsed() < Duration::from_millis(2500));
+        })
+        .await;
+}
--- /dev/null
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -0,0 +1,284 @@
+//! Requests, attempts and responses.
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+    time::{Instant, sleep},
+};
+
+use crate::{
+    harness::{wait_for, with_process},
+    upstream::{Behaviour, Upstream, header},
+};
+
+/// Guards against a request that is changed, or that shows the caller's key to an upstream.
+#[tokio::test]
+async fn request_unchanged() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[&upstream], async |harness| {
+        let response = harness
+            .request("POST", "/order/7?x=%20y&z", "id-1")
+            .header("x-tenant", "forged")
+            .header("x-target", "forged")
+            .header("x-deadline", "700")
+            .header("x-other", "kept")
+            .body("coins")
+            .send()
+            .await
+            .unwrap();
+        assert_eq!(response.status(), 200);
+        assert_eq!(response.headers()["x-id"], "id-1");
+        assert_eq!(response.headers()["x-seal"], "s");
+        assert_eq!(response.text().await.unwrap(), "coins");
+        let seen = upstream.seen();
+        assert_eq!(seen.len(), 1);
+        let head = &seen[0].head;
+        assert!(head.starts_with("POST /order/7?x=%20y&z HTTP/1.1\r\n"), "{head}");
+        assert_eq!(header(head, "host").unwrap(), "host.example");
+        assert_eq!(header(head, "x-tenant").unwrap(), "acme");
+        assert_eq!(header(head, "x-target").unwrap(), "i1");
+        assert_eq!(header(head, "x-other").unwrap(), "kept");
+        assert_eq!(header(head, "x-key"), None);
+        let left: u64 = header(head, "x-deadline").unwrap().parse().unwrap();
+        assert!((600..=700).contains(&left), "{left}");
+        assert_eq!(seen[0].body, b"coins");
+    })
+    .await;
+}
+
+/// Guards against answers of one request that reach another, answers without an instance behind
+/// them, and parts that look whole.
+#[tokio::test]
+async fn response_not_its_own() {
+    let faults = [
+        Behaviour::WrongId,
+        Behaviour::NoSeal,
+        Behaviour::Truncated,
+        Behaviour::Reset,
+        Behaviour::Garbage,
+        Behaviour::UnframedReset,
+    ];
+    for fault in faults {
+        let upstream = Upstream::start("i1", fault).await;
+        with_process(&[&upstream], async |harness| {
+            let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+            assert_eq!(response.status(), 502, "{fault:?}");
+            assert_eq!(response.headers()["kingcupford-outcome"], "unknown", "{fault:?}");
+            // It may have run, so it was not sent again.
+            assert_eq!(upstream.seen().len(), 1, "{fault:?}");
+        })
+        .await;
+    }
+}
+
+/// Guards against failures of one instance that reach callers of requests that may be repeated.
+#[tokio::test]
+async fn idempotent_goes_elsewhere() {
+    let faults = [
+        Behaviour::WrongId,
+        Behaviour::NoSeal,
+        Behaviour::Truncated,
+        Behaviour::Reset,
+        Behaviour::Garbage,
+        Behaviour::Fail,
+        Behaviour::Shed,
+        Behaviour::Misdirected,
+    ];
+    for fault in faults {
+        let first = Upstream::start("i1", fault).await;
+        let second = Upstream::start("i2", Behaviour::Echo).await;
+        with_process(&[&first, &second], async |harness| {
+            wait_for(async || {
+                let response = harness.request("GET", "/read/1", "id-1").send().await.unwrap();
+                assert_eq!(response.status(), 200, "{fault:?}");
+                !first.seen().is_empty() || second.seen().len() > 20
+            })
+            .await;
+        })
+        .await;
+    }
+}
+
+/// Guards against a refusal that says `not-run` although the request ran, and against one that runs
+/// later.
+#[tokio::test]
+async fn refusal_not_run() {
+    let upstream = Upstream::start("i1", Behaviour::Shed).await;
+    with_process(&[&upstream], async |harness| {
+        let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+        assert_eq!(response.status(), 503);
+        assert_eq!(response.headers()["kingcupford-outcome"], "not-run");
+        assert!(response.headers().contains_key("retry-after"));
+    })
+    .await;
+}
+
+/// Guards against a second response on a connection that is taken for the next request's.
+#[tokio::test]
+async fn response_twice() {
+    let upstream = Upstream::start("i1", Behaviour::Twice).await;
+    with_process(&[&upstream], async |harness| {
+        for at in 0..20 {
+            let body = format!("body-{at}");
+            let request = harness.request("GET", "/read/1", &format!("id-{at}"));
+            let response = request.body(body.clone()).send().await.unwrap();
+            assert_eq!(response.status(), 200);
+            assert_eq!(response.text().await.unwrap(), body);
+        }
+    })
+    .await;
+}
+
+/// Guards against a response without a length that is lost or cut.
+#[tokio::test]
+async fn response_unframed() {
+    let upstream = Upstream::start("i1", Behaviour::Unframed).await;
+    with_process(&[&upstream], async |harness| {
+        let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+        assert_eq!(response.status(), 200);
+        assert_eq!(response.text().await.unwrap(), "all of it");
+    })
+    .await;
+}
+
+/// Guards against bytes of another request where the rest of a body is due.
+#[tokio::test]
+async fn response_early() {
+    let upstream = Upstream::start("i1", Behaviour::Early).await;
+    with_process(&[&upstream], async |harness| {
+        let body = vec![7u8; 300_000];
+        let request = harness.request("POST", "/photo/1", "id-1").body(body.clone());
+        let response = request.send().await.unwrap();
+        assert_eq!(response.status(), 413);
+        upstream.set(Behaviour::Echo);
+        let request = harness.request("POST", "/photo/2", "id-2").body(body.clone());
+        let response = request.send().await.unwrap();
+        assert_eq!(response.status(), 200);
+        assert_eq!(response.bytes().await.unwrap().len(), body.len());
+    })
+    .await;
+}
+
+/// Guards against uploads that lose bytes, with a length and in chunks, kept and streamed.
+#[tokio::test]
+async fn upload_whole() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[&upstream], async |harness| {
+        for length in [0, 1, 65_000, 500_000, 900_000] {
+            let body: Vec<u8> = (0..length).map(|it| (it % 251) as u8).collect();
+            let request = harness.request("POST", "/photo/1", "id-1").body(body.clone());
+            let response = request.send().await.unwrap();
+            assert_eq!(response.status(), 200, "{length}");
+            assert_eq!(response.bytes().await.unwrap(), body, "{length}");
+        }
+    })
+    .await;
+}
+
+/// Guards against a body beyond the limit that is passed on.
+#[tokio::test]
+async fn upload_too_large() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[&upstream], async |harness| {
+        let request = harness.request("POST", "/photo/1", "id-1").body(vec![0; 2 << 20]);
+        // The process may close before the caller has sent everything.
+        if let Ok(response) = request.send().await {
+            assert_eq!(response.status(), 413);
+        }
+        assert!(upstream.seen().is_empty());
+    })
+    .await;
+}
+
+/// Guards against work that goes on after its caller has left.
+#[tokio::test]
+async fn caller_leaves() {
+    let upstream = Upstream::start("i1", Behaviour::Silent).await;
+    with_process(&[&upstream], async |harness| {
+        let mut stream = TcpStream::connect(harness.listen.callers).await.unwrap();
+        let request = "POST /order/1 HTTP/1.1\r\nhost: host.example\r\nx-id: 1\r\nx-key: good\r\n\
+                       content-length: 2\r\n\r\nok";
+        stream.write_all(request.as_bytes()).await.unwrap();
+        wait_for(async || !upstream.seen().is_empty()).await;
+        let left_at = Instant::now();
+        drop(stream);
+        wait_for(async || upstream.cancelled.load(Ordering::SeqCst) == 1).await;
+        assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
+    })
+    .await;
+}
+
+/// Guards against requests that are held beyond their route's timeout.
+#[tokio::test]
+async fn timeout_of_route() {
+    let upstream = Upstream::start("i1", Behaviour::Silent).await;
+    with_process(&[&upstream], async |harness| {
+        let sent_at = Instant::now();
+        let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+        assert_eq!(response.status(), 504);
+        let took = sent_at.elapsed();
+        assert!(took >= Duration::from_millis(790), "{took:?}");
+        assert!(took < Duration::from_millis(1050), "{took:?}");
+        wait_for(async || upstream.cancelled.load(Ordering::SeqCst) == 1).await;
+    })
+    .await;
+}
+
+/// Guards against callers that wait for a silent instance while another one is well.
+#[tokio::test]
+async fn silent_instance() {
+    let first = Upstream::start("i1", Behaviour::Silent).await;
+    let second = Upstream::start("i2", Behaviour::Echo).await;
+    with_process(&[&first, &second], async |harness| {
+        for at in 0..20 {
+            let request = harness.request("GET", "/read/1", &format!("id-{at}"));
+            let request = request.header("x-object", at.to_string());
+            assert_eq!(request.send().await.unwrap().status(), 200, "{at}");
+        }
+    })
+    .await;
+}
+
+/// Guards against connections that are opened for each request that may be repeated, and against
+/// kept ones for requests that may not.
+#[tokio::test]
+async fn connections_kept() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[&upstream], async |harness| {
+        for at in 0..20 {
+            harness.request("GET", "/read/1", &format!("id-{at}")).send().await.unwrap();
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert!(upstream.connections.load(Ordering::SeqCst) <= 3);
+        let before = upstream.connections.load(Ordering::SeqCst);
+        for at in 0..5 {
+            harness.request("POST", "/order/1", &format!("id-{at}")).send().await.unwrap();
+        }
+        assert_eq!(upstream.connections.load(Ordering::SeqCst), before + 5);
+    })
+    .await;
+}
+
+/// Guards against a caller's connection that is lost when a request is refused before its body was
+/// read.
+#[tokio::test]
+async fn refused_upload_keeps_connection() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[&upstream], async |harness| {
+        let mut stream = TcpStream::connect(harness.listen.callers).await.unwrap();
+        let head = "POST /order/1 HTTP/1.1\r\nhost: host.example\r\nx-id: 1\r\nx-key: bad\r\n\
+                    content-length: 200000\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&vec![1; 200_000]).await.unwrap();
+        let mut buffer = vec![0; 4096];
+        let read = stream.read(&mut buffer).await.unwrap();
+        assert!(buffer[..read].starts_with(b"HTTP/1.1 401"));
+        let next = "GET /read/1 HTTP/1.1\r\nhost: host.example\r\nx-id: 2\r\nx-key: good\r\n\r\n";
+        stream.write_all(next.as_bytes()).await.unwrap();
+        let read = stream.read(&mut buffer).await.unwrap();
+        assert!(buffer[..read].starts_with(b"HTTP/1.1 200"));
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/gateway/tests/it/harness.rs
@@ -0,0 +1,396 @@
+//! A process with a store in memory.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener as StdListener},
+    sync::Arc,
+    time::Duration,
+};
+
+use anyhow::Context as _;
+use bytes::Bytes;
+use http::HeaderName;
+use kingcupford_gateway::{
+    Decoder, FeedNames, GatewaySettings, HeaderNames, ListenAddresses, RolloutObject,
+    SettingsSource, StoredStatus, run,
+};
+use kingcupford_platform::{
+    Answer, Condition, HostEntry, ListedObject, Listing, Object, ObjectChange, ObjectStore,
+    Watched, WriteOutcome,
+};
+use kingcupford_steer::{
+    AllowanceSettings, CallerLimits, CanarySettings, InstanceReport, KeyDigest, Manifest, Member,
+    Places, Repeat, Route, Service, ServingState, SteeringSettings, Target, Tenant,
+};
+use parking_lot::Mutex;
+use reqwest::{Client, RequestBuilder};
+use tokio::{
+    sync::Notify,
+    task::LocalSet,
+    time::{Instant, sleep, timeout},
+};
+
+use crate::upstream::Upstream;
+
+/// Time for which a revoked key may still work.
+pub(crate) const REVOCATION: Duration = Duration::from_millis(1500);
+
+/// A store in memory whose outages a test sets.
+#[derive(Default)]
+pub(crate) struct MemoryStore {
+    /// Values with their versions, and deletions.
+    objects: Mutex<(u64, BTreeMap<String, (u64, Option<Bytes>)>)>,
+    /// Signalled at each change.
+    changed: Notify,
+    /// Whether calls fail.
+    pub(crate) is_away: Mutex<bool>,
+    /// Lists and watches that were answered.
+    pub(crate) calls: Mutex<usize>,
+}
+
+impl MemoryStore {
+    /// Writes a value.
+    pub(crate) fn put(&self, name: &str, value: &str) {
+        let mut objects = self.objects.lock();
+        objects.0 += 1;
+        let version = objects.0;
+        objects.1.insert(name.to_owned(), (version, Some(Bytes::from(value.to_owned()))));
+        drop(objects);
+        self.changed.notify_waiters();
+    }
+
+    /// Deletes a value.
+    pub(crate) fn remove(&self, name: &str) {
+        let mut objects = self.objects.lock();
+        objects.0 += 1;
+        let version = objects.0;
+        objects.1.insert(name.to_owned(), (version, None));
+        drop(objects);
+        self.changed.notify_waiters();
+    }
+
+    /// A value.
+    pub(crate) fn value(&self, name: &str) -> Option<String> {
+        let objects = self.objects.lock();
+        let value = objects.1.get(name)?.1.as_ref()?;
+        Some(String::from_utf8_lossy(value).into_owned())
+    }
+}
+
+impl ObjectStore for MemoryStore {
+    async fn read(&self, _: &str) -> Answer<Option<Object>> {
+        Answer::Unavailable
+    }
+
+    async fn write(&self, name: &str, value: Bytes, _: Condition) -> WriteOutcome {
+        if *self.is_away.lock() {
+            return WriteOutcome::Unavailable;
+        }
+        self.put(name, std::str::from_utf8(&value).unwrap_or_default());
+        WriteOutcome::Written { version: self.objects.lock().0 }
+    }
+
+    async fn delete(&self, name: &str, _: Condition) -> WriteOutcome {
+        self.remove(name);
+        WriteOutcome::Written { version: self.objects.lock().0 }
+    }
+
+    async fn list(&self, prefix: &str) -> Answer<Listing> {
+        if *self.is_away.lock() {
+            return Answer::Unavailable;
+        }
+        *self.calls.lock() += 1;
+        let objects = self.objects.lock();
+        let listed = objects.1.iter().filter(|it| it.0.starts_with(prefix));
+        let listed = listed.filter_map(|(name, (version, value))| {
+            let (name, value) = (name.clone(), Some(value.clone()?));
+            Some(ListedObject { name, version: *version, age_ms: 0, value })
+        });
+        let objects = Listing { revision: objects.0, objects: listed.collect(), age: Duration::ZERO };
+        Answer::Value(objects)
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            if *self.is_away.lock() {
+                return Answer::Unavailable;
+            }
+            let (revision, changes) = {
+                let objects = self.objects.lock();
+                let news = objects.1.iter().filter(|it| it.0.starts_with(prefix) && it.1.0 > after);
+                let news = news.map(|(name, (version, value))| ObjectChange {
+                    name: name.clone(),
+                    version: value.as_ref().map(|_| *version),
+                    value: value.clone(),
+                });
+                (objects.0, news.collect::<Vec<_>>())
+            };
+            if !changes.is_empty() || Instant::now() >= until {
+                *self.calls.lock() += 1;
+                return Answer::Value(Watched::Changes { revision, changes, age: Duration::ZERO });
+            }
+            let _ = tokio::time::timeout_at(until, changed).await;
+        }
+    }
+
+    async fn hosts(&self) -> Answer<Vec<HostEntry>> {
+        Answer::Unavailable
+    }
+
+    async fn announce(&self, entry: &HostEntry) -> Answer<()> {
+        if *self.is_away.lock() {
+            return Answer::Unavailable;
+        }
+        self.put(&format!("hosts/{}", entry.name), &serde_json::to_string(entry).unwrap());
+        Answer::Value(())
+    }
+}
+
+/// Decodes the values that tests write.
+struct TestDecoder;
+
+impl Decoder for TestDecoder {
+    fn names(&self) -> FeedNames {
+        FeedNames {
+            manifest: "config/",
+            instances: "servers/",
+            rollouts: "rollouts/",
+            status: "/status",
+            evacuations: "evacuations/",
+            hosts: "hosts/",
+        }
+    }
+
+    /// `VERSION KEYS`, keys joined by commas.
+    fn manifest(&self, value: &[u8]) -> anyhow::Result<Manifest> {
+        let text = std::str::from_utf8(value)?;
+        let (version, keys) = text.split_once(' ').context("no keys")?;
+        let route = |name: &str, repeat| Route {
+            name: name.to_owned(),
+            host: "host.example".to_owned(),
+            prefix: format!("/{name}/"),
+            repeat,
+            timeout: Some(Duration::from_millis(800)),
+            target_latency: Duration::from_millis(100),
+            priority: 1,
+            targets: vec![Target { service: "svc".to_owned(), weight: 1.0 }],
+            max_attempts: 2,
+            open: false,
+            affinity: true,
+            homes: Vec::new(),
+        };
+        let routes = vec![
+            route("read", Repeat::Idempotent),
+            route("order", Repeat::Once),
+            route("photo", Repeat::Upload),
+        ];
+        let service = Service {
+            name: "svc".to_owned(),
+            health_path: "/health".to_owned(),
+            max_connections: 100,
+            cold_start: Duration::ZERO,
+            cold_rate_per_s: 100.0,
+        };
+        let tenant = Tenant {
+            name: "acme".to_owned(),
+            keys: keys.split(',').map(|it| KeyDigest::of(it.as_bytes())).collect(),
+            priority: None,
+            rate_per_s: 0.0,
+            burst: 0.0,
+            homes: Vec::new(),
+        };
+        let limits = CallerLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 1 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        };
+        Manifest::new(version.parse()?, routes, vec![service], vec![tenant], limits)
+    }
+
+    /// `ADDRESS STATE`.
+    fn instance(&self, id: &str, value: &[u8], places: &Places) -> anyhow::Result<InstanceReport> {
+        let text = std::str::from_utf8(value)?;
+        let (address, state) = text.split_once(' ').context("no state")?;
+        let state =
+            if state == "ready" { ServingState::Ready } else { ServingState::Draining };
+        Ok(InstanceReport {
+            id: id.to_owned(),
+            service: "svc".to_owned(),
+            address: address.parse()?,
+            place: places.own(),
+            version: "v1".to_owned(),
+            slots: 8,
+            state,
+            cold_remaining: Duration::ZERO,
+            started_unix_ms: None,
+        })
+    }
+
+    fn rollout(&self, _: &str, _: &[u8]) -> anyhow::Result<RolloutObject> {
+        anyhow::bail!("tests order no rollouts")
+    }
+
+    fn host(&self, value: &[u8]) -> anyhow::Result<HostEntry> {
+        Ok(serde_json::from_slice(value)?)
+    }
+
+    fn encode_status(&self, _: &StoredStatus) -> Bytes {
+        Bytes::new()
+    }
+}
+
+/// Settings that never change.
+struct Fixed(GatewaySettings);
+
+impl SettingsSource for Fixed {
+    fn load(&self) -> anyhow::Result<GatewaySettings> {
+        Ok(self.0.clone())
+    }
+}
+
+/// A port that is free for TCP now.
+fn free_port() -> u16 {
+    StdListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+/// Addresses of a process.
+pub(crate) fn addresses() -> ListenAddresses {
+    let address = || SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let control = address();
+    ListenAddresses {
+        callers: address(),
+        readiness: control,
+        lookup: control,
+        metrics: control,
+        peers: address(),
+    }
+}
+
+/// Settings of a process.
+pub(crate) fn settings(name: &str, listen: ListenAddresses) -> GatewaySettings {
+    let zones = [("z1".to_owned(), "r".to_owned()), ("z2".to_owned(), "r".to_owned())];
+    let places = Places::new(&zones, "z1").unwrap();
+    let header = HeaderName::from_static;
+    GatewaySettings {
+        listen,
+        headers: HeaderNames {
+            request_id: header("x-id"),
+            deadline_ms: header("x-deadline"),
+            object: header("x-object"),
+            key: header("x-key"),
+            tenant: header("x-tenant"),
+            target_instance: header("x-target"),
+            not_run: header("x-not-run"),
+            seal: header("x-seal"),
+            load: header("x-load"),
+            cold_ms: header("x-cold"),
+        },
+        steering: SteeringSettings {
+            own: Member {
+                name: name.to_owned(),
+                place: places.own(),
+                peer_address: listen.peers,
+                caller_address: listen.callers,
+            },
+            incarnation: 1,
+            places,
+            revocation: Some(REVOCATION),
+            retry_ratio: 0.5,
+            retry_slack: 100.0,
+            allowance: AllowanceSettings { window_s: 5.0, overage: 0.1, slack: 20.0 },
+            canary: CanarySettings { exposure_share: 0.1 },
+            seed: 1,
+        },
+        grace: Duration::from_secs(6),
+        lookup_ttl: Duration::from_secs(1),
+        max_connections: 100,
+        summary: "test".to_owned(),
+    }
+}
+
+/// A running process with its store.
+pub(crate) struct Harness {
+    /// The store.
+    pub(crate) store: Arc<MemoryStore>,
+    /// Addresses of the process.
+    pub(crate) listen: ListenAddresses,
+    /// A caller.
+    pub(crate) client: Client,
+}
+
+impl Harness {
+    /// A caller's request with a valid key.
+    pub(crate) fn request(&self, method: &str, path: &str, id: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.listen.callers);
+        self.client
+            .request(method.parse().unwrap(), url)
+            .header("host", "host.example")
+            .header("x-id", id)
+            .header("x-key", "good")
+    }
+
+    /// Registers an instance.
+    pub(crate) fn register(&self, upstream: &Upstream) {
+        self.store.put(&format!("servers/{}", upstream.id), &format!("{} ready", upstream.address));
+    }
+
+    /// Waits until the process is ready.
+    pub(crate) async fn ready(&self) {
+        let url = format!("http://{}/readyz", self.listen.readiness);
+        wait_for(async || {
+            let response = self.client.get(&url).send().await;
+            response.is_ok_and(|it| it.status() == 200)
+        })
+        .await;
+    }
+
+    /// Waits until a request gets a status.
+    pub(crate) async fn answers(&self, path: &str, status: u16) {
+        wait_for(async || {
+            let response = self.request("GET", path, "probe").send().await;
+            response.is_ok_and(|it| it.status() == status)
+        })
+        .await;
+    }
+}
+
+/// Waits until something holds.
+pub(crate) async fn wait_for(mut holds: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !holds().await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(Duration::from_secs(10), waiting).await.expect("it holds within 10 s");
+}
+
+/// Starts a process beside the present task.
+pub(crate) fn spawn(name: &str, listen: ListenAddresses, store: &Arc<MemoryStore>) {
+    let settings = settings(name, listen);
+    let store = Arc::clone(store);
+    tokio::task::spawn_local(async move {
+        run(settings.clone(), Fixed(settings), store, TestDecoder).await.unwrap();
+    });
+}
+
+/// Runs a test against a process with a manifest and these instances.
+pub(crate) async fn with_process(upstreams: &[&Upstream], test: impl AsyncFnOnce(Harness)) {
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            let listen = addresses();
+            spawn("own", listen, &store);
+            let client = Client::builder().no_proxy().build().unwrap();
+            let harness = Harness { store, listen, client };
+            harness.store.put("config/main", "1 good");
+            for it in upstreams {
+                harness.register(it);
+            }
+            harness.ready().await;
+            test(harness).await;
+        })
+        .await;
+}
--- /dev/null
+++ b/crates/gateway/tests/it/lookups.rs
@@ -0,0 +1,88 @@
+//! Lookups, readiness and metrics.
+
+use std::{sync::Arc, time::Duration};
+
+use reqwest::Client;
+use tokio::{task::LocalSet, time::sleep};
+
+use crate::{
+    harness::{Harness, MemoryStore, addresses, spawn, wait_for, with_process},
+    upstream::{Behaviour, Upstream},
+};
+
+/// Guards against lookups without an address and with a lifetime that outlasts a shutdown.
+#[tokio::test]
+async fn lookup_answer() {
+    with_process(&[], async |harness| {
+        let url = format!("http://{}/v1/lookup?name=h&region=r&zone=z1", harness.listen.lookup);
+        let text = harness.client.get(url).send().await.unwrap().text().await.unwrap();
+        let answer: serde_json::Value = serde_json::from_str(&text).unwrap();
+        assert_eq!(answer["addresses"][0], harness.listen.callers.to_string());
+        assert_eq!(answer["ttl_s"], 1.0);
+    })
+    .await;
+}
+
+/// Guards against hosts that do not find each other through the platform.
+#[tokio::test]
+async fn lookup_all_hosts() {
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let client = Client::builder().no_proxy().build().unwrap();
+            let hosts: Vec<Harness> = ["n1", "n2", "n3"]
+                .into_iter()
+                .map(|name| {
+                    let listen = addresses();
+                    spawn(name, listen, &store);
+                    Harness { store: Arc::clone(&store), listen, client: client.clone() }
+                })
+                .collect();
+            let url = format!("http://{}/v1/lookup?zone=z1", hosts[0].listen.lookup);
+            wait_for(async || {
+                let Ok(response) = client.get(&url).send().await else { return false };
+                let text = response.text().await.unwrap_or_default();
+                hosts.iter().all(|it| text.contains(&it.listen.callers.to_string()))
+            })
+            .await;
+        })
+        .await;
+}
+
+/// Guards against a process that says it is ready before it can decide anything.
+#[tokio::test]
+async fn readiness_without_manifest() {
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            let listen = addresses();
+            spawn("own", listen, &store);
+            let client = Client::builder().no_proxy().build().unwrap();
+            let harness = Harness { store, listen, client };
+            harness.answers("/read/1", 503).await;
+            let url = format!("http://{}/readyz", listen.readiness);
+            sleep(Duration::from_millis(300)).await;
+            assert_eq!(harness.client.get(&url).send().await.unwrap().status(), 503);
+            harness.store.put("config/main", "1 good");
+            harness.ready().await;
+        })
+        .await;
+}
+
+/// Guards against outcomes that no counter shows.
+#[tokio::test]
+async fn metrics_outcomes() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[&upstream], async |harness| {
+        harness.answers("/read/1", 200).await;
+        harness.request("GET", "/nowhere/", "id").send().await.unwrap();
+        let url = format!("http://{}/metrics", harness.listen.metrics);
+        let text = harness.client.get(url).send().await.unwrap().text().await.unwrap();
+        assert!(text.contains(r#"outcome="executed""#), "{text}");
+        assert!(text.contains(r#"reason="unknown-route""#), "{text}");
+        assert!(text.contains("kingcupford_latency_seconds_bucket"), "{text}");
+        assert!(text.contains("kingcupford_instances 1"), "{text}");
+    })
+    .await;
+}
