--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -106,7 +106,8 @@
             let (name, value) = (name.clone(), Some(value.clone()?));
             Some(ListedObject { name, version: *version, age_ms: 0, value })
         });
-        let objects = Listing { revision: objects.0, objects: listed.collect(), age: Duration::ZERO };
+        let objects =
+            Listing { revision: objects.0, objects: listed.collect(), age: Duration::ZERO };
         Answer::Value(objects)
     }
 
@@ -214,8 +215,7 @@
     fn instance(&self, id: &str, value: &[u8], places: &Places) -> anyhow::Result<InstanceReport> {
         let text = std::str::from_utf8(value)?;
         let (address, state) = text.split_once(' ').context("no state")?;
-        let state =
-            if state == "ready" { ServingState::Ready } else { ServingState::Draining };
+        let state = if state == "ready" { ServingState::Ready } else { ServingState::Draining };
         Ok(InstanceReport {
             id: id.to_owned(),
             service: "svc".to_owned(),
--- a/crates/gateway/tests/it/upstream.rs
+++ b/crates/gateway/tests/it/upstream.rs
@@ -138,7 +138,8 @@
         let id = header(&head, "x-id").unwrap_or_default();
         let behaviour = *behaviour.lock();
         if behaviour == Behaviour::Early {
-            let early = format!("HTTP/1.1 413 Too Large\r\nx-id: {id}\r\ncontent-length: 3\r\n\r\nbig");
+            let early =
+                format!("HTTP/1.1 413 Too Large\r\nx-id: {id}\r\ncontent-length: 3\r\n\r\nbig");
             let _ = stream.write_all(early.as_bytes()).await;
         }
         while buffer.len() < length {
@@ -174,20 +175,21 @@
                 }
                 return;
             }
-            Behaviour::Shed => {
-                format!("HTTP/1.1 503 Busy\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
-                    .into_bytes()
-            }
-            Behaviour::Misdirected => {
-                format!("HTTP/1.1 421 No\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
-                    .into_bytes()
-            }
+            Behaviour::Shed => format!(
+                "HTTP/1.1 503 Busy\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+            )
+            .into_bytes(),
+            Behaviour::Misdirected => format!(
+                "HTTP/1.1 421 No\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+            )
+            .into_bytes(),
             Behaviour::Fail => format!(
                 "HTTP/1.1 500 Failed\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 3\r\n\r\nbad"
             )
             .into_bytes(),
             Behaviour::WrongId => {
-                b"HTTP/1.1 200 OK\r\nx-id: other\r\nx-seal: s\r\ncontent-length: 2\r\n\r\nno".to_vec()
+                b"HTTP/1.1 200 OK\r\nx-id: other\r\nx-seal: s\r\ncontent-length: 2\r\n\r\nno"
+                    .to_vec()
             }
             Behaviour::NoSeal => {
                 format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 2\r\n\r\nno").into_bytes()
