--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -78,7 +78,7 @@
     let guard = InFlight::new(Rc::clone(&state));
     let arrived = Instant::now();
     let id = request.headers().get(&state.settings().headers.request_id).cloned();
-    let text = id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("-").to_owned();
+    let text = id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("-");
     let mut log =
         LogGuard { state: Rc::clone(&state), log: RequestLog::new(text, arrived), ended: false };
     let mut res = forward(&state, request, id, arrived, &mut log).await;
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -9,6 +9,9 @@
 
 use crate::state::State;
 
+/// Characters of a request's id that are logged; usual ids have 16 to 36.
+const MAX_ID_CHARS: usize = 64;
+
 /// What is known of a request for its log line.
 pub(crate) struct RequestLog {
     /// Its id, or `-`.
@@ -47,9 +50,14 @@
 }
 
 impl RequestLog {
-    /// A request that just arrived.
-    pub(crate) fn new(id: String, arrived: Instant) -> Self {
-        Self { id, arrived, plan: None, attempts: Vec::new() }
+    /// A request that just arrived; of its id only characters are kept that cannot be read as
+    /// another field.
+    pub(crate) fn new(id: &str, arrived: Instant) -> Self {
+        let id = id
+            .chars()
+            .take(MAX_ID_CHARS)
+            .map(|it| if it.is_ascii_alphanumeric() || "-_.".contains(it) { it } else { '?' });
+        Self { id: id.collect(), arrived, plan: None, attempts: Vec::new() }
     }
 
     /// Writes the line and counts the request.
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -50,7 +50,7 @@
             let unix_ms = SystemTime::now()
                 .duration_since(SystemTime::UNIX_EPOCH)
                 .map_or(0, |it| it.as_millis());
-            let text = escape(&message.to_string());
+            let text = structured(&escape(&message.to_string()));
             out.finish(format_args!(
                 "ts_ms={unix_ms} level={} host={source} {text}",
                 record.level()
@@ -63,6 +63,15 @@
         .context("logs are set up twice")
 }
 
+/// A message as `key=value` fields: those of an event follow its number and name.
+fn structured(text: &str) -> String {
+    let event = text.split_once(": ").and_then(|(head, details)| {
+        let (code, name) = head.split_once(' ')?;
+        code.starts_with("KC").then(|| format!("event={code} name={name} {details}"))
+    });
+    event.unwrap_or_else(|| format!("message=\"{}\"", text.replace('"', "'")))
+}
+
 /// Replaces control characters, so that text from the network cannot start a new log line.
 fn escape(text: &str) -> String {
     text.chars()
