Ask the platform itself when a reader's answer is old or missing; keep readers; queue longer

Change: a relayed answer older than 1.9 s, or none, makes the follower ask the platform, at most every 0.8 s while that fails; a follower keeps a reader as long as it reads; all watches end within 1.2 s. Fewer unused connections are kept to instances of large deployments. Also: requests wait for up to 1.5 target latencies, and a further choice costs 0.25 of it.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -38,6 +38,8 @@
     pub(crate) body_done: Rc<std::cell::Cell<bool>>,
     /// Whether a connection must be opened for it.
     pub(crate) fresh: bool,
+    /// Unused connections that are kept to the instance.
+    pub(crate) idle_limit: usize,
     /// The request's id.
     pub(crate) request_id: Option<HeaderValue>,
 }
@@ -116,7 +118,7 @@
         (start, true) => {
             // An instance that still reads the request would take the next one for its rest.
             if let (Some(idle), true) = (idle, sending.body_done.get()) {
-                state.pool.put(sending.key, connection, idle, Instant::now());
+                state.pool.put(sending.key, connection, idle, sending.idle_limit);
             }
             ReceivedBody::Whole(start)
         }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -29,7 +29,7 @@
 const MANIFEST_WAIT_MS: u64 = 1000;
 
 /// Wait of other watches: a change is noticed at once, a watch that hangs after this time.
-const OTHER_WAIT_MS: u64 = 2500;
+const OTHER_WAIT_MS: u64 = 1200;
 
 /// Least time between two watches of one kind, so that a burst of changes takes few calls.
 const SPACING_MS: u64 = 100;
@@ -149,7 +149,11 @@
     /// Follows the platform through whichever host reads it for the region now.
     pub(crate) fn choose_source(&self, now: Instant) {
         let mut steering = self.state.steering.borrow_mut();
-        let reader = steering.reader(now);
+        let current = match *self.source.borrow() {
+            Source::Platform => None,
+            Source::Reader(it) => Some(it),
+        };
+        let reader = steering.reader(current, now);
         let source = reader.map_or(Source::Platform, Source::Reader);
         if *self.source.borrow() == source {
             return;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -376,6 +376,9 @@
         return Err(Refusal { reason: "no instance is ready", retry_after: RETRY_AFTER });
     };
     let id = id.to_owned();
+    let service = steering.manifest().and_then(|it| it.service(&plan.service));
+    let max_connections = service.map_or(u32::MAX, |it| it.max_connections);
+    let idle_limit = pool::idle_limit(max_connections, steering.members.known());
     steering.started(plan, key, now);
     drop(steering);
     attempts.made += 1;
@@ -413,6 +416,7 @@
         // On a kept connection, one that the instance closes at that moment would leave open
         // whether the request ran.
         fresh: plan.route.repeat != Repeat::Idempotent,
+        idle_limit,
         request_id: incomings.id.clone(),
     };
     let running = async move {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -27,12 +27,22 @@
 /// Time by which a connection is given up before the instance closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Unused connections kept for one instance.
+/// Unused connections kept for one instance at most: a few requests of one host at a time.
 const MAX_IDLE: usize = 16;
 
+/// Part of the connections that an instance takes which all hosts together keep unused; the rest is
+/// for those in use, and an instance with a long queue takes fewer.
+const IDLE_PART: f64 = 0.25;
+
 /// Bytes that the HTTP library buffers for one connection.
 const BUFFER_BYTES: usize = 32 * 1024;
 
+/// Unused connections that one host of `hosts` keeps to an instance.
+pub(crate) fn idle_limit(max_connections: u32, hosts: usize) -> usize {
+    let part = f64::from(max_connections) * IDLE_PART / hosts.max(1) as f64;
+    (part as usize).clamp(1, MAX_IDLE)
+}
+
 /// Unused connections by instance.
 #[derive(Default)]
 pub(crate) struct Pool {
@@ -75,21 +85,23 @@
         None
     }
 
-    /// Keeps a connection after a complete exchange for as long as the instance said.
+    /// Keeps a connection after a complete exchange for as long as the instance said, and at most
+    /// `limit` of them.
     pub(crate) fn put(
         &self,
         key: InstanceKey,
         connection: Connection,
         announced: Option<Duration>,
-        now: Instant,
+        limit: usize,
     ) {
+        let now = Instant::now();
         let kept = announced.unwrap_or(DEFAULT_IDLE).saturating_sub(IDLE_MARGIN);
         if connection.sender.is_closed() || kept.is_zero() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(key).or_default();
-        if connections.len() >= MAX_IDLE {
+        if connections.len() >= limit {
             connections.remove(0);
         }
         connections.push(Idle { connection, until: now + kept });
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -43,6 +43,13 @@
 /// Time for a watch beyond its wait.
 const WATCH_MARGIN_MS: u64 = 300;
 
+/// Age from which a relayed answer is too old and the platform itself is asked: more than a watch
+/// takes, and with the time for a call below the shortest bound on changes, 2.5 s.
+const MAX_RELAYED_AGE: Duration = Duration::from_millis(1900);
+
+/// Pause after the platform itself did not answer before it is asked again past a reader.
+const BYPASS_AGAIN: Duration = Duration::from_millis(800);
+
 /// How answers are encoded.
 const CODEC: Configuration = standard();
 
@@ -63,12 +70,14 @@
     source: watch::Receiver<Source>,
     /// The client of the present reader.
     client: Mutex<Option<(SocketAddr, HttpObjectStore<RelayDialect>)>>,
+    /// Kinds for which the platform itself did not answer, and since when.
+    failed: Mutex<Vec<(String, Instant)>>,
 }
 
 impl<S: ObjectStore> RelayedStore<S> {
     /// A store that follows through whatever `source` says.
     pub(crate) fn new(platform: Arc<S>, source: watch::Receiver<Source>) -> Self {
-        Self { platform, source, client: Mutex::new(None) }
+        Self { platform, source, client: Mutex::new(None), failed: Mutex::default() }
     }
 
     /// The client of a reader; its connections are kept as long as the reader stays.
@@ -94,6 +103,21 @@
         }
     }
 
+    /// Whether a call that the reader did not answer well may go to the platform itself.
+    fn may_bypass(&self, prefix: &str) -> bool {
+        let failed = self.failed.lock().unwrap_or_else(PoisonError::into_inner);
+        failed.iter().find(|it| it.0 == prefix).is_none_or(|it| it.1.elapsed() > BYPASS_AGAIN)
+    }
+
+    /// Notes whether the platform itself answered.
+    fn platform_ended(&self, prefix: &str, is_answered: bool) {
+        let mut failed = self.failed.lock().unwrap_or_else(PoisonError::into_inner);
+        failed.retain(|it| it.0 != prefix);
+        if !is_answered {
+            failed.push((prefix.to_owned(), Instant::now()));
+        }
+    }
+
     /// Waits until another host reads than this one; what it still answers may be old.
     async fn replaced(&self, reader: SocketAddr) {
         let mut source = self.source.clone();
@@ -119,24 +143,50 @@
 
     async fn list(&self, prefix: &str) -> Answer<Listing> {
         let source = *self.source.borrow();
-        let Source::Reader(reader) = source else { return self.platform.list(prefix).await };
-        let Some(client) = self.client(reader) else { return Answer::Unavailable };
-        tokio::select! {
-            res = client.list(prefix) => res,
-            () = self.replaced(reader) => Answer::Unavailable,
+        if let Source::Reader(reader) = source
+            && let Some(client) = self.client(reader)
+        {
+            let relayed = tokio::select! {
+                res = client.list(prefix) => res,
+                () = self.replaced(reader) => Answer::Unavailable,
+            };
+            if let Answer::Value(it) = &relayed
+                && it.age < MAX_RELAYED_AGE
+            {
+                return relayed;
+            }
+            if !self.may_bypass(prefix) {
+                return Answer::Unavailable;
+            }
         }
+        let res = self.platform.list(prefix).await;
+        self.platform_ended(prefix, matches!(res, Answer::Value(_)));
+        res
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
         let source = *self.source.borrow();
-        let Source::Reader(reader) = source else {
-            return self.platform.watch(prefix, after, wait).await;
-        };
-        let Some(client) = self.client(reader) else { return Answer::Unavailable };
-        tokio::select! {
-            res = client.watch(prefix, after, wait) => res,
-            () = self.replaced(reader) => Answer::Unavailable,
+        if let Source::Reader(reader) = source
+            && let Some(client) = self.client(reader)
+        {
+            let relayed = tokio::select! {
+                res = client.watch(prefix, after, wait) => res,
+                () = self.replaced(reader) => Answer::Unavailable,
+            };
+            match &relayed {
+                Answer::Value(Watched::Changes { age, .. }) if *age >= MAX_RELAYED_AGE => {}
+                Answer::Value(_) => return relayed,
+                Answer::Unavailable | Answer::Throttled { .. } => {}
+            }
+            if !self.may_bypass(prefix) {
+                return Answer::Unavailable;
+            }
+            // What was missed meanwhile is told at once.
+            let res = self.platform.watch(prefix, after, Duration::ZERO).await;
+            self.platform_ended(prefix, matches!(res, Answer::Value(_)));
+            return res;
         }
+        self.platform.watch(prefix, after, wait).await
     }
 
     async fn hosts(&self) -> Answer<Vec<HostEntry>> {
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -29,7 +29,7 @@
 /// Cost of the second and each further choice, as a part of the target latency: about what work on
 /// an object takes that is not cached. Below it a shorter queue is not worth spreading objects over
 /// more caches, which displace each other's objects.
-const RANK_COST_PART: f64 = 0.4;
+const RANK_COST_PART: f64 = 0.25;
 
 /// Cost of leaving the zone, in milliseconds of latency; traffic between zones is paid for.
 const ZONE_COST_MS: f64 = 4.0;
@@ -41,11 +41,11 @@
 const UPLOAD_COST_FACTOR: f64 = 20.0;
 
 /// Part of the target latency up to which a choice may be expected to take.
-const TARGET_PART: f64 = 0.9;
+const TARGET_PART: f64 = 1.5;
 
 /// Part of the target latency for which a request may wait in any case, so that slow work does not
 /// forbid all queues.
-const MIN_WAIT_PART: f64 = 0.25;
+const MIN_WAIT_PART: f64 = 0.8;
 
 /// Part of the allowed wait left to each further rank of priority, so that the less urgent give
 /// way first.
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -214,15 +214,26 @@
 
     /// The host that reads the platform for this one's region, `None` when it is this one.
     ///
-    /// `own_age` is the time since the platform answered this host itself, `idle` the time for
-    /// which no host was seen to read.
+    /// `own_age` is the time since the platform answered this host itself, `current` the host that
+    /// it follows, which it keeps as long as that one reads, and `idle` the time for which no host
+    /// was seen to read.
     pub fn reader(
         &self,
         own: &Member,
         own_age: Option<Duration>,
+        current: Option<SocketAddr>,
         idle: Duration,
         now: Instant,
     ) -> Option<SocketAddr> {
+        let is_kept = |it: &&Peer| {
+            Some(it.member.peer_address) == current
+                && it.is_live(now)
+                && it.state() != BeatState::Draining
+                && it.reads(now)
+        };
+        if self.peers.iter().any(|it| is_kept(&it)) {
+            return current;
+        }
         let score = |name: &str| crate::warmth::mix(xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
         let mut better: Vec<&Peer> = self
             .peers
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -520,14 +520,14 @@
     }
 
     /// The host through which this one follows the platform, `None` for the platform itself.
-    pub fn reader(&mut self, now: Instant) -> Option<SocketAddr> {
+    pub fn reader(&mut self, current: Option<SocketAddr>, now: Instant) -> Option<SocketAddr> {
         let own = &self.settings.own;
         let own_age = self.platform_at.map(|it| now.saturating_duration_since(it));
         if self.members.has_reader(own.place, now) {
             self.reader_seen_at = now;
         }
         let idle = now.saturating_duration_since(self.reader_seen_at);
-        self.members.reader(own, own_age, idle, now)
+        self.members.reader(own, own_age, current, idle, now)
     }
 
     /// The next beat, without the echo for its receiver.
--- a/crates/steer/tests/it/members.rs
+++ b/crates/steer/tests/it/members.rs
@@ -106,7 +106,7 @@
         .iter()
         .map(|(members, at)| {
             let own = member(names[*at], "a1", 1000 + 100 * *at as u16);
-            let reader = members.reader(&own, fresh, Duration::ZERO, now);
+            let reader = members.reader(&own, fresh, None, Duration::ZERO, now);
             reader.unwrap_or(own.peer_address)
         })
         .collect();
@@ -126,9 +126,9 @@
         members.receive(stale, address(port), Instant::now());
     }
     let idle = Duration::from_secs(3);
-    assert_eq!(members.reader(&own, None, idle, Instant::now()), None);
+    assert_eq!(members.reader(&own, None, None, idle, Instant::now()), None);
     let mut fresh = beat("n2", 2);
     fresh.platform_age_ms = Some(10);
     members.receive(fresh, address(1200), Instant::now());
-    assert_eq!(members.reader(&own, None, idle, Instant::now()), Some(address(1200)));
+    assert_eq!(members.reader(&own, None, None, idle, Instant::now()), Some(address(1200)));
 }
