--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -28,8 +28,16 @@
 /// Wait of one watch on the manifest: each that ends confirms the view.
 const MANIFEST_WAIT_MS: u64 = 1000;
 
-/// Wait of other watches: a change is noticed at once, a watch that hangs after this time.
-const OTHER_WAIT_MS: u64 = 1200;
+/// Wait of watches on registrations and evacuations, whose changes are bound to be heeded within
+/// 2.5 s: a change is noticed at once, a watch that hangs after this time.
+const BOUNDED_WAIT_MS: u64 = 1200;
+
+/// Wait of watches on rollouts and hosts.
+const OTHER_WAIT_MS: u64 = 3000;
+
+/// Time beyond the wait of a watch after which its end is overdue: several round trips between
+/// regions. Together with the waits for what has a bound this stays below the shortest one, 2.5 s.
+const OVERDUE: Duration = Duration::from_millis(700);
 
 /// Least time between two watches of one kind, so that a burst of changes takes few calls.
 const SPACING_MS: u64 = 100;
@@ -170,9 +178,15 @@
     /// Starts to follow every kind and to register this host.
     pub(crate) fn start(&self) {
         let names = self.decoder.names();
-        for prefix in [names.instances, names.rollouts, names.evacuations, names.hosts] {
+        let kinds = [
+            (names.instances, BOUNDED_WAIT_MS),
+            (names.evacuations, BOUNDED_WAIT_MS),
+            (names.rollouts, OTHER_WAIT_MS),
+            (names.hosts, OTHER_WAIT_MS),
+        ];
+        for (prefix, wait_ms) in kinds {
             let feed = self.clone();
-            tokio::task::spawn_local(async move { feed.follow(prefix, OTHER_WAIT_MS).await });
+            tokio::task::spawn_local(async move { feed.follow(prefix, wait_ms).await });
         }
         let feed = self.clone();
         tokio::task::spawn_local(async move {
@@ -290,7 +304,7 @@
                 Ok(()) = watcher.progress.changed() => {
                     let progress = *watcher.progress.borrow_and_update();
                     if let Some(it) = progress {
-                        self.progressed(prefix, it);
+                        self.progressed(prefix, wait_ms, it);
                     }
                 }
                 Ok(()) = watcher.reachability.changed() => {
@@ -310,13 +324,14 @@
     }
 
     /// Notes that everything up to a time was told.
-    fn progressed(&self, prefix: &str, progress: Progress) {
+    fn progressed(&self, prefix: &str, wait_ms: u64, progress: Progress) {
         let now = Instant::now();
         let is_direct = *self.source.borrow() == Source::Platform;
         if is_direct {
             self.state.metrics.platform_calls.inc();
         }
-        self.state.mirror.progress(prefix, progress.revision, progress.sent_at);
+        let stale_at = now + Duration::from_millis(wait_ms) + OVERDUE;
+        self.state.mirror.progress(prefix, progress.revision, progress.sent_at, stale_at);
         if prefix == self.decoder.names().manifest {
             self.state.check_pause(now);
             let mut steering = self.state.steering.borrow_mut();
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -36,6 +36,8 @@
     revision: Option<u64>,
     /// A time at which the copy was current.
     confirmed_at: Option<Instant>,
+    /// When the copy is too old to be passed on, unless it is confirmed before.
+    stale_at: Option<Instant>,
 }
 
 /// An answer to a host that follows through this one.
@@ -54,6 +56,8 @@
 pub(crate) enum Missing {
     /// The copy is not complete yet.
     NotSynced,
+    /// Nothing was heard of the platform for longer than a watch takes.
+    Stale,
     /// Deletions since then are forgotten.
     TooOld,
 }
@@ -75,8 +79,9 @@
         }
     }
 
-    /// Notes that everything up to a revision and a time was followed.
-    pub(crate) fn progress(&self, prefix: &str, revision: u64, at: Instant) {
+    /// Notes that everything up to a revision and a time was followed, and when the next word of it
+    /// is overdue.
+    pub(crate) fn progress(&self, prefix: &str, revision: u64, at: Instant, stale_at: Instant) {
         let mut kinds = self.kinds.borrow_mut();
         let kind = kinds.entry(prefix.to_owned()).or_default();
         let news = std::mem::take(&mut kind.new_deletions);
@@ -91,6 +96,7 @@
         }
         kind.revision = Some(revision);
         kind.confirmed_at = kind.confirmed_at.max(Some(at));
+        kind.stale_at = Some(stale_at);
         drop(kinds);
         self.changed.notify_waiters();
     }
@@ -99,7 +105,7 @@
     pub(crate) fn list(&self, prefix: &str, now: Instant) -> Result<Relayed, Missing> {
         let kinds = self.kinds.borrow();
         let kind = kinds.get(prefix).ok_or(Missing::NotSynced)?;
-        let revision = kind.revision.ok_or(Missing::NotSynced)?;
+        let revision = kind.current(now)?;
         let objects = kind.objects.iter();
         let objects = objects.map(|(name, it)| (name.clone(), Some(it.0), it.1.to_vec()));
         Ok(Relayed { revision, age_ms: kind.age_ms(now), objects: objects.collect() })
@@ -120,16 +126,22 @@
             if !answer.objects.is_empty() || now >= until {
                 return Ok(answer);
             }
-            // The wait ends with the next answer; nothing else follows from its end.
-            let _ = timeout_at(until, changed).await;
+            // The wait ends with the next answer, or when the copy grows too old for one.
+            let _ = timeout_at(until.min(self.stale_at(prefix)), changed).await;
         }
     }
 
+    /// When the copy of a kind is too old to be passed on.
+    fn stale_at(&self, prefix: &str) -> Instant {
+        let stale_at = self.kinds.borrow().get(prefix).and_then(|it| it.stale_at);
+        stale_at.unwrap_or_else(Instant::now)
+    }
+
     /// The changes after a revision.
     fn changes(&self, prefix: &str, after: u64, now: Instant) -> Result<Relayed, Missing> {
         let kinds = self.kinds.borrow();
         let kind = kinds.get(prefix).ok_or(Missing::NotSynced)?;
-        let revision = kind.revision.ok_or(Missing::NotSynced)?;
+        let revision = kind.current(now)?;
         if after < kind.complete_after {
             return Err(Missing::TooOld);
         }
@@ -145,6 +157,15 @@
 }
 
 impl Kind {
+    /// The revision of a copy that may be passed on.
+    fn current(&self, now: Instant) -> Result<u64, Missing> {
+        let revision = self.revision.ok_or(Missing::NotSynced)?;
+        if self.stale_at.is_some_and(|it| now >= it) {
+            return Err(Missing::Stale);
+        }
+        Ok(revision)
+    }
+
     /// How old the copy may be.
     fn age_ms(&self, now: Instant) -> u64 {
         self.confirmed_at.map_or(u64::MAX, |it| {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -43,10 +43,6 @@
 /// Time for a watch beyond its wait.
 const WATCH_MARGIN_MS: u64 = 300;
 
-/// Age from which a relayed answer is too old and the platform itself is asked: more than a watch
-/// takes, and with the time for a call below the shortest bound on changes, 2.5 s.
-const MAX_RELAYED_AGE: Duration = Duration::from_millis(1900);
-
 /// Pause after the platform itself did not answer before it is asked again past a reader.
 const BYPASS_AGAIN: Duration = Duration::from_millis(800);
 
@@ -150,9 +146,7 @@
                 res = client.list(prefix) => res,
                 () = self.replaced(reader) => Answer::Unavailable,
             };
-            if let Answer::Value(it) = &relayed
-                && it.age < MAX_RELAYED_AGE
-            {
+            if matches!(relayed, Answer::Value(_)) {
                 return relayed;
             }
             if !self.may_bypass(prefix) {
@@ -173,10 +167,8 @@
                 res = client.watch(prefix, after, wait) => res,
                 () = self.replaced(reader) => Answer::Unavailable,
             };
-            match &relayed {
-                Answer::Value(Watched::Changes { age, .. }) if *age >= MAX_RELAYED_AGE => {}
-                Answer::Value(_) => return relayed,
-                Answer::Unavailable | Answer::Throttled { .. } => {}
+            if matches!(relayed, Answer::Value(_)) {
+                return relayed;
             }
             if !self.may_bypass(prefix) {
                 return Answer::Unavailable;
@@ -350,7 +342,7 @@
                 status(StatusCode::INTERNAL_SERVER_ERROR)
             }
         },
-        Err(Missing::NotSynced) => status(StatusCode::SERVICE_UNAVAILABLE),
+        Err(Missing::NotSynced | Missing::Stale) => status(StatusCode::SERVICE_UNAVAILABLE),
         Err(Missing::TooOld) => status(StatusCode::GONE),
     }
 }
