--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    harness::{Harness, MemoryStore, addresses, spawn, wait_for, with_process},
+    harness::{Harness, MemoryStore, addresses, spawn, spawn_in, wait_for, with_process},
     upstream::{Behaviour, Upstream},
 };
 
@@ -135,3 +135,48 @@
         })
         .await;
 }
+
+/// Guards against a watch that hangs for good while a peer has a newer manifest, and against one
+/// that is given up again and again before its list can be answered.
+#[tokio::test]
+async fn manifest_watch_hangs() {
+    LocalSet::new()
+        .run_until(async {
+            let client = Client::builder().no_proxy().build().unwrap();
+            let hosts: Vec<Harness> = [("n1", "z1"), ("n2", "z2")]
+                .into_iter()
+                .map(|(name, zone)| {
+                    let store = Arc::new(MemoryStore::default());
+                    store.put("config/main", "1 good");
+                    let listen = addresses();
+                    spawn_in(zone, name, listen, &store);
+                    Harness { store, listen, client: client.clone() }
+                })
+                .collect();
+            // Each host registers in its own store; the other must know it all the same.
+            for (own, other, name, zone) in [(0, 1, "n2", "z2"), (1, 0, "n1", "z1")] {
+                let peer = hosts[other].listen;
+                let entry = serde_json::json!({
+                    "name": name, "zone": zone, "peer_address": peer.peers,
+                    "public_addresses": [peer.callers], "state": "live",
+                });
+                hosts[own].store.put(&format!("hosts/{name}"), &entry.to_string());
+            }
+            for host in &hosts {
+                host.ready().await;
+            }
+            sleep(Duration::from_millis(500)).await;
+            *hosts[1].store.watches_hang.lock() = true;
+            *hosts[1].store.list_time.lock() = Duration::from_millis(200);
+            // The watch that is pending ends once more.
+            sleep(Duration::from_millis(1200)).await;
+            for host in &hosts {
+                host.store.put("config/main", "2 other");
+            }
+            let changed_at = Instant::now();
+            hosts[1].answers("/read/1", 401).await;
+            let took = changed_at.elapsed();
+            assert!(took < Duration::from_millis(2300), "{took:?}");
+        })
+        .await;
+}
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -2,8 +2,11 @@
 
 use std::{
     collections::BTreeMap,
-    net::{SocketAddr, TcpListener as StdListener},
-    sync::Arc,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
     time::Duration,
 };
 
@@ -35,15 +38,22 @@
 /// Time for which a revoked key may still work.
 pub(crate) const REVOCATION: Duration = Duration::from_millis(1500);
 
+/// A value with its version, or its deletion.
+type Stored = (u64, Option<Bytes>);
+
 /// A store in memory whose outages a test sets.
 #[derive(Default)]
 pub(crate) struct MemoryStore {
     /// Values with their versions, and deletions.
-    objects: Mutex<(u64, BTreeMap<String, (u64, Option<Bytes>)>)>,
+    objects: Mutex<(u64, BTreeMap<String, Stored>)>,
     /// Signalled at each change.
     changed: Notify,
     /// Whether calls fail.
     pub(crate) is_away: Mutex<bool>,
+    /// Whether watches are never answered.
+    pub(crate) watches_hang: Mutex<bool>,
+    /// Time that a list takes.
+    pub(crate) list_time: Mutex<Duration>,
     /// Lists and watches that were answered.
     pub(crate) calls: Mutex<usize>,
 }
@@ -68,13 +78,6 @@
         drop(objects);
         self.changed.notify_waiters();
     }
-
-    /// A value.
-    pub(crate) fn value(&self, name: &str) -> Option<String> {
-        let objects = self.objects.lock();
-        let value = objects.1.get(name)?.1.as_ref()?;
-        Some(String::from_utf8_lossy(value).into_owned())
-    }
 }
 
 impl ObjectStore for MemoryStore {
@@ -100,6 +103,8 @@
             return Answer::Unavailable;
         }
         *self.calls.lock() += 1;
+        let list_time = *self.list_time.lock();
+        sleep(list_time).await;
         let objects = self.objects.lock();
         let listed = objects.1.iter().filter(|it| it.0.starts_with(prefix));
         let listed = listed.filter_map(|(name, (version, value))| {
@@ -113,6 +118,9 @@
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
         let until = Instant::now() + wait;
+        if *self.watches_hang.lock() {
+            std::future::pending::<()>().await;
+        }
         loop {
             let changed = self.changed.notified();
             if *self.is_away.lock() {
@@ -251,28 +259,27 @@
     }
 }
 
-/// A port that is free for TCP now.
-fn free_port() -> u16 {
-    StdListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
-}
+/// Processes that were given addresses.
+static PROCESSES: AtomicU8 = AtomicU8::new(1);
 
-/// Addresses of a process.
+/// Addresses of a process, on a loopback address of its own: no connection takes its ports.
 pub(crate) fn addresses() -> ListenAddresses {
-    let address = || SocketAddr::from(([127, 0, 0, 1], free_port()));
-    let control = address();
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let own = PROCESSES.fetch_add(1, Ordering::SeqCst);
+    let address = |port| SocketAddr::from(([127, high | 1, low, own], port));
     ListenAddresses {
-        callers: address(),
-        readiness: control,
-        lookup: control,
-        metrics: control,
-        peers: address(),
+        callers: address(8000),
+        readiness: address(8001),
+        lookup: address(8001),
+        metrics: address(8001),
+        peers: address(8002),
     }
 }
 
 /// Settings of a process.
-pub(crate) fn settings(name: &str, listen: ListenAddresses) -> GatewaySettings {
-    let zones = [("z1".to_owned(), "r".to_owned()), ("z2".to_owned(), "r".to_owned())];
-    let places = Places::new(&zones, "z1").unwrap();
+pub(crate) fn settings(name: &str, zone: &str, listen: ListenAddresses) -> GatewaySettings {
+    let zones = [("z1".to_owned(), "r1".to_owned()), ("z2".to_owned(), "r2".to_owned())];
+    let places = Places::new(&zones, zone).unwrap();
     let header = HeaderName::from_static;
     GatewaySettings {
         listen,
@@ -367,9 +374,14 @@
     timeout(Duration::from_secs(10), waiting).await.expect("it holds within 10 s");
 }
 
-/// Starts a process beside the present task.
+/// Starts a process of zone `z1` beside the present task.
 pub(crate) fn spawn(name: &str, listen: ListenAddresses, store: &Arc<MemoryStore>) {
-    let settings = settings(name, listen);
+    spawn_in("z1", name, listen, store);
+}
+
+/// Starts a process beside the present task.
+pub(crate) fn spawn_in(zone: &str, name: &str, listen: ListenAddresses, store: &Arc<MemoryStore>) {
+    let settings = settings(name, zone, listen);
     let store = Arc::clone(store);
     tokio::task::spawn_local(async move {
         run(settings.clone(), Fixed(settings), store, TestDecoder).await.unwrap();
--- a/crates/gateway/tests/it/upstream.rs
+++ b/crates/gateway/tests/it/upstream.rs
@@ -23,8 +23,6 @@
 pub(crate) enum Behaviour {
     /// Answers with the request's own body.
     Echo,
-    /// Answers after this many milliseconds.
-    Slow(u64),
     /// Says that it did not run the request.
     Shed,
     /// Says that another instance has the address.
@@ -162,13 +160,6 @@
         };
         let answer = match behaviour {
             Behaviour::Echo => ok("", &body),
-            Behaviour::Slow(ms) => {
-                if closed_within(&mut stream, ms).await {
-                    cancelled.fetch_add(1, Ordering::SeqCst);
-                    return;
-                }
-                ok("", &body)
-            }
             Behaviour::Silent => {
                 if closed_within(&mut stream, 60_000).await {
                     cancelled.fetch_add(1, Ordering::SeqCst);
--- a/crates/steer/tests/it/allowance.rs
+++ b/crates/steer/tests/it/allowance.rs
@@ -49,9 +49,9 @@
         advance(Duration::from_millis(10)).await;
         let now = Instant::now();
         if ms % 200 == 0 && !partitioned(ms) {
-            for from in 0..count {
+            for (from, own) in allowances.iter().enumerate() {
                 let mut beat = beat(&name(from), ms + 1);
-                beat.demand = allowances[from].demand(now);
+                beat.demand = own.demand(now);
                 for to in (0..count).filter(|to| *to != from) {
                     let address = member(&name(from), "a1", port(from)).peer_address;
                     members[to].receive(beat.clone(), address, now);
--- a/crates/steer/tests/it/canary.rs
+++ b/crates/steer/tests/it/canary.rs
@@ -50,7 +50,7 @@
             canary.sent(side);
             let bad = side == Side::New && is_bad(elapsed.as_secs_f64(), res.all);
             // Upstreams fail a few requests of every version.
-            canary.observe(side, bad || res.all % 400 == 0, false);
+            canary.observe(side, bad || res.all.is_multiple_of(400), false);
             if side == Side::New {
                 res.new += 1;
                 res.after_fifty += u64::from(res.bad >= 50);
@@ -68,6 +68,9 @@
     res
 }
 
+/// A kind of bad version: its name, and which of its responses are bad.
+type Case = (&'static str, fn(f64, u64) -> bool);
+
 /// One of 150 objects.
 fn object(request: u64) -> u64 {
     request.wrapping_mul(0x9e37_79b9_7f4a_7c15) % 150
@@ -86,7 +89,7 @@
 /// fault shows, or is completed.
 #[tokio::test(start_paused = true)]
 async fn status_bad() {
-    let cases: [(&str, fn(f64, u64) -> bool); 4] = [
+    let cases: [Case; 4] = [
         ("half of its requests", |_, at| at % 2 == 0),
         ("a third of its requests", |_, at| at % 3 == 0),
         ("late", |elapsed, at| elapsed > 3.0 && at % 2 == 0),
