--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,33 +1,28 @@
 //! Forwarding of one request: admission, attempts, and the response.
 
-use std::{cell::Cell, future::Future, pin::Pin, rc::Rc, time::Duration};
+use std::{future::Future, pin::Pin, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use futures_util::{StreamExt as _, stream::FuturesUnordered};
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
 };
-use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use kingcupford_steer::{
-    Attempts, Choice, Denial, InstanceKey, Outcome, Plan, Repeat, Report, RequestHead,
+    Attempts, Choice, Denial, InstanceKey, Outcome, Plan, Repeat, RequestHead,
 };
-use kingcupford_telemetry::Event;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::{
     answer::{self, AnswerBody, Ran},
-    exchange::{Failed, Notes, Received, Sending, exchange},
+    attempt::{Attempt, judge},
+    exchange::{Failed, Received, Sending, exchange},
+    incoming::{BodyFault, drain, read},
     outgoing::ReadBody,
     pool,
     request_log::{AttemptLog, Ending, RequestLog},
     state::{Phase, State},
 };
 
-/// Bodies up to this length are kept until the response, so that an instance that did not run the
-/// request can be replaced by another.
-const KEPT_BODY_BYTES: usize = 512 * 1024;
-
 /// Time that a request may take whose caller and route name none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -59,20 +54,6 @@
 /// A running attempt.
 type Running = Pin<Box<dyn Future<Output = (usize, Attempt, Result<Received, Failed>)>>>;
 
-/// One attempt, reported exactly once, also when it is dropped.
-struct Attempt {
-    /// The process.
-    state: Rc<State>,
-    /// The request.
-    plan: Plan,
-    /// The instance.
-    key: InstanceKey,
-    /// When it was sent.
-    sent_at: Instant,
-    /// Whether it was reported.
-    is_reported: Cell<bool>,
-}
-
 /// Answers a caller's request.
 pub(crate) async fn handle(state: Rc<State>, request: Request<Incoming>) -> Response<AnswerBody> {
     let guard = InFlight::new(Rc::clone(&state));
@@ -389,13 +370,7 @@
         sent_after: log.log.arrived.elapsed(),
         outcome: PENDING,
     });
-    let attempt = Attempt {
-        state: Rc::clone(state),
-        plan: plan.clone(),
-        key,
-        sent_at: now,
-        is_reported: Cell::new(false),
-    };
+    let attempt = Attempt::new(Rc::clone(state), plan.clone(), key, now);
     let settings = state.settings();
     let names = &settings.headers;
     let mut headers = incomings.headers.clone();
@@ -426,44 +401,6 @@
     Ok((key, Box::pin(running)))
 }
 
-/// Reports how an attempt ended; answers what came of it and the response, if there is one.
-async fn judge(
-    attempt: &Attempt,
-    result: Result<Received, Failed>,
-) -> (Outcome, Option<Received>, &'static str) {
-    let latency = attempt.sent_at.elapsed();
-    let (outcome, notes, received, reason) = match result {
-        Ok(it) => {
-            let failed = it.status.is_server_error();
-            let reason = if failed { "failed by the instance" } else { "answered" };
-            (Outcome::Answered { failed, latency }, it.notes, Some(it), reason)
-        }
-        Err(Failed::NotRun { status: StatusCode::MISDIRECTED_REQUEST, notes }) => {
-            (Outcome::Misdirected, notes, None, "another instance has the address")
-        }
-        Err(Failed::NotRun { notes, .. }) => (Outcome::Shed, notes, None, "shed by the instance"),
-        Err(Failed::Unreachable) => {
-            (Outcome::Unreachable, Notes::default(), None, "instance cannot be reached")
-        }
-        Err(Failed::Broken(reason)) => {
-            let crashed = reason == "no response" && is_refused(attempt).await;
-            (Outcome::Broken { crashed }, Notes::default(), None, reason)
-        }
-    };
-    attempt.report(Report { outcome, load: notes.load, cold_remaining: notes.cold_remaining });
-    (outcome, received, reason)
-}
-
-/// Whether an instance's address refuses connections, as after a crash.
-async fn is_refused(attempt: &Attempt) -> bool {
-    let address = attempt.state.steering.borrow().ready_set.address(attempt.key).map(|it| it.0);
-    let Some(address) = address else { return false };
-    match pool::connect(address).await {
-        Ok(_) => false,
-        Err(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-    }
-}
-
 /// Ends a request whose time is over.
 fn timed_out(
     attempts: &Attempts,
@@ -518,76 +455,6 @@
     }
 }
 
-impl Attempt {
-    /// Reports the attempt.
-    fn report(&self, report: Report) {
-        if self.is_reported.replace(true) {
-            return;
-        }
-        let mut steering = self.state.steering.borrow_mut();
-        let change = steering.ended(&self.plan, self.key, &report, Instant::now());
-        let id = steering.ready_set.address(self.key).map_or("-", |it| it.1);
-        match change {
-            Some(true) => {
-                Event::InstanceEjected
-                    .log(format_args!("instance={id} outcome=\"{:?}\"", report.outcome));
-            }
-            Some(false) => Event::InstanceReturned.log(format_args!("instance={id}")),
-            None => {}
-        }
-    }
-}
-
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        let overdue = self.state.steering.borrow().hedge_after(&self.plan);
-        let outcome =
-            if self.sent_at.elapsed() >= overdue { Outcome::Silent } else { Outcome::Cancelled };
-        self.report(Report { outcome, load: None, cold_remaining: None });
-    }
-}
-
-/// Why a body could not be read.
-enum BodyFault {
-    /// It is longer than allowed.
-    TooLarge,
-    /// The caller broke it off.
-    Broken,
-}
-
-/// Reads a body whole, or its start when it is too large to be kept.
-async fn read(mut body: Incoming, max_bytes: u64) -> Result<ReadBody, BodyFault> {
-    let mut chunks: Vec<Bytes> = Vec::new();
-    let mut length = 0;
-    loop {
-        let frame = match body.frame().await {
-            None => return Ok(ReadBody::Whole(chunks)),
-            Some(Ok(it)) => it,
-            Some(Err(_)) => return Err(BodyFault::Broken),
-        };
-        let Ok(data) = frame.into_data() else { continue };
-        length += data.len();
-        if length as u64 > max_bytes {
-            return Err(BodyFault::TooLarge);
-        }
-        chunks.push(data);
-        if length > KEPT_BODY_BYTES {
-            return Ok(ReadBody::Streamed { start: chunks, rest: Some(body) });
-        }
-    }
-}
-
-/// Reads the rest of a refused request, so that closing does not reset the response away.
-fn drain(mut body: Incoming) {
-    if http_body::Body::is_end_stream(&body) {
-        return;
-    }
-    tokio::task::spawn_local(async move {
-        let until = Instant::now() + DEFAULT_DEADLINE;
-        while let Ok(Some(Ok(_))) = timeout_at(until, body.frame()).await {}
-    });
-}
-
 /// The host that a request names.
 fn host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
     let name = headers.get(header::HOST).and_then(|it| it.to_str().ok()).or_else(|| uri.host());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! hosts tell each other and the platform.
 
 mod answer;
+mod attempt;
 mod callers;
 mod clock;
 mod control;
@@ -9,6 +10,7 @@
 mod feed;
 mod forward;
 mod gateway;
+mod incoming;
 mod mirror;
 mod outgoing;
 mod peers;
--- a/crates/steer/src/allowance.rs
+++ b/crates/steer/src/allowance.rs
@@ -157,12 +157,6 @@
             .filter(|it| it.per_s > 0.0)
             .collect()
     }
-
-    /// This host's part of a tenant's rate and its tokens, for logs.
-    pub fn describe(&self, tenant: &str) -> Option<(f64, f64)> {
-        let at = self.buckets.binary_search_by(|it| it.tenant.as_str().cmp(tenant)).ok()?;
-        Some((self.buckets[at].share, self.buckets[at].tokens))
-    }
 }
 
 impl Bucket {
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -135,8 +135,6 @@
         key: InstanceKey,
         /// Expected time to the response.
         expected: Duration,
-        /// Whether it is expected to have the object cached.
-        is_warm: bool,
     },
     /// Every instance that may handle it is full.
     Full(Full),
@@ -208,8 +206,6 @@
     wait_ms: f64,
     /// Everything, in milliseconds of latency.
     total_ms: f64,
-    /// Whether the object is expected to be cached.
-    is_warm: bool,
 }
 
 impl Chooser {
@@ -287,7 +283,6 @@
             Some((candidate, cost)) => Choice::Instance {
                 key: candidate.key,
                 expected: Duration::from_secs_f64(cost.expected_ms / 1000.0),
-                is_warm: cost.is_warm,
             },
             None => Choice::Full(Full { retry_after: RETRY_AFTER }),
         }
@@ -463,7 +458,7 @@
         let failure_ms = instance.health.failure_rate() * target_ms;
         let rank_ms = rank as f64 * RANK_COST_PART * target_ms;
         let total_ms = expected_ms + distance_ms + failure_ms + rank_ms;
-        Cost { expected_ms, wait_ms, total_ms, is_warm }
+        Cost { expected_ms, wait_ms, total_ms }
     }
 
     /// The times for the work of a route.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -15,6 +15,7 @@
 mod members;
 mod place;
 mod ready_set;
+mod request;
 mod shift;
 mod split;
 mod versions;
@@ -34,10 +35,8 @@
     members::{Member, MemberChange, Members},
     place::{Place, Places, RegionKey, ZoneKey},
     ready_set::{Instance, Lapse, ReadySet, Registered},
+    request::{Admission, Attempts, Denial, Outcome, Plan, Report, RequestHead},
     split::Splits,
-    steering::{
-        Admission, Attempts, Denial, Outcome, Plan, Report, RequestHead, Steering, SteeringEvent,
-        SteeringSettings, describe_instance,
-    },
+    steering::{Steering, SteeringEvent, SteeringSettings},
     versions::{Side, Versions},
 };
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     beat::{Beat, BeatState, Echo, PROTOCOL, RolloutTally, ServiceLoad},
-    place::{Place, Places},
+    place::Place,
 };
 
 /// Silence after which a host is taken to be down: several beats, and below the time after which
@@ -317,16 +317,6 @@
         beat.map_or(&[], |it| &it.announcements)
     }
 
-    /// Describes the known hosts for logs: name, zone and state.
-    pub fn describe(&self, places: &Places, now: Instant) -> Vec<(String, String, &'static str)> {
-        let peers = self.peers.iter().map(|it| {
-            let zone = places.zone_name(it.member.place.zone).to_owned();
-            let state = if it.is_live(now) { "live" } else { "silent" };
-            (it.member.name.clone(), zone, state)
-        });
-        peers.collect()
-    }
-
     /// Where a host stands, or would stand.
     fn position(&self, name: &str) -> Result<usize, usize> {
         self.peers.binary_search_by(|it| it.member.name.as_str().cmp(name))
--- /dev/null
+++ b/crates/steer/src/request.rs
@@ -0,0 +1,135 @@
+//! One request: what it says, how it is admitted, and how its attempts end.
+
+use std::{sync::Arc, time::Duration};
+
+use kingcupford_route::Fingerprint;
+
+use crate::{
+    instance::LoadReport,
+    manifest::{Route, Tenant},
+    place::RegionKey,
+    versions::Side,
+};
+
+/// What a caller's request says before its body.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestHead<'a> {
+    /// The host that it names.
+    pub host: &'a str,
+    /// Its method.
+    pub method: &'a str,
+    /// Its path without the query.
+    pub path: &'a str,
+    /// The caller's key.
+    pub key: Option<&'a [u8]>,
+    /// The object that it concerns.
+    pub object: Option<&'a [u8]>,
+    /// Declared length of its body.
+    pub content_length: Option<u64>,
+}
+
+/// Why a request is not sent anywhere.
+#[derive(Debug, Clone, Copy, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Denial {
+    /// This host has no manifest yet.
+    NoManifest,
+    /// This host's view is too old to decide.
+    StaleView,
+    /// No route matches.
+    UnknownRoute,
+    /// No tenant holds the key, or none is shown.
+    UnknownKey,
+    /// The tenant is over its rate.
+    OverRate {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// Requests like it crashed instances.
+    Quarantined,
+}
+
+/// An admitted request.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Its tenant, `None` on open routes.
+    pub tenant: Option<Arc<Tenant>>,
+    /// Its service.
+    pub service: String,
+    /// Hash of the object that it concerns.
+    pub object: u64,
+    /// Whether it names an object that instances cache.
+    pub affinity: bool,
+    /// Rank, 0 first.
+    pub priority: u32,
+    /// The only regions that may serve it.
+    pub homes: Option<Vec<RegionKey>>,
+    /// By which requests that crash instances are recognised.
+    pub fingerprint: Fingerprint,
+    /// The manifest that decided.
+    pub manifest_version: u64,
+    /// Age of the view that decided.
+    pub view_age: Option<Duration>,
+    /// Version side that it was assigned to.
+    pub side: Side,
+}
+
+/// How one exchange with an instance ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// A whole response came.
+    Answered {
+        /// Whether its status is a server error.
+        failed: bool,
+        /// Time from sending to the response.
+        latency: Duration,
+    },
+    /// The instance said that it did not run the request.
+    Shed,
+    /// Another instance has the address.
+    Misdirected,
+    /// No connection could be opened.
+    Unreachable,
+    /// The connection broke or brought something else than the response.
+    Broken {
+        /// Whether the instance's address refuses connections now.
+        crashed: bool,
+    },
+    /// No response came in time.
+    Silent,
+    /// The caller left, or another instance was faster.
+    Cancelled,
+}
+
+/// What an exchange showed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Report {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Load that the instance told.
+    pub load: Option<LoadReport>,
+    /// For how long the instance said it stays cold.
+    pub cold_remaining: Option<Duration>,
+}
+
+/// What happens after an exchange.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Admission {
+    /// Whether another instance may get the request.
+    pub retry: bool,
+    /// Whether the request may have run.
+    pub may_have_run: bool,
+}
+
+/// What is known of a request's attempts.
+#[derive(Debug, Clone, Copy)]
+pub struct Attempts {
+    /// Attempts made.
+    pub made: u32,
+    /// Whether an earlier one may have run.
+    pub may_have_run: bool,
+    /// Time until the caller's deadline.
+    pub remaining: Duration,
+}
