Count tenants' admitted requests over the fleet; log what a refusal over rate was decided by

Change: beats tell the requests admitted in the last window. While all hosts are heard, buckets refill by rate plus burst per window, and nobody admits more once the window is spent. A process younger than a window and one that misses a host keep the old refill. What a host told before it was restarted still counts for a window. Refusals log tenant, rate, share, demand, manifest, age. Tests: admit_burst_of_each_window (failed first), admit_after_restart.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -522,7 +522,7 @@
         match member {
             Ok(it) => {
                 let own = steering.settings().own.place;
-                steering.members.register(it, own);
+                steering.members.register(it, own, Instant::now());
             }
             Err(error) => {
                 Event::PeerRefused.log(format_args!("member={name} reason=\"{error:#}\""));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,7 +19,7 @@
     incoming::{BodyFault, drain, read},
     outgoing::ReadBody,
     pool,
-    request_log::{AttemptLog, Ending, RequestLog},
+    request_log::{AttemptLog, Denied, Ending, RequestLog},
     state::{Phase, State},
 };
 
@@ -171,7 +171,7 @@
         Ok(it) => it,
         Err(denial) => {
             drain(body);
-            return deny(denial, log);
+            return deny(state, denial, arrived, log);
         }
     };
     let max_body =
@@ -441,18 +441,24 @@
 }
 
 /// Ends a request that is not admitted.
-fn deny(denial: Denial, log: &mut LogGuard) -> Response<AnswerBody> {
+fn deny(state: &State, denial: Denial, now: Instant, log: &mut LogGuard) -> Response<AnswerBody> {
     let reason: &'static str = (&denial).into();
-    match denial {
+    let (status, retry_after) = match &denial {
         Denial::NoManifest | Denial::StaleView | Denial::Quarantined => {
-            log.refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(RETRY_AFTER))
+            (StatusCode::SERVICE_UNAVAILABLE, Some(RETRY_AFTER))
         }
-        Denial::UnknownRoute => log.refused(StatusCode::NOT_FOUND, reason, None),
-        Denial::UnknownKey => log.refused(StatusCode::UNAUTHORIZED, reason, None),
-        Denial::OverRate { retry_after } => {
-            log.refused(StatusCode::TOO_MANY_REQUESTS, reason, Some(retry_after))
+        Denial::UnknownRoute => (StatusCode::NOT_FOUND, None),
+        Denial::UnknownKey => (StatusCode::UNAUTHORIZED, None),
+        Denial::OverRate { refusal, .. } => {
+            (StatusCode::TOO_MANY_REQUESTS, Some(refusal.retry_after))
         }
-    }
+    };
+    let steering = state.steering.borrow();
+    let manifest_version = steering.manifest().map_or(0, |it| it.version());
+    let view_age = steering.freshness.age(now);
+    drop(steering);
+    log.log.denied = Some(Denied { denial, manifest_version, view_age });
+    log.refused(status, reason, retry_after)
 }
 
 /// The host that a request names.
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use http::StatusCode;
-use kingcupford_steer::{Plan, Side};
+use kingcupford_steer::{Denial, Plan, Side};
 use kingcupford_telemetry::{Event, OutcomeLabels, RefusalLabels, TenantLabels};
 use tokio::time::Instant;
 
@@ -20,10 +20,22 @@
     pub(crate) arrived: Instant,
     /// How it was admitted.
     pub(crate) plan: Option<Plan>,
+    /// Why it was not admitted.
+    pub(crate) denied: Option<Denied>,
     /// Instances that it was sent to, with what came of it.
     pub(crate) attempts: Vec<AttemptLog>,
 }
 
+/// Why a request was not admitted, and on which view.
+pub(crate) struct Denied {
+    /// The reason.
+    pub(crate) denial: Denial,
+    /// Version of the manifest in force, 0 for none.
+    pub(crate) manifest_version: u64,
+    /// Age of the view.
+    pub(crate) view_age: Option<Duration>,
+}
+
 /// One attempt.
 pub(crate) struct AttemptLog {
     /// Id of the instance.
@@ -57,14 +69,18 @@
             .chars()
             .take(MAX_ID_CHARS)
             .map(|it| if it.is_ascii_alphanumeric() || "-_.".contains(it) { it } else { '?' });
-        Self { id: id.collect(), arrived, plan: None, attempts: Vec::new() }
+        Self { id: id.collect(), arrived, plan: None, denied: None, attempts: Vec::new() }
     }
 
     /// Writes the line and counts the request.
     pub(crate) fn end(&self, state: &State, ending: Ending) {
         let took = self.arrived.elapsed();
         let tenant = self.plan.as_ref().and_then(|it| it.tenant.as_ref());
-        let tenant = tenant.map_or("open", |it| it.name.as_str()).to_owned();
+        let denied_tenant = self.denied.as_ref().and_then(|it| match &it.denial {
+            Denial::OverRate { tenant, .. } => Some(tenant),
+            _ => None,
+        });
+        let tenant = tenant.or(denied_tenant).map_or("open", |it| it.name.as_str()).to_owned();
         let service = self.plan.as_ref().map_or("-", |it| it.service.as_str()).to_owned();
         let metrics = &state.metrics;
         let (event, outcome, status, reason) = match ending {
@@ -96,9 +112,20 @@
 impl fmt::Display for RequestLog {
     /// The deciding inputs.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(it) = &self.denied {
+            let age_ms = age_ms(it.view_age);
+            write!(f, " manifest={} view_age_ms={age_ms}", it.manifest_version)?;
+            if let Denial::OverRate { tenant, refusal } = &it.denial {
+                write!(
+                    f,
+                    " tenant={} rate_per_s={:.1} share={:.3} demand_per_s={:.1}",
+                    tenant.name, refusal.rate_per_s, refusal.share, refusal.demand_per_s
+                )?;
+            }
+        }
         if let Some(plan) = &self.plan {
             let tenant = plan.tenant.as_ref().map_or("open", |it| it.name.as_str());
-            let age_ms = plan.view_age.map_or(-1, |it| it.as_millis() as i64);
+            let age_ms = age_ms(plan.view_age);
             write!(
                 f,
                 " route={} service={} tenant={tenant} manifest={} view_age_ms={age_ms}",
@@ -116,3 +143,8 @@
         Ok(())
     }
 }
+
+/// An age in whole milliseconds, -1 for none.
+fn age_ms(age: Option<Duration>) -> i64 {
+    age.map_or(-1, |it| it.as_millis() as i64)
+}
--- a/crates/steer/src/allowance.rs
+++ b/crates/steer/src/allowance.rs
@@ -8,6 +8,7 @@
     beat::{DemandEntry, name_hash},
     manifest::{Manifest, Tenant},
     members::Members,
+    window::WindowCount,
 };
 
 /// Time constant of the demand estimate: long against the gaps of small tenants, short against a
@@ -22,6 +23,9 @@
 /// without requests can admit the first ones.
 const IDLE_PART: f64 = 0.05;
 
+/// Demand below which a tenant is not told to other hosts.
+const MIN_TOLD_PER_S: f32 = 0.01;
+
 /// Longest time that a refused request is told to wait.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -39,6 +43,26 @@
     pub slack: f64,
 }
 
+impl AllowanceSettings {
+    /// Window in which requests are counted.
+    fn window(&self) -> Duration {
+        Duration::from_secs_f64(self.window_s)
+    }
+}
+
+/// Why a tenant's request is over its rate at this host.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateRefusal {
+    /// When to come back.
+    pub retry_after: Duration,
+    /// The tenant's rate over all hosts.
+    pub rate_per_s: f64,
+    /// This host's part of it.
+    pub share: f64,
+    /// Requests per second at this host.
+    pub demand_per_s: f64,
+}
+
 /// The tenants' buckets at this host.
 #[derive(Debug)]
 pub struct Allowances {
@@ -46,6 +70,8 @@
     settings: AllowanceSettings,
     /// Buckets by tenant, sorted by name.
     buckets: Vec<Bucket>,
+    /// When this process began to admit; it does not know what a former one admitted.
+    started_at: Option<Instant>,
 }
 
 /// One tenant's bucket.
@@ -71,17 +97,25 @@
     demand: f64,
     /// When the demand was last brought up to date.
     demand_at: Instant,
+    /// Requests admitted here in the last window.
+    admitted: WindowCount,
+    /// Requests that the other hosts admitted in the last window.
+    admitted_elsewhere: u32,
+    /// Requests per second that are added over all hosts.
+    refill_per_s: f64,
 }
 
 impl Allowances {
     /// No tenants.
     pub fn new(settings: AllowanceSettings) -> Self {
-        Self { settings, buckets: Vec::new() }
+        Self { settings, buckets: Vec::new(), started_at: None }
     }
 
     /// Takes the tenants of a manifest over; those that stay keep their tokens. New ones start with
     /// the tolerated excess and without a burst, since a former process may just have spent that.
     pub fn install(&mut self, manifest: &Manifest, members: &Members, now: Instant) {
+        self.started_at.get_or_insert(now);
+        let window = self.settings.window();
         let mut old = std::mem::take(&mut self.buckets);
         let mut news = Vec::new();
         for tenant in manifest.tenants() {
@@ -89,7 +123,7 @@
             let is_new = known.is_none();
             let bucket = match known {
                 Some(at) => old.swap_remove(at).with_limits(tenant),
-                None => Bucket::new(tenant, now),
+                None => Bucket::new(tenant, window, now),
             };
             self.buckets.push(bucket);
             news.push(is_new);
@@ -108,8 +142,15 @@
     /// Recomputes this host's share of every tenant's rate.
     pub fn divide(&mut self, members: &Members, now: Instant) {
         let hosts = members.known() as f64;
+        let window = self.settings.window();
+        let age = self.started_at.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
+        // A burst may follow the one before it after a window, if all that was admitted is known.
+        let counts_all = age >= window && members.hears_all(now);
         for it in &mut self.buckets {
             it.fill(now);
+            it.admitted_elsewhere = members.admitted(it.hash, window, now);
+            let burst_per_s = if counts_all { it.burst / self.settings.window_s } else { 0.0 };
+            it.refill_per_s = it.rate_per_s + burst_per_s;
             let even = it.rate_per_s / hosts;
             let idle = even * IDLE_PART;
             let own = it.demand_at(now) + idle;
@@ -123,7 +164,7 @@
     }
 
     /// Admits a request or answers when to come back.
-    pub fn admit(&mut self, tenant: &str, now: Instant) -> Result<(), Duration> {
+    pub fn admit(&mut self, tenant: &str, now: Instant) -> Result<(), RateRefusal> {
         let at = self.buckets.binary_search_by(|it| it.tenant.as_str().cmp(tenant));
         let Ok(at) = at else { return Ok(()) };
         let bucket = &mut self.buckets[at];
@@ -132,36 +173,55 @@
             return Ok(());
         }
         bucket.fill(now);
+        let allowance = bucket.rate_per_s * self.settings.window_s + bucket.burst;
+        let admitted = f64::from(bucket.admitted.total(now) + bucket.admitted_elsewhere);
+        if admitted >= allowance {
+            // What was saved up must not be spent at once by all hosts when the window moves on.
+            bucket.tokens = bucket.tokens.min(0.0);
+        }
         if bucket.tokens >= 1.0 {
             bucket.tokens -= 1.0;
+            bucket.admitted.add(now);
             return Ok(());
         }
-        let own_rate = bucket.rate_per_s * bucket.share;
+        let own_rate = bucket.refill_per_s * bucket.share;
         let wait_s = (1.0 - bucket.tokens) / own_rate.max(f64::MIN_POSITIVE);
         let wait = Duration::from_secs_f64(wait_s.min(MAX_RETRY_AFTER.as_secs_f64()));
-        Err(wait.max(MIN_RETRY_AFTER))
+        Err(RateRefusal {
+            retry_after: wait.max(MIN_RETRY_AFTER),
+            rate_per_s: bucket.rate_per_s,
+            share: bucket.share,
+            demand_per_s: bucket.demand_at(now),
+        })
     }
 
     /// Gives back what a request took that was refused before it was sent anywhere.
     pub fn give_back(&mut self, tenant: &str) {
         if let Ok(at) = self.buckets.binary_search_by(|it| it.tenant.as_str().cmp(tenant)) {
             self.buckets[at].tokens += 1.0;
+            self.buckets[at].admitted.take_back();
         }
     }
 
     /// The demand of all tenants, for peers.
-    pub fn demand(&self, now: Instant) -> Vec<DemandEntry> {
-        let entries = self.buckets.iter().filter(|it| it.rate_per_s > 0.0);
-        entries
-            .map(|it| DemandEntry { tenant: it.hash, per_s: it.demand_at(now) as f32 })
-            .filter(|it| it.per_s > 0.0)
-            .collect()
+    pub fn demand(&mut self, now: Instant) -> Vec<DemandEntry> {
+        let entries = self.buckets.iter_mut().filter(|it| it.rate_per_s > 0.0);
+        let mut res: Vec<DemandEntry> = entries
+            .map(|it| DemandEntry {
+                tenant: it.hash,
+                per_s: it.demand_at(now) as f32,
+                admitted: it.admitted.total(now),
+            })
+            .filter(|it| it.per_s > MIN_TOLD_PER_S || it.admitted > 0)
+            .collect();
+        res.sort_by_key(|it| it.tenant);
+        res
     }
 }
 
 impl Bucket {
     /// An empty bucket of a tenant that is new to this process.
-    fn new(tenant: &Tenant, now: Instant) -> Self {
+    fn new(tenant: &Tenant, window: Duration, now: Instant) -> Self {
         Self {
             tenant: tenant.name.clone(),
             hash: name_hash(&tenant.name),
@@ -173,6 +233,9 @@
             filled_at: now,
             demand: 0.0,
             demand_at: now,
+            admitted: WindowCount::new(window, now),
+            admitted_elsewhere: 0,
+            refill_per_s: 0.0,
         }
     }
 
@@ -187,8 +250,8 @@
     fn fill(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.filled_at).as_secs_f64();
         self.filled_at = now;
-        let capacity = self.burst * self.share + self.slack;
-        self.tokens = (self.tokens + passed * self.rate_per_s * self.share).min(capacity.max(1.0));
+        let capacity = (self.burst * self.share + self.slack).max(1.0);
+        self.tokens = (self.tokens + passed * self.refill_per_s * self.share).min(capacity);
     }
 
     /// Counts a request in the demand.
--- a/crates/steer/src/beat.rs
+++ b/crates/steer/src/beat.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Version of the messages; beats of another version are ignored.
-pub const PROTOCOL: u16 = 1;
+pub const PROTOCOL: u16 = 2;
 
 /// One message between two hosts.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
@@ -29,7 +29,7 @@
     /// Time since the platform itself last answered the sender; `None` when another host reads for
     /// it.
     pub platform_age_ms: Option<u32>,
-    /// Requests of tenants at the sender.
+    /// Requests of tenants at the sender, sorted by tenant.
     pub demand: Vec<DemandEntry>,
     /// Load of the services in the sender's region.
     pub loads: Vec<ServiceLoad>,
@@ -67,8 +67,10 @@
 pub struct DemandEntry {
     /// Hash of the tenant's name.
     pub tenant: u32,
-    /// Requests per second.
+    /// Requests per second that callers send.
     pub per_s: f32,
+    /// Requests admitted in the last window of the tenant's limit.
+    pub admitted: u32,
 }
 
 /// A service in the sender's region, as the sender sees it.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -18,12 +18,13 @@
 mod request;
 mod shift;
 mod split;
-mod versions;
 mod steering;
+mod versions;
 mod warmth;
+mod window;
 
 pub use crate::{
-    allowance::{AllowanceSettings, Allowances},
+    allowance::{AllowanceSettings, Allowances, RateRefusal},
     beat::{Beat, BeatState, DemandEntry, Echo, PROTOCOL, RolloutTally, ServiceLoad, name_hash},
     canary::{Canary, CanarySettings, RolloutOrder, RolloutState, StatusWrite},
     choose::{Choice, Chooser, Full, Observation, Query, View},
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    beat::{Beat, BeatState, Echo, PROTOCOL, RolloutTally, ServiceLoad},
+    beat::{Beat, BeatState, DemandEntry, Echo, PROTOCOL, RolloutTally, ServiceLoad},
     place::Place,
 };
 
@@ -64,6 +64,10 @@
     beat: Option<Beat>,
     /// When that arrived.
     heard_at: Option<Instant>,
+    /// When it was registered here.
+    registered_at: Instant,
+    /// What its former process last told of tenants, and when.
+    former: Option<(Vec<DemandEntry>, Instant)>,
     /// Silence after which it counts as down.
     silent_after: Duration,
     /// Whether it was heard lately at the last look.
@@ -83,12 +87,12 @@
 
 impl Members {
     /// Takes a registration in.
-    pub fn register(&mut self, member: Member, own: Place) {
+    pub fn register(&mut self, member: Member, own: Place, now: Instant) {
         let is_near = member.place.region == own.region;
         match self.position(&member.name) {
             Ok(at) if self.peers[at].member == member => {}
-            Ok(at) => self.peers[at] = Peer::new(member, is_near),
-            Err(at) => self.peers.insert(at, Peer::new(member, is_near)),
+            Ok(at) => self.peers[at] = Peer::new(member, is_near, now),
+            Err(at) => self.peers.insert(at, Peer::new(member, is_near, now)),
         }
     }
 
@@ -110,6 +114,9 @@
         if beat.protocol != PROTOCOL || peer.member.peer_address != from || !is_newer {
             return None;
         }
+        if let Some(it) = peer.beat.take_if(|it| it.incarnation != beat.incarnation) {
+            peer.former = Some((it.demand, peer.heard_at.unwrap_or(now)));
+        }
         peer.heard_at = Some(now);
         Some(peer.beat.insert(beat))
     }
@@ -289,6 +296,17 @@
         self.peers.iter().map(|it| it.demand(tenant, unheard, now)).sum()
     }
 
+    /// Requests of a tenant that the other hosts admitted in the last `window`, as far as they were
+    /// heard.
+    pub fn admitted(&self, tenant: u32, window: Duration, now: Instant) -> u32 {
+        self.peers.iter().map(|it| it.admitted(tenant, window, now)).sum()
+    }
+
+    /// Whether every host that may serve is heard, so that none admits requests unnoticed.
+    pub fn hears_all(&self, now: Instant) -> bool {
+        self.peers.iter().all(|it| it.is_live(now) || it.is_given_up(now))
+    }
+
     /// What the other hosts counted in a rollout, by name and incarnation.
     pub fn tallies(&self, rollout: u32) -> impl Iterator<Item = (&str, u64, &RolloutTally)> {
         self.peers.iter().filter_map(move |it| {
@@ -325,12 +343,14 @@
 
 impl Peer {
     /// A host that was not heard yet.
-    fn new(member: Member, is_near: bool) -> Self {
+    fn new(member: Member, is_near: bool, now: Instant) -> Self {
         Self {
             silent_after: if is_near { SILENT_AFTER_NEAR } else { SILENT_AFTER },
             member,
             beat: None,
             heard_at: None,
+            registered_at: now,
+            former: None,
             was_live: false,
             sent: VecDeque::new(),
         }
@@ -366,13 +386,36 @@
         })
     }
 
+    /// Whether it was silent for so long that it no longer serves.
+    fn is_given_up(&self, now: Instant) -> bool {
+        let since = self.heard_at.unwrap_or(self.registered_at);
+        now.saturating_duration_since(since) > DEMAND_KEPT
+    }
+
     /// Demand of a tenant at it.
     fn demand(&self, tenant: u32, unheard: f64, now: Instant) -> f64 {
-        let (Some(beat), Some(heard_at)) = (&self.beat, self.heard_at) else { return unheard };
-        if now.saturating_duration_since(heard_at) > DEMAND_KEPT {
+        if self.is_given_up(now) {
             return 0.0;
         }
-        let entry = beat.demand.iter().find(|it| it.tenant == tenant);
-        entry.map_or(0.0, |it| f64::from(it.per_s.max(0.0)))
+        let Some(beat) = &self.beat else { return unheard };
+        entry(&beat.demand, tenant).map_or(0.0, |it| f64::from(it.per_s.max(0.0)))
+    }
+
+    /// Requests of a tenant that it admitted in the last `window`, in a former process too.
+    fn admitted(&self, tenant: u32, window: Duration, now: Instant) -> u32 {
+        let told = |entries: &[DemandEntry], at: Instant| {
+            let counts = now.saturating_duration_since(at) < window;
+            let entry = entry(entries, tenant).filter(|_| counts);
+            entry.map_or(0, |it| it.admitted)
+        };
+        let former = self.former.as_ref().map_or(0, |it| told(&it.0, it.1));
+        let present = self.beat.as_ref().zip(self.heard_at);
+        former + present.map_or(0, |(beat, at)| told(&beat.demand, at))
     }
 }
+
+/// What was told of a tenant.
+fn entry(entries: &[DemandEntry], tenant: u32) -> Option<&DemandEntry> {
+    let at = entries.binary_search_by_key(&tenant, |it| it.tenant).ok()?;
+    Some(&entries[at])
+}
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -5,6 +5,7 @@
 use kingcupford_route::Fingerprint;
 
 use crate::{
+    allowance::RateRefusal,
     instance::LoadReport,
     manifest::{Route, Tenant},
     place::RegionKey,
@@ -29,7 +30,7 @@
 }
 
 /// Why a request is not sent anywhere.
-#[derive(Debug, Clone, Copy, PartialEq, strum::IntoStaticStr)]
+#[derive(Debug, Clone, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Denial {
     /// This host has no manifest yet.
@@ -42,8 +43,10 @@
     UnknownKey,
     /// The tenant is over its rate.
     OverRate {
-        /// When to come back.
-        retry_after: Duration,
+        /// The tenant.
+        tenant: Arc<Tenant>,
+        /// What the tenant's bucket at this host says.
+        refusal: RateRefusal,
     },
     /// Requests like it crashed instances.
     Quarantined,
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -224,9 +224,9 @@
             return Err(Denial::Quarantined);
         }
         if let Some(tenant) = &tenant
-            && let Err(retry_after) = self.allowances.admit(&tenant.name, now)
+            && let Err(refusal) = self.allowances.admit(&tenant.name, now)
         {
-            return Err(Denial::OverRate { retry_after });
+            return Err(Denial::OverRate { tenant: Arc::clone(tenant), refusal });
         }
         let object = head.object.map(xxh3_64);
         let service = self.splits.pick(route, object).to_owned();
--- a/crates/steer/tests/it/allowance.rs
+++ b/crates/steer/tests/it/allowance.rs
@@ -17,7 +17,7 @@
         .map(|at| {
             let mut members = Members::default();
             for other in (0..count).filter(|other| *other != at) {
-                members.register(member(&name(other), "a1", port(other)), own);
+                members.register(member(&name(other), "a1", port(other)), own, Instant::now());
             }
             members
         })
@@ -37,6 +37,20 @@
 /// Requests admitted in the busiest window of 5 s while each host gets `per_s` requests, and hosts
 /// hear each other every 200 ms unless `partitioned` says no.
 async fn busiest_window(count: usize, per_s: &[f64], partitioned: impl Fn(u64) -> bool) -> usize {
+    let admitted = admitted(count, per_s, partitioned, |_| 0).await;
+    let in_window =
+        |from: &u64| admitted.iter().filter(|it| (*from..from + 5000).contains(it)).count();
+    admitted.iter().map(in_window).max().unwrap_or(0)
+}
+
+/// When requests were admitted, in milliseconds; `restarted` tells how many of the first hosts
+/// start again at a time.
+async fn admitted(
+    count: usize,
+    per_s: &[f64],
+    partitioned: impl Fn(u64) -> bool,
+    restarted: impl Fn(u64) -> usize,
+) -> Vec<u64> {
     let start = Instant::now();
     let mut members = hosts(count);
     let mut allowances: Vec<Allowances> = (0..count).map(|_| Allowances::new(SETTINGS)).collect();
@@ -44,13 +58,21 @@
         allowances[at].install(&manifest(1), &members[at], start);
     }
     let mut owed = vec![0.0; count];
+    let mut incarnations = vec![1; count];
     let mut admitted: Vec<u64> = Vec::new();
     for ms in (0..20_000u64).step_by(10) {
         advance(Duration::from_millis(10)).await;
         let now = Instant::now();
+        for at in 0..restarted(ms) {
+            incarnations[at] += 1;
+            allowances[at] = Allowances::new(SETTINGS);
+            members[at] = hosts(count).swap_remove(at);
+            allowances[at].install(&manifest(1), &members[at], now);
+        }
         if ms % 200 == 0 && !partitioned(ms) {
-            for (from, own) in allowances.iter().enumerate() {
+            for (from, own) in allowances.iter_mut().enumerate() {
                 let mut beat = beat(&name(from), ms + 1);
+                beat.incarnation = incarnations[from];
                 beat.demand = own.demand(now);
                 for to in (0..count).filter(|to| *to != from) {
                     let address = member(&name(from), "a1", port(from)).peer_address;
@@ -71,9 +93,7 @@
             }
         }
     }
-    let in_window =
-        |from: &u64| admitted.iter().filter(|it| (*from..from + 5000).contains(it)).count();
-    admitted.iter().map(in_window).max().unwrap_or(0)
+    admitted
 }
 
 /// What the deployments allow a tenant of 100 requests per second and a burst of 100 in 5 s.
@@ -109,7 +129,7 @@
         let now = Instant::now();
         if step % 10 == 0 {
             let mut beat = beat(&name(1), step + 1);
-            beat.demand = vec![DemandEntry { tenant: name_hash("one"), per_s: 12.0 }];
+            beat.demand = vec![DemandEntry { tenant: name_hash("one"), per_s: 12.0, admitted: 60 }];
             members[0].receive(beat, address, now);
             allowances.divide(&members[0], now);
         }
@@ -126,3 +146,25 @@
     allowances.install(&manifest(1), &members, now);
     assert!((0..10_000).all(|_| allowances.admit("two", now).is_ok()));
 }
+
+/// Guards against refusals of a tenant whose every window stays within its rate and burst.
+#[tokio::test(start_paused = true)]
+async fn admit_burst_of_each_window() {
+    let per_s = [50.0, 30.0, 25.0, 10.0];
+    let admitted = admitted(4, &per_s, |_| false, |_| 0).await;
+    let late = admitted.iter().filter(|it| **it >= 10_000).count();
+    assert!(late >= 1120, "{late} of 1150 requests in the last 10 s");
+}
+
+/// Guards against a second allowance for hosts that start again and have forgotten the first.
+#[tokio::test(start_paused = true)]
+async fn admit_after_restart() {
+    for restarted in [1, 3, 4] {
+        let at = |ms| if ms == 9000 { restarted } else { 0 };
+        let admitted = admitted(4, &[300.0; 4], |_| false, at).await;
+        let in_window =
+            |from: &u64| admitted.iter().filter(|it| (*from..from + 5000).contains(it)).count();
+        let busiest = admitted.iter().map(in_window).max().unwrap_or(0);
+        assert!(busiest <= ALLOWED, "{restarted} hosts: {busiest}");
+    }
+}
--- a/crates/steer/tests/it/canary.rs
+++ b/crates/steer/tests/it/canary.rs
@@ -110,7 +110,7 @@
     let now = Instant::now();
     let mut canary = canary(now);
     let mut members = Members::default();
-    members.register(member("peer", "a1", 1100), places().own());
+    members.register(member("peer", "a1", 1100), places().own(), Instant::now());
     let mut beat = beat("peer", 1);
     let mut tally = canary.tally();
     tally.faulty = true;
--- a/crates/steer/tests/it/choose.rs
+++ b/crates/steer/tests/it/choose.rs
@@ -174,7 +174,7 @@
         steering.freshness.confirm(start);
         let place = places().own();
         for (at, name) in names.iter().enumerate().filter(|it| *it.1 != own) {
-            steering.members.register(member(name, "a1", 1100 + at as u16), place);
+            steering.members.register(member(name, "a1", 1100 + at as u16), place, Instant::now());
         }
         let mut cold = instance("i1", "a1");
         cold.cold_remaining = Duration::from_secs(60);
--- a/crates/steer/tests/it/members.rs
+++ b/crates/steer/tests/it/members.rs
@@ -13,8 +13,8 @@
 async fn lookup_near_and_live() {
     let own = member("own", "a1", 1000);
     let mut members = Members::default();
-    members.register(member("near", "a2", 1100), own.place);
-    members.register(member("far", "b1", 1200), own.place);
+    members.register(member("near", "a2", 1100), own.place, Instant::now());
+    members.register(member("far", "b1", 1200), own.place, Instant::now());
     let now = Instant::now();
     let b1 = places().place("b1");
     let lookup =
@@ -34,7 +34,7 @@
 async fn lookup_draining() {
     let own = member("own", "a1", 1000);
     let mut members = Members::default();
-    members.register(member("near", "a1", 1100), own.place);
+    members.register(member("near", "a1", 1100), own.place, Instant::now());
     let now = Instant::now();
     let mut leaving = beat("near", 1);
     leaving.state = BeatState::Draining;
@@ -48,7 +48,7 @@
 async fn receive_ignored() {
     let own = places().own();
     let mut members = Members::default();
-    members.register(member("peer", "a1", 1100), own);
+    members.register(member("peer", "a1", 1100), own, Instant::now());
     let now = Instant::now();
     assert!(members.receive(beat("peer", 5), address(1999), now).is_none());
     assert!(members.receive(beat("other", 5), address(1100), now).is_none());
@@ -68,7 +68,7 @@
 async fn confirmed_at_delayed_beat() {
     let own = places().own();
     let mut members = Members::default();
-    members.register(member("peer", "a1", 1100), own);
+    members.register(member("peer", "a1", 1100), own, Instant::now());
     let sent_at = Instant::now();
     members.send(3, own, true, sent_at);
     advance(Duration::from_secs(10)).await;
@@ -94,7 +94,7 @@
             let mut members = Members::default();
             for other in (0..3).filter(|it| *it != at) {
                 let port = 1000 + 100 * other as u16;
-                members.register(member(names[other], "a1", port), own);
+                members.register(member(names[other], "a1", port), own, Instant::now());
                 let mut beat = beat(names[other], 1);
                 beat.platform_age_ms = Some(100);
                 members.receive(beat, address(port), now);
@@ -120,7 +120,7 @@
     let own = member("own", "a1", 1000);
     let mut members = Members::default();
     for (name, port) in [("n1", 1100), ("n2", 1200)] {
-        members.register(member(name, "a1", port), own.place);
+        members.register(member(name, "a1", port), own.place, Instant::now());
         let mut stale = beat(name, 1);
         stale.platform_age_ms = Some(5000);
         members.receive(stale, address(port), Instant::now());
--- a/crates/steer/tests/it/shift.rs
+++ b/crates/steer/tests/it/shift.rs
@@ -42,7 +42,7 @@
         res.ready_set.register(instance(&format!("r{at}"), "b1"), now);
     }
     let own = res.settings().places.own();
-    res.members.register(member("far", "b1", 1100), own);
+    res.members.register(member("far", "b1", 1100), own, Instant::now());
     res
 }
 
