Let the strongest host read for its region, take turns during outages, move uploads too

During an outage every host of a region tried it after 5.6 s, in each of five kinds, and followers of a reader that was away asked it every 0.8 s each. At the start all 75 hosts listed and watched everything, the host with the highest hash read for the others over a link of 10 Mbit/s, its watches came late and its followers turned to the store. Every host wrote its registration anew every 20 s. Change 1: hosts with the widest link read; without a reader two hosts of a region at a time try the store, by turns; followers go to other regions' readers first and to the store itself after 0.6 s; first calls are spread; a registration is written when the followed one differs. Calls to the store are counted by operation, kind and result (kingcupford_store_calls_total). Change 2: one spill from the first request on. Objects come back below 0.3 of utilization instead of 0.5, since each that returns is not cached there. Change 3: objects of uploads move with the region's share; their home is then the other region. Tests that failed first: spill_steady_from_first_request, uploads_leave_busy_region, source_turns_in_outage, source_in_other_region, source_strongest_reads.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -12,7 +12,8 @@
     WatchEvent, Watcher, WatcherSettings, WriteOutcome,
 };
 use kingcupford_steer::{
-    Canary, InstanceReport, Lapse, Manifest, Member, Places, Registered, RolloutOrder, RolloutState,
+    Canary, InstanceReport, Lapse, Manifest, Member, Places, Registered, RolloutOrder,
+    RolloutState, Source, name_hash,
 };
 use kingcupford_telemetry::Event;
 use tokio::{
@@ -21,8 +22,8 @@
 };
 
 use crate::{
-    relay::{RelayedStore, Source},
-    state::State,
+    relay::RelayedStore,
+    state::{Phase, State},
 };
 
 /// Wait of one watch on the manifest: each that ends confirms the view.
@@ -39,11 +40,30 @@
 /// regions. Together with the waits for what has a bound this stays below the shortest one, 2.5 s.
 const OVERDUE: Duration = Duration::from_millis(700);
 
-/// Least time between two watches of one kind, so that a burst of changes takes few calls.
+/// Least time between two watches of a kind whose changes have a bound, so that a burst of changes
+/// takes few calls.
 const SPACING_MS: u64 = 100;
 
-/// Longest wait between two attempts during an outage, so that its end is noticed soon.
-const MAX_BACKOFF_MS: u64 = 300;
+/// The same for rollouts and hosts.
+const OTHER_SPACING_MS: u64 = 300;
+
+/// Time over which the hosts of a deployment that starts for the first time spread their first
+/// calls, so that most of them find a reader; callers come seconds later.
+const FIRST_START_SPREAD: Duration = Duration::from_secs(2);
+
+/// The same for a process that starts again: a reader is heard within a beat, if there is one.
+const START_SPREAD: Duration = Duration::from_millis(300);
+
+/// Time between two looks for a reader at the start.
+const START_CHECK: Duration = Duration::from_millis(20);
+
+/// Longest wait between two attempts to follow the manifest during an outage, so that its end is
+/// noticed soon.
+const MANIFEST_BACKOFF_MS: u64 = 300;
+
+/// Longest wait between two attempts to follow another kind during an outage: what is missed costs
+/// less than a view that cannot be confirmed.
+const OTHER_BACKOFF_MS: u64 = 900;
 
 /// Outages shorter than this cannot have let registrations lapse: instances register every 1.5 s,
 /// and an entry ends after three silent intervals.
@@ -60,10 +80,7 @@
 const BEHIND_CHECK: Duration = Duration::from_millis(200);
 
 /// Time between two attempts to register this host.
-const ANNOUNCE_AGAIN: Duration = Duration::from_millis(300);
-
-/// Time between two checks that this host is still registered.
-const ANNOUNCE_EVERY: Duration = Duration::from_secs(20);
+const ANNOUNCE_AGAIN_MS: u64 = 300;
 
 /// Kinds of objects in the platform.
 #[derive(Debug, Clone, Copy)]
@@ -131,16 +148,30 @@
     source: Rc<watch::Sender<Source>>,
     /// Decodes objects.
     decoder: Rc<D>,
+    /// How the platform holds this host.
+    registered: Rc<watch::Sender<Registration>>,
     /// The process.
     state: Rc<State>,
 }
 
+/// How the platform holds this host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Registration {
+    /// The hosts were not followed yet.
+    Unknown,
+    /// It does not.
+    Absent,
+    /// Like this.
+    Present(HostEntry),
+}
+
 impl<S, D> Clone for Feed<S, D> {
     fn clone(&self) -> Self {
         Self {
             store: Arc::clone(&self.store),
             source: Rc::clone(&self.source),
             decoder: Rc::clone(&self.decoder),
+            registered: Rc::clone(&self.registered),
             state: Rc::clone(&self.state),
         }
     }
@@ -150,28 +181,36 @@
     /// A feed that has not started.
     pub(crate) fn new(store: Arc<S>, decoder: Rc<D>, state: Rc<State>) -> Self {
         let (source, receiver) = watch::channel(Source::Platform);
-        let store = Arc::new(RelayedStore::new(store, receiver));
-        Self { store, source: Rc::new(source), decoder, state }
+        let calls = state.metrics.store_calls.clone();
+        let store = Arc::new(RelayedStore::new(store, receiver, calls));
+        let registered = Rc::new(watch::Sender::new(Registration::Unknown));
+        Self { store, source: Rc::new(source), decoder, registered, state }
     }
 
-    /// Follows the platform through whichever host reads it for the region now.
+    /// Follows the platform where the view of the hosts says.
     pub(crate) fn choose_source(&self, now: Instant) {
         let mut steering = self.state.steering.borrow_mut();
-        let current = match *self.source.borrow() {
+        let present = self.source.borrow().clone();
+        let current = match present {
             Source::Platform => None,
-            Source::Reader(it) => Some(it),
+            Source::Host { host, .. } => Some(host),
         };
-        let reader = steering.reader(current, now);
-        let source = reader.map_or(Source::Platform, Source::Reader);
-        if *self.source.borrow() == source {
+        let source = steering.source(current, now);
+        if source == present {
             return;
         }
-        steering.followed_through(reader);
-        drop(steering);
-        match source {
+        match &source {
             Source::Platform => Event::ReaderChanged.log(format_args!("reader=self")),
-            Source::Reader(it) => Event::ReaderChanged.log(format_args!("reader={it}")),
+            Source::Host { host, reads, others } => {
+                if current != Some(*host) {
+                    let others = others.len();
+                    Event::ReaderChanged
+                        .log(format_args!("reader={host} reads={reads} others={others}"));
+                }
+                steering.follows_host();
+            }
         }
+        drop(steering);
         self.source.send_replace(source);
     }
 
@@ -182,14 +221,19 @@
             (names.instances, BOUNDED_WAIT_MS),
             (names.evacuations, BOUNDED_WAIT_MS),
             (names.rollouts, OTHER_WAIT_MS),
-            (names.hosts, OTHER_WAIT_MS),
         ];
         for (prefix, wait_ms) in kinds {
             let feed = self.clone();
-            tokio::task::spawn_local(async move { feed.follow(prefix, wait_ms).await });
+            tokio::task::spawn_local(async move {
+                feed.find_reader().await;
+                feed.follow(prefix, wait_ms).await;
+            });
         }
         let feed = self.clone();
+        tokio::task::spawn_local(async move { feed.follow(names.hosts, OTHER_WAIT_MS).await });
+        let feed = self.clone();
         tokio::task::spawn_local(async move {
+            feed.find_reader().await;
             loop {
                 tokio::select! {
                     () = feed.follow(names.manifest, MANIFEST_WAIT_MS) => {}
@@ -202,6 +246,18 @@
         tokio::task::spawn_local(async move { feed.announce().await });
     }
 
+    /// Waits until another host is heard to read, but not for long.
+    async fn find_reader(&self) {
+        let settings = self.state.settings();
+        let spread = if settings.first_start { FIRST_START_SPREAD } else { START_SPREAD };
+        let part = f64::from(name_hash(&settings.steering.own.name)) / f64::from(u32::MAX);
+        let until = Instant::now() + spread.mul_f64(part);
+        let finds = || matches!(*self.source.borrow(), Source::Host { reads: true, .. });
+        while Instant::now() < until && !finds() {
+            sleep(START_CHECK).await;
+        }
+    }
+
     /// Writes a rollout's status if nobody else changed it.
     pub(crate) fn write_status(&self, service: String, version: String, state: RolloutState) {
         let known = self.state.rollout_versions.borrow().get(&service).copied();
@@ -219,7 +275,6 @@
         tokio::task::spawn_local(async move {
             let condition = Condition::Version(object_version);
             let outcome = feed.store.write(&name, value, condition).await;
-            feed.state.metrics.platform_calls.inc();
             let version = &status.target_version;
             Event::RolloutStatusWritten.log(format_args!(
                 "service={service} version={version} state={state} \
@@ -259,37 +314,63 @@
         log::warn!("watch of the manifest hangs: a peer has version {behind}");
     }
 
-    /// Registers this host and keeps it registered.
+    /// Registers this host and keeps it registered; what is already stored is not written again.
     async fn announce(&self) {
+        let mut registered = self.registered.subscribe();
         loop {
-            let settings = self.state.settings();
-            let own = &settings.steering.own;
-            let entry = HostEntry {
-                name: own.name.clone(),
-                zone: settings.steering.places.zone_name(own.place.zone).to_owned(),
-                peer_address: own.peer_address,
-                public_addresses: vec![own.caller_address],
-                state: HostState::Live,
+            let entry = self.own_entry();
+            let present = registered.borrow_and_update().clone();
+            let is_due = match present {
+                // Once this host has retired it stays so.
+                _ if self.state.phase.get() != Phase::Serving => return,
+                Registration::Unknown => false,
+                Registration::Absent => true,
+                Registration::Present(it) => it != entry,
             };
-            self.state.metrics.platform_calls.inc();
-            match self.store.announce(&entry).await {
-                Answer::Value(()) => sleep(ANNOUNCE_EVERY).await,
-                Answer::Unavailable => sleep(ANNOUNCE_AGAIN).await,
-                Answer::Throttled { retry_after_ms } => {
-                    sleep(Duration::from_millis(retry_after_ms)).await;
+            let again_ms = if !is_due {
+                None
+            } else {
+                match self.store.announce(&entry).await {
+                    Answer::Value(()) => None,
+                    Answer::Unavailable => Some(ANNOUNCE_AGAIN_MS),
+                    Answer::Throttled { retry_after_ms } => Some(retry_after_ms),
+                }
+            };
+            match again_ms {
+                Some(it) => sleep(Duration::from_millis(it)).await,
+                None => {
+                    if registered.changed().await.is_err() {
+                        return;
+                    }
                 }
             }
         }
     }
 
+    /// The registration that this host should have.
+    fn own_entry(&self) -> HostEntry {
+        let settings = self.state.settings();
+        let own = &settings.steering.own;
+        HostEntry {
+            name: own.name.clone(),
+            zone: settings.steering.places.zone_name(own.place.zone).to_owned(),
+            peer_address: own.peer_address,
+            public_addresses: vec![own.caller_address],
+            state: HostState::Live,
+        }
+    }
+
     /// Follows the objects of one kind.
     async fn follow(&self, prefix: &'static str, wait_ms: u64) {
+        let names = self.decoder.names();
+        let is_manifest = prefix == names.manifest;
+        let is_bounded = is_manifest || [names.instances, names.evacuations].contains(&prefix);
         let settings = WatcherSettings {
             prefixes: vec![prefix.to_owned()],
             wait_ms,
             short_wait_ms: wait_ms.min(500),
-            spacing_ms: SPACING_MS,
-            max_backoff_ms: MAX_BACKOFF_MS,
+            spacing_ms: if is_bounded { SPACING_MS } else { OTHER_SPACING_MS },
+            max_backoff_ms: if is_manifest { MANIFEST_BACKOFF_MS } else { OTHER_BACKOFF_MS },
         };
         let seed = self.state.settings().steering.seed;
         let mut watcher = Watcher::start(Arc::clone(&self.store), settings, seed);
@@ -327,11 +408,17 @@
     fn progressed(&self, prefix: &str, wait_ms: u64, progress: Progress) {
         let now = Instant::now();
         let is_direct = *self.source.borrow() == Source::Platform;
-        if is_direct {
-            self.state.metrics.platform_calls.inc();
-        }
         let stale_at = now + Duration::from_millis(wait_ms) + OVERDUE;
         self.state.mirror.progress(prefix, progress.revision, progress.sent_at, stale_at);
+        if prefix == self.decoder.names().hosts {
+            self.registered.send_if_modified(|it| {
+                let is_first = *it == Registration::Unknown;
+                if is_first {
+                    *it = Registration::Absent;
+                }
+                is_first
+            });
+        }
         if prefix == self.decoder.names().manifest {
             self.state.check_pause(now);
             let mut steering = self.state.steering.borrow_mut();
@@ -510,6 +597,13 @@
     fn apply_host(&self, name: &str, event: WatchEvent) {
         let mut steering = self.state.steering.borrow_mut();
         if name == steering.settings().own.name {
+            let entry = event.object.and_then(|it| {
+                let entry = self.decoder.host(&it.bytes);
+                entry
+                    .inspect_err(|error| log::warn!("own registration is replaced: {error:#}"))
+                    .ok()
+            });
+            self.registered.send_replace(entry.map_or(Registration::Absent, Registration::Present));
             return;
         }
         let Some(object) = event.object else {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,7 @@
     convert::Infallible,
     net::SocketAddr,
     rc::Rc,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -18,6 +18,8 @@
     Announce, Answer, Call, Condition, Dialect, HostEntry, HttpObjectStore, HttpStoreSettings,
     ListedObject, Listing, Object, ObjectChange, ObjectStore, Page, Reply, Watched, WriteOutcome,
 };
+use kingcupford_steer::Source;
+use kingcupford_telemetry::{CallLabels, Counter, Family};
 use tokio::{
     net::TcpListener,
     sync::watch,
@@ -43,81 +45,157 @@
 /// Time for a watch beyond its wait.
 const WATCH_MARGIN_MS: u64 = 300;
 
-/// Pause after the platform itself did not answer before it is asked again past a reader.
+/// Time for which readers do not answer a call before the platform itself is asked: a reader whose
+/// own watch hangs is replaced or recovers within it, as a rule.
+const BYPASS_AFTER: Duration = Duration::from_millis(600);
+
+/// Pause after the platform itself did not answer before it is asked again past readers.
 const BYPASS_AGAIN: Duration = Duration::from_millis(800);
 
+/// Hosts to which connections are kept: the one that is followed, two further readers, and the one
+/// before.
+const MAX_CLIENTS: usize = 4;
+
 /// How answers are encoded.
 const CODEC: Configuration = standard();
 
-/// Where the platform is followed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Source {
-    /// At the platform itself.
-    Platform,
-    /// Through another host.
-    Reader(SocketAddr),
-}
-
 /// The platform, followed through another host where one reads for the region.
 pub(crate) struct RelayedStore<S> {
     /// The platform.
     platform: Arc<S>,
     /// Where it is followed now.
     source: watch::Receiver<Source>,
-    /// The client of the present reader.
-    client: Mutex<Option<(SocketAddr, HttpObjectStore<RelayDialect>)>>,
-    /// Kinds for which the platform itself did not answer, and since when.
-    failed: Mutex<Vec<(String, Instant)>>,
+    /// Clients of the hosts that are or were followed lately.
+    clients: Mutex<Vec<(SocketAddr, HttpObjectStore<RelayDialect>)>>,
+    /// Kinds that readers do not answer.
+    bypasses: Mutex<Vec<Bypass>>,
+    /// Counts calls to the platform.
+    calls: Family<CallLabels, Counter>,
+}
+
+/// Which reader is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Asked {
+    /// The one that is followed.
+    Followed,
+    /// Another one, since that one did not answer.
+    Further,
+}
+
+/// A kind that readers do not answer.
+#[derive(Debug)]
+struct Bypass {
+    /// Start of the names of its objects.
+    prefix: String,
+    /// Since when.
+    since: Instant,
+    /// When the platform itself did not answer either.
+    failed_at: Option<Instant>,
 }
 
 impl<S: ObjectStore> RelayedStore<S> {
     /// A store that follows through whatever `source` says.
-    pub(crate) fn new(platform: Arc<S>, source: watch::Receiver<Source>) -> Self {
-        Self { platform, source, client: Mutex::new(None), failed: Mutex::default() }
+    pub(crate) fn new(
+        platform: Arc<S>,
+        source: watch::Receiver<Source>,
+        calls: Family<CallLabels, Counter>,
+    ) -> Self {
+        Self { platform, source, clients: Mutex::default(), bypasses: Mutex::default(), calls }
     }
 
-    /// The client of a reader; its connections are kept as long as the reader stays.
-    fn client(&self, reader: SocketAddr) -> Option<HttpObjectStore<RelayDialect>> {
-        let mut client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((address, client)) = &*client
-            && *address == reader
-        {
-            return Some(client.clone());
+    /// The client of a host; its connections are kept for a while.
+    fn client(&self, host: SocketAddr) -> Option<HttpObjectStore<RelayDialect>> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(it) = clients.iter().find(|it| it.0 == host) {
+            return Some(it.1.clone());
         }
         let settings = HttpStoreSettings {
             connect_timeout_ms: CALL_TIMEOUT_MS,
             read_timeout_ms: CALL_TIMEOUT_MS,
             watch_margin_ms: WATCH_MARGIN_MS,
-            ..HttpStoreSettings::new(&format!("http://{reader}"))
+            ..HttpStoreSettings::new(&format!("http://{host}"))
         };
         match HttpObjectStore::with_dialect(settings, RelayDialect) {
-            Ok(it) => Some(client.insert((reader, it)).1.clone()),
+            Ok(it) => {
+                if clients.len() >= MAX_CLIENTS {
+                    clients.remove(0);
+                }
+                clients.push((host, it.clone()));
+                Some(it)
+            }
             Err(error) => {
-                log::warn!("no client for the reader at {reader}: {error:#}");
+                log::warn!("no client for the reader at {host}: {error:#}");
                 None
             }
         }
     }
 
-    /// Whether a call that the reader did not answer well may go to the platform itself.
+    /// Asks the host that is followed, then further readers, which `ask` is told; `None` when the
+    /// platform itself is to be asked.
+    async fn relayed<T, F: Future<Output = Answer<T>>>(
+        &self,
+        prefix: &str,
+        ask: impl Fn(HttpObjectStore<RelayDialect>, Asked) -> F,
+    ) -> Option<Answer<T>> {
+        let Source::Host { host, reads, others } = self.source.borrow().clone() else {
+            return None;
+        };
+        let mut answer = tokio::select! {
+            it = async { ask(self.client(host)?, Asked::Followed).await.value() } => it,
+            // What a host that is no longer followed answers may be old.
+            () = self.replaced(host) => None,
+        };
+        for it in others {
+            if answer.is_some() {
+                break;
+            }
+            let Some(client) = self.client(it) else { continue };
+            answer = ask(client, Asked::Further).await.value();
+        }
+        if let Some(it) = answer {
+            self.bypasses().retain(|it| it.prefix != prefix);
+            return Some(Answer::Value(it));
+        }
+        if reads && self.may_bypass(prefix) { None } else { Some(Answer::Unavailable) }
+    }
+
+    /// Whether a call that no reader answered may go to the platform itself.
     fn may_bypass(&self, prefix: &str) -> bool {
-        let failed = self.failed.lock().unwrap_or_else(PoisonError::into_inner);
-        failed.iter().find(|it| it.0 == prefix).is_none_or(|it| it.1.elapsed() > BYPASS_AGAIN)
+        let mut bypasses = self.bypasses();
+        match bypasses.iter().find(|it| it.prefix == prefix) {
+            Some(it) => {
+                it.since.elapsed() >= BYPASS_AFTER
+                    && it.failed_at.is_none_or(|it| it.elapsed() >= BYPASS_AGAIN)
+            }
+            None => {
+                let since = Instant::now();
+                bypasses.push(Bypass { prefix: prefix.to_owned(), since, failed_at: None });
+                false
+            }
+        }
+    }
+
+    /// Kinds that readers do not answer.
+    fn bypasses(&self) -> MutexGuard<'_, Vec<Bypass>> {
+        self.bypasses.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes whether the platform itself answered.
-    fn platform_ended(&self, prefix: &str, is_answered: bool) {
-        let mut failed = self.failed.lock().unwrap_or_else(PoisonError::into_inner);
-        failed.retain(|it| it.0 != prefix);
-        if !is_answered {
-            failed.push((prefix.to_owned(), Instant::now()));
+    /// Counts a call to the platform and notes whether it answered past readers.
+    fn ended(&self, operation: &'static str, name: &str, is_answered: bool) {
+        let kind = name.split('/').next().unwrap_or_default().to_owned();
+        let result = if is_answered { "answered" } else { "failed" };
+        let labels = CallLabels { operation, kind, result };
+        self.calls.get_or_create(&labels).inc();
+        if let Some(it) = self.bypasses().iter_mut().find(|it| it.prefix == name) {
+            it.failed_at = (!is_answered).then(Instant::now);
         }
     }
 
-    /// Waits until another host reads than this one; what it still answers may be old.
-    async fn replaced(&self, reader: SocketAddr) {
+    /// Waits until another host is followed than this one.
+    async fn replaced(&self, host: SocketAddr) {
         let mut source = self.source.clone();
-        if source.wait_for(|it| *it != Source::Reader(reader)).await.is_err() {
+        let is_other = |it: &Source| !matches!(it, Source::Host { host: it, .. } if *it == host);
+        if source.wait_for(is_other).await.is_err() {
             // Without a sender the source stays what it is.
             std::future::pending::<()>().await;
         }
@@ -126,67 +204,68 @@
 
 impl<S: ObjectStore> ObjectStore for RelayedStore<S> {
     async fn read(&self, name: &str) -> Answer<Option<Object>> {
-        self.platform.read(name).await
+        let res = self.platform.read(name).await;
+        self.ended("read", name, res.is_value());
+        res
     }
 
     async fn write(&self, name: &str, value: Bytes, condition: Condition) -> WriteOutcome {
-        self.platform.write(name, value, condition).await
+        let res = self.platform.write(name, value, condition).await;
+        self.ended("write", name, res.is_answer());
+        res
     }
 
     async fn delete(&self, name: &str, condition: Condition) -> WriteOutcome {
-        self.platform.delete(name, condition).await
+        let res = self.platform.delete(name, condition).await;
+        self.ended("delete", name, res.is_answer());
+        res
     }
 
     async fn list(&self, prefix: &str) -> Answer<Listing> {
-        let source = *self.source.borrow();
-        if let Source::Reader(reader) = source
-            && let Some(client) = self.client(reader)
-        {
-            let relayed = tokio::select! {
-                res = client.list(prefix) => res,
-                () = self.replaced(reader) => Answer::Unavailable,
-            };
-            if matches!(relayed, Answer::Value(_)) {
-                return relayed;
-            }
-            if !self.may_bypass(prefix) {
-                return Answer::Unavailable;
-            }
+        let name = prefix.to_owned();
+        let ask = move |client: HttpObjectStore<RelayDialect>, _| {
+            let name = name.clone();
+            async move { client.list(&name).await }
+        };
+        if let Some(it) = self.relayed(prefix, ask).await {
+            return it;
         }
         let res = self.platform.list(prefix).await;
-        self.platform_ended(prefix, matches!(res, Answer::Value(_)));
+        self.ended("list", prefix, res.is_value());
         res
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
-        let source = *self.source.borrow();
-        if let Source::Reader(reader) = source
-            && let Some(client) = self.client(reader)
-        {
-            let relayed = tokio::select! {
-                res = client.watch(prefix, after, wait) => res,
-                () = self.replaced(reader) => Answer::Unavailable,
+        let name = prefix.to_owned();
+        let ask = move |client: HttpObjectStore<RelayDialect>, asked| {
+            let name = name.clone();
+            let wait = match asked {
+                Asked::Followed => wait,
+                // What was missed meanwhile is told at once.
+                Asked::Further => Duration::ZERO,
             };
-            if matches!(relayed, Answer::Value(_)) {
-                return relayed;
-            }
-            if !self.may_bypass(prefix) {
-                return Answer::Unavailable;
-            }
-            // What was missed meanwhile is told at once.
-            let res = self.platform.watch(prefix, after, Duration::ZERO).await;
-            self.platform_ended(prefix, matches!(res, Answer::Value(_)));
-            return res;
+            async move { client.watch(&name, after, wait).await }
+        };
+        if let Some(it) = self.relayed(prefix, ask).await {
+            return it;
         }
-        self.platform.watch(prefix, after, wait).await
+        let is_followed = *self.source.borrow() == Source::Platform;
+        let wait = if is_followed { wait } else { Duration::ZERO };
+        let res = self.platform.watch(prefix, after, wait).await;
+        self.ended("watch", prefix, res.is_value());
+        res
     }
 
     async fn hosts(&self) -> Answer<Vec<HostEntry>> {
-        self.platform.hosts().await
+        let res = self.platform.hosts().await;
+        self.ended("list", "hosts", res.is_value());
+        res
     }
 
     async fn announce(&self, entry: &HostEntry) -> Answer<()> {
-        self.platform.announce(entry).await
+        let res = self.platform.announce(entry).await;
+        self.ended("announce", "hosts", res.is_value());
+        res
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -14,6 +14,8 @@
     pub headers: HeaderNames,
     /// Limits and identity.
     pub steering: SteeringSettings,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
     /// Time for which callers may keep the answer to a lookup.
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -228,7 +228,11 @@
         let call = match self.dialect.announce(entry) {
             Announce::Call(it) => it,
             Announce::Write { name, value } => {
-                return match self.write(&name, value, Condition::Always).await {
+                let mut outcome = self.write(&name, value.clone(), Condition::Absent).await;
+                if let WriteOutcome::Conflict { .. } = outcome {
+                    outcome = self.write(&name, value, Condition::Always).await;
+                }
+                return match outcome {
                     WriteOutcome::Written { .. } => Answer::Value(()),
                     WriteOutcome::Throttled { retry_after_ms } => {
                         Answer::Throttled { retry_after_ms }
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -81,6 +81,13 @@
     },
 }
 
+impl WriteOutcome {
+    /// Whether the platform carried the call out or said why not.
+    pub fn is_answer(&self) -> bool {
+        matches!(self, Self::Written { .. } | Self::Conflict { .. } | Self::TooLarge)
+    }
+}
+
 /// On what a write or a deletion depends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Condition {
@@ -179,6 +186,19 @@
 }
 
 impl<T> Answer<T> {
+    /// The value, if there is one.
+    pub fn value(self) -> Option<T> {
+        match self {
+            Self::Value(it) => Some(it),
+            Self::Unavailable | Self::Throttled { .. } => None,
+        }
+    }
+
+    /// Whether there is a value.
+    pub fn is_value(&self) -> bool {
+        matches!(self, Self::Value(_))
+    }
+
     /// Converts the value.
     pub fn map<U>(self, convert: impl FnOnce(T) -> U) -> Answer<U> {
         self.and_then(|it| Answer::Value(convert(it)))
--- a/crates/steer/src/beat.rs
+++ b/crates/steer/src/beat.rs
@@ -22,6 +22,9 @@
     pub echo: Option<Echo>,
     /// What the sender does.
     pub state: BeatState,
+    /// How much the sender's machine can carry, in Mbit/s; the strongest hosts read the platform
+    /// for the others.
+    pub link_mbps: u32,
     /// Version of the manifest in force at the sender, 0 for none.
     pub manifest_version: u64,
     /// Age of the sender's view of the manifest, `None` when it is not confirmed.
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -419,10 +419,12 @@
         let local = all.iter().filter(|it| it.distance != Distance::Far).take(LOCAL_CHOICES);
         let remote = all.iter().filter(|it| it.distance == Distance::Far).take(REMOTE_CHOICES);
         let has_local = all.first().is_some_and(|it| it.distance != Distance::Far);
-        if query.affinity && !is_upload && self.shifts.is_moved(query.service, object) {
-            return remote.chain(local).copied().collect();
+        if query.affinity && self.shifts.is_moved(query.service, object) {
+            // Its home is there, so that the way costs only its time.
+            let remote = remote.map(|it| Candidate { distance: Distance::Zone, ..*it });
+            return remote.chain(local.copied()).collect();
         }
-        if has_local && !self.shifts.may_spill(query.service, view.now) {
+        if has_local && !self.shifts.may_spill(query.service) {
             return local.copied().collect();
         }
         local.chain(remote).copied().collect()
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -33,7 +33,7 @@
     instance::{InstanceKey, InstanceReport, LoadReport, ServingState},
     load::LoadEstimate,
     manifest::{CallerLimits, KeyDigest, Manifest, Repeat, Route, Service, Target, Tenant},
-    members::{Member, MemberChange, Members},
+    members::{Member, MemberChange, Members, Source},
     place::{Place, Places, RegionKey, ZoneKey},
     ready_set::{Instance, Lapse, ReadySet, Registered},
     request::{Admission, Attempts, Denial, Outcome, Plan, Report, RequestHead},
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -1,13 +1,15 @@
 //! The hosts of the system as this process sees them.
 
-use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, collections::VecDeque, net::SocketAddr, time::Duration};
 
 use kingcupford_route::Announcement;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     beat::{Beat, BeatState, DemandEntry, Echo, PROTOCOL, RolloutTally, ServiceLoad},
     place::Place,
+    warmth::mix,
 };
 
 /// Silence after which a host is taken to be down: several beats, and below the time after which
@@ -22,10 +24,17 @@
 /// end every second.
 const READER_AGE: Duration = Duration::from_millis(1900);
 
-/// Time by which each further host of a region waits longer before it reads, so that one outage of
-/// the platform does not make all hosts read.
+/// Time after which the turn to try the platform passes on to the next host of a region that has no
+/// reader.
 const READER_STAGGER: Duration = Duration::from_millis(700);
 
+/// Hosts of a region that try the platform at the same time while it answers none of them; more
+/// would find out no sooner that it is back.
+const READER_TURNS: usize = 2;
+
+/// Further readers that are asked when one does not answer.
+const MAX_OTHER_READERS: usize = 2;
+
 /// Time for which a silent host's demand still counts, since it may serve behind a partition.
 const DEMAND_KEPT: Duration = Duration::from_secs(30);
 
@@ -76,6 +85,22 @@
     sent: VecDeque<(u64, Instant)>,
 }
 
+/// Where a host follows the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// At the platform itself.
+    Platform,
+    /// Through another host.
+    Host {
+        /// Its address for hosts.
+        host: SocketAddr,
+        /// Whether the platform answers it.
+        reads: bool,
+        /// Further hosts that the platform answers, for when this one does not answer.
+        others: Vec<SocketAddr>,
+    },
+}
+
 /// A change of the view of a host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MemberChange {
@@ -219,49 +244,57 @@
         self.peers.iter().filter(|it| it.is_live(now)).count() + 1
     }
 
-    /// The host that reads the platform for this one's region, `None` when it is this one.
+    /// Where this host follows the platform.
     ///
     /// `own_age` is the time since the platform answered this host itself, `current` the host that
     /// it follows, which it keeps as long as that one reads, and `idle` the time for which no host
-    /// was seen to read.
-    pub fn reader(
+    /// of the region was seen to read.
+    pub fn source(
         &self,
-        own: &Member,
+        (own, own_link_mbps): (&Member, u32),
         own_age: Option<Duration>,
         current: Option<SocketAddr>,
         idle: Duration,
         now: Instant,
-    ) -> Option<SocketAddr> {
-        let is_kept = |it: &&Peer| {
-            Some(it.member.peer_address) == current
-                && it.is_live(now)
-                && it.state() != BeatState::Draining
-                && it.reads(now)
+    ) -> Source {
+        let near = self.ranked(own, now, |it| it.member.place.region == own.place.region);
+        let far =
+            self.ranked(own, now, |it| it.member.place.region != own.place.region && it.reads(now));
+        let own_order = (own_link_mbps, score(&own.name));
+        let rank = near.iter().filter(|it| it.reader_order() > own_order).count();
+        let is_reading = own_age.is_some_and(|it| it < READER_AGE);
+        let reading: Vec<&Peer> = near.iter().filter(|it| it.reads(now)).copied().collect();
+        let better = near[..rank].iter().find(|it| it.reads(now));
+        let kept = reading.iter().find(|it| Some(it.member.peer_address) == current);
+        let others = |host: SocketAddr| {
+            let all = reading.iter().chain(&far).map(|it| it.member.peer_address);
+            all.filter(|it| *it != host).take(MAX_OTHER_READERS).collect()
+        };
+        let follow = |it: &Peer| {
+            let host = it.member.peer_address;
+            Source::Host { host, reads: it.reads(now), others: others(host) }
         };
-        if self.peers.iter().any(|it| is_kept(&it)) {
-            return current;
+        if let Some(it) = kept.or(better).or(reading.first().filter(|_| !is_reading)) {
+            return follow(it);
         }
-        let score = |name: &str| crate::warmth::mix(xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
-        let mut better: Vec<&Peer> = self
-            .peers
-            .iter()
-            .filter(|it| it.member.place.region == own.place.region && it.is_live(now))
-            .filter(|it| it.state() != BeatState::Draining)
-            .collect();
-        better.sort_by_key(|it| std::cmp::Reverse(score(&it.member.name)));
-        let own_score = score(&own.name);
-        let rank = better.iter().filter(|it| score(&it.member.name) > own_score).count();
-        let is_reading = own_age.is_some_and(|it| it < READER_AGE);
-        let reading = better.iter().position(|it| it.reads(now));
-        match reading {
-            // A better ranked one reads, or this one does not.
-            Some(at) if at < rank || !is_reading => Some(better[at].member.peer_address),
-            Some(_) => None,
-            None if is_reading || rank == 0 || better.is_empty() => None,
-            None if idle >= READER_STAGGER * rank.min(8) as u32 => None,
-            // Its answers tell their age, so that nothing old is taken for new.
-            None => better.first().map(|it| it.member.peer_address),
+        if is_reading || near.is_empty() || takes_turn(rank, near.len() + 1, idle) {
+            return Source::Platform;
         }
+        // Answers tell their age, so that nothing old is taken for new.
+        far.first().or(near.first()).map_or(Source::Platform, |it| follow(it))
+    }
+
+    /// Live hosts that a duty may fall to, in the order in which it does.
+    fn ranked(&self, own: &Member, now: Instant, filter: impl Fn(&Peer) -> bool) -> Vec<&Peer> {
+        let is_usable = |it: &&Peer| {
+            it.member.name != own.name
+                && it.is_live(now)
+                && it.state() != BeatState::Draining
+                && filter(it)
+        };
+        let mut res: Vec<&Peer> = self.peers.iter().filter(is_usable).collect();
+        res.sort_by_key(|it| Reverse(it.reader_order()));
+        res
     }
 
     /// Whether another host of the region reads the platform.
@@ -272,20 +305,17 @@
 
     /// Rank of this host among the live ones for a duty, 0 first.
     pub fn rank(&self, own_name: &str, duty: u64, now: Instant) -> usize {
-        let score =
-            |name: &str| crate::warmth::mix(duty ^ xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
-        let own = score(own_name);
+        let rank = |name: &str| mix(duty ^ xxh3_64(name.as_bytes()));
+        let own = rank(own_name);
         let live = self.peers.iter().filter(|it| it.is_live(now));
-        live.filter(|it| score(&it.member.name) > own).count()
+        live.filter(|it| rank(&it.member.name) > own).count()
     }
 
     /// Rank of this host among all known ones for a cold instance; hosts in its zone go first.
     pub fn feeder_rank(&self, own: &Member, instance: u64, place: Place) -> usize {
         let score = |member: &Member| {
             let near = member.place.zone == place.zone;
-            let hash =
-                crate::warmth::mix(instance ^ xxhash_rust::xxh3::xxh3_64(member.name.as_bytes()));
-            (near, hash)
+            (near, mix(instance ^ xxh3_64(member.name.as_bytes())))
         };
         let own = score(own);
         self.peers.iter().filter(|it| score(&it.member) > own).count()
@@ -370,6 +400,12 @@
         age < READER_AGE
     }
 
+    /// Place in the order in which hosts read the platform, highest first: a follower's list of all
+    /// registrations takes a slow link seconds.
+    fn reader_order(&self) -> (u32, u64) {
+        (self.beat.as_ref().map_or(0, |it| it.link_mbps), score(&self.member.name))
+    }
+
     /// What it does.
     fn state(&self) -> BeatState {
         self.beat.as_ref().map_or(BeatState::Unready, |it| it.state)
@@ -419,3 +455,15 @@
     let at = entries.binary_search_by_key(&tenant, |it| it.tenant).ok()?;
     Some(&entries[at])
 }
+
+/// The order in which hosts take on duties, highest first.
+fn score(name: &str) -> u64 {
+    mix(xxh3_64(name.as_bytes()))
+}
+
+/// Whether it is the turn of the host with a rank to try the platform, which answered none of
+/// `hosts` for a time.
+fn takes_turn(rank: usize, hosts: usize, idle: Duration) -> bool {
+    let turn = (idle.as_millis() / READER_STAGGER.as_millis()) as usize;
+    (0..READER_TURNS.min(turn + 1)).any(|back| (turn - back) % hosts == rank)
+}
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -16,10 +16,10 @@
 /// fast.
 const HIGH: f64 = 0.7;
 
-/// Utilization below which they come back.
-const LOW: f64 = 0.5;
+/// Utilization below which they come back; an object that moves is not cached where it arrives.
+const LOW: f64 = 0.3;
 
-/// How much less utilized another region must be to take objects.
+/// How much less utilized a region must be to take objects.
 const MIN_DIFFERENCE: f64 = 0.15;
 
 /// Change of the share per second. Deployments allow 0.15 of a region's requests to change their
@@ -39,12 +39,6 @@
 /// Part of the requests that may leave the region on top of the share, for short queues at home.
 const SPILL_PART: f64 = 0.07;
 
-/// The same while a service gets its first requests, when no object is cached anywhere.
-const FIRST_SPILL_PART: f64 = 0.25;
-
-/// How long a service gets its first requests: half of the window of the deployments' bound.
-const FIRST_REQUESTS: Duration = Duration::from_secs(1);
-
 /// How fast hosts of a region take over each other's share, per second.
 const AGREEMENT_PER_S: f64 = 1.0;
 
@@ -143,12 +137,9 @@
     }
 
     /// Whether one more request may leave the region although its object has its home here.
-    pub(crate) fn may_spill(&self, service: &str, now: Instant) -> bool {
+    pub(crate) fn may_spill(&self, service: &str) -> bool {
         self.shift(service).is_none_or(|it| {
-            let first =
-                it.first_at.is_none_or(|it| now.saturating_duration_since(it) < FIRST_REQUESTS);
-            let spill = if first { FIRST_SPILL_PART } else { SPILL_PART };
-            it.has_loss || it.sent_far < (it.share + spill) * it.sent.max(1.0)
+            it.has_loss || it.sent_far < (it.share + SPILL_PART) * it.sent.max(1.0)
         })
     }
 
@@ -249,7 +240,7 @@
         let step = RATE_PER_S * passed_s;
         if self.utilization > HIGH && least < self.utilization - MIN_DIFFERENCE {
             self.share += step;
-        } else if self.utilization < LOW || least > self.utilization {
+        } else if self.utilization < LOW || least > self.utilization + MIN_DIFFERENCE {
             self.share -= step;
         }
         if agreed.1 > 0.0 {
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -19,7 +19,7 @@
     health::Failure,
     instance::InstanceKey,
     manifest::{Manifest, Repeat, Route, Tenant},
-    members::{Member, MemberChange, Members},
+    members::{Member, MemberChange, Members, Source},
     place::{Places, RegionKey},
     ready_set::ReadySet,
     request::{Admission, Attempts, Denial, Outcome, Plan, Report, RequestHead},
@@ -60,6 +60,8 @@
     pub incarnation: u64,
     /// Zones and regions.
     pub places: Places,
+    /// Bandwidth of this host's link.
+    pub link_mbps: u32,
     /// Time within which a revoked key must be dead on every host; `None` when hosts may go on
     /// with an old view.
     pub revocation: Option<Duration>,
@@ -401,22 +403,20 @@
         self.platform_at = self.platform_at.max(Some(at));
     }
 
-    /// Notes where the platform is followed from now on.
-    pub fn followed_through(&mut self, reader: Option<SocketAddr>) {
-        if reader.is_some() {
-            self.platform_at = None;
-        }
+    /// Notes that the platform is followed through another host from now on.
+    pub fn follows_host(&mut self) {
+        self.platform_at = None;
     }
 
-    /// The host through which this one follows the platform, `None` for the platform itself.
-    pub fn reader(&mut self, current: Option<SocketAddr>, now: Instant) -> Option<SocketAddr> {
+    /// Where this host follows the platform; `current` is the host through which it does now.
+    pub fn source(&mut self, current: Option<SocketAddr>, now: Instant) -> Source {
         let own = &self.settings.own;
         let own_age = self.platform_at.map(|it| now.saturating_duration_since(it));
         if self.members.has_reader(own.place, now) {
             self.reader_seen_at = now;
         }
         let idle = now.saturating_duration_since(self.reader_seen_at);
-        self.members.reader(own, own_age, current, idle, now)
+        self.members.source((own, self.settings.link_mbps), own_age, current, idle, now)
     }
 
     /// The next beat, without the echo for its receiver.
@@ -435,6 +435,7 @@
             sequence: self.sequence,
             echo: None,
             state,
+            link_mbps: self.settings.link_mbps,
             manifest_version: self.manifest.as_ref().map_or(0, |it| it.version()),
             view_age_ms: age.map(millis),
             platform_age_ms: self.platform_at.map(|it| millis(now.saturating_duration_since(it))),
--- a/crates/steer/tests/it/members.rs
+++ b/crates/steer/tests/it/members.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kingcupford_steer::{BeatState, Echo, Members};
+use kingcupford_steer::{BeatState, Echo, Members, Source};
 use tokio::time::{Instant, advance};
 
 use crate::common::{INCARNATION, address, beat, member, places};
@@ -106,8 +106,10 @@
         .iter()
         .map(|(members, at)| {
             let own = member(names[*at], "a1", 1000 + 100 * *at as u16);
-            let reader = members.reader(&own, fresh, None, Duration::ZERO, now);
-            reader.unwrap_or(own.peer_address)
+            match members.source((&own, 100), fresh, None, Duration::ZERO, now) {
+                Source::Platform => own.peer_address,
+                Source::Host { host, .. } => host,
+            }
         })
         .collect();
     assert_eq!(readers[0], readers[1]);
@@ -126,9 +128,81 @@
         members.receive(stale, address(port), Instant::now());
     }
     let idle = Duration::from_secs(3);
-    assert_eq!(members.reader(&own, None, None, idle, Instant::now()), None);
+    let source = members.source((&own, 100), None, None, idle, Instant::now());
+    assert!(!matches!(source, Source::Host { reads: true, .. }), "{source:?}");
     let mut fresh = beat("n2", 2);
     fresh.platform_age_ms = Some(10);
     members.receive(fresh, address(1200), Instant::now());
-    assert_eq!(members.reader(&own, None, None, idle, Instant::now()), Some(address(1200)));
+    let source = members.source((&own, 100), None, None, idle, Instant::now());
+    let followed = Source::Host { host: address(1200), reads: true, others: Vec::new() };
+    assert_eq!(source, followed);
+}
+
+/// Guards against an outage in which all hosts of a region call the platform, and against hosts
+/// that never try although it may answer only them.
+#[tokio::test(start_paused = true)]
+async fn source_turns_in_outage() {
+    let names: Vec<String> = (0..12).map(|it| format!("n{it}")).collect();
+    let port = |at: usize| 1100 + 10 * at as u16;
+    let now = Instant::now();
+    let mut tried = vec![false; names.len()];
+    for tenth_s in 0..100u32 {
+        let idle = Duration::from_millis(100) * tenth_s;
+        let mut calling = 0;
+        for (at, name) in names.iter().enumerate() {
+            let own = member(name, "a1", port(at));
+            let mut members = Members::default();
+            for (other, name) in names.iter().enumerate().filter(|it| it.0 != at) {
+                members.register(member(name, "a1", port(other)), own.place, now);
+                members.receive(beat(name, 1), address(port(other)), now);
+            }
+            if members.source((&own, 100), None, None, idle, now) == Source::Platform {
+                calling += 1;
+                tried[at] = true;
+            }
+        }
+        assert!((1..=2).contains(&calling), "{calling} hosts call after {idle:?}");
+    }
+    assert!(tried.iter().all(|it| *it), "{tried:?}");
+}
+
+/// Guards against a region that stands still because the platform answers only other regions.
+#[tokio::test(start_paused = true)]
+async fn source_in_other_region() {
+    let now = Instant::now();
+    let own = member("own", "a1", 1000);
+    let mut members = Members::default();
+    for (name, zone, port) in [("n1", "a1", 1100), ("n2", "a2", 1200), ("far", "b1", 1300)] {
+        members.register(member(name, zone, port), own.place, now);
+        let mut beat = beat(name, 1);
+        beat.platform_age_ms = (zone == "b1").then_some(100);
+        members.receive(beat, address(port), now);
+    }
+    let follows_far = (0..30u32).any(|tenth_s| {
+        let source =
+            members.source((&own, 100), None, None, Duration::from_millis(100) * tenth_s, now);
+        matches!(source, Source::Host { host, reads: true, .. } if host == address(1300))
+    });
+    assert!(follows_far);
+}
+
+/// Guards against a host with a slow link that reads for a region: its followers' lists hold the
+/// link up until its own view is old.
+#[tokio::test(start_paused = true)]
+async fn source_strongest_reads() {
+    let now = Instant::now();
+    let own = member("own", "a1", 1000);
+    let mut members = Members::default();
+    for (name, port, link_mbps) in [("n1", 1100, 10), ("n2", 1200, 200), ("n3", 1300, 10)] {
+        members.register(member(name, "a1", port), own.place, now);
+        let mut beat = beat(name, 1);
+        beat.link_mbps = link_mbps;
+        beat.platform_age_ms = Some(100);
+        members.receive(beat, address(port), now);
+    }
+    let fresh = Some(Duration::from_millis(100));
+    let weak = members.source((&own, 10), fresh, None, Duration::ZERO, now);
+    assert!(matches!(weak, Source::Host { host, .. } if host == address(1200)), "{weak:?}");
+    let strong = members.source((&own, 1000), fresh, None, Duration::ZERO, now);
+    assert_eq!(strong, Source::Platform);
 }
--- a/crates/steer/tests/it/shift.rs
+++ b/crates/steer/tests/it/shift.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use kingcupford_steer::{Choice, RegionKey, RequestHead, ServiceLoad, Steering, name_hash};
+use kingcupford_steer::{
+    Choice, Manifest, Outcome, RegionKey, Report, RequestHead, ServiceLoad, Steering, name_hash,
+};
 use tokio::time::{Instant, advance};
 
 use crate::common::{address, beat, instance, member, steering};
@@ -98,7 +100,7 @@
     let mut steering = two_regions(0, 4, now);
     let mut manifest_route = crate::common::route();
     manifest_route.homes = vec!["a".to_owned()];
-    let manifest = kingcupford_steer::Manifest::new(
+    let manifest = Manifest::new(
         2,
         vec![manifest_route],
         vec![crate::common::service("svc")],
@@ -119,3 +121,89 @@
     assert_eq!(homes.len(), 1);
     assert_eq!(steering.place(&mut plan, &[], now), Choice::NoInstance);
 }
+
+/// Guards against more requests that leave a region in the first second than in the next ones:
+/// deployments allow 0.15 of its requests to change their region from one 2 s to the next.
+#[tokio::test(start_paused = true)]
+async fn spill_steady_from_first_request() {
+    let mut now = Instant::now();
+    let mut steering = two_regions(2, 2, now);
+    let own_region = steering.settings().places.own().region;
+    let mut far = [0u32; 3];
+    let mut all = [0u32; 3];
+    for step in 0..600u32 {
+        advance(Duration::from_millis(10)).await;
+        now = Instant::now();
+        if step % 10 == 0 {
+            steering.freshness.confirm(now);
+            steering.tick(now);
+        }
+        let object = step.to_string();
+        let head = RequestHead {
+            host: "host.example",
+            method: "GET",
+            path: "/p/1",
+            key: Some(b"key-two"),
+            object: Some(object.as_bytes()),
+            content_length: None,
+        };
+        let mut plan = steering.admit(&head, now).unwrap();
+        let Choice::Instance { key, .. } = steering.place(&mut plan, &[], now) else { continue };
+        let region = steering.ready_set.get(key).unwrap().report.place.region;
+        let window = (step / 200) as usize;
+        all[window] += 1;
+        far[window] += u32::from(region != own_region);
+        steering.started(&plan, key, now);
+        // Local instances stay full: nothing ends there until the next request has none left.
+        if region != own_region || all[window] % 3 == 0 {
+            let latency = Duration::from_millis(100);
+            let outcome = Outcome::Answered { failed: false, latency };
+            let report = Report { outcome, load: None, cold_remaining: None };
+            steering.ended(&plan, key, &report, now);
+        }
+    }
+    let parts: Vec<f64> =
+        far.iter().zip(all).map(|(far, all)| f64::from(*far) / f64::from(all.max(1))).collect();
+    assert!(far[0] > 0, "nothing left the region: {all:?}");
+    let largest = parts.windows(2).map(|it| (it[0] - it[1]).abs()).fold(0.0, f64::max);
+    assert!(largest <= 0.15, "{parts:?}");
+}
+
+/// Guards against uploads that queue in a region whose instances are too few for them.
+#[tokio::test(start_paused = true)]
+async fn uploads_leave_busy_region() {
+    let mut now = Instant::now();
+    let mut steering = two_regions(1, 8, now);
+    let mut route = crate::common::route();
+    route.repeat = kingcupford_steer::Repeat::Upload;
+    let tenants = vec![crate::common::tenant("two", 0.0)];
+    let services = vec![crate::common::service("svc")];
+    let limits = crate::common::limits();
+    let manifest = Manifest::new(2, vec![route], services, tenants, limits).unwrap();
+    steering.install(manifest, now);
+    let head = RequestHead {
+        host: "host.example",
+        method: "POST",
+        path: "/p/1",
+        key: Some(b"key-two"),
+        object: Some(b"x"),
+        content_length: Some(60_000),
+    };
+    let plan = steering.admit(&head, now).unwrap();
+    let busy = steering.ready_set.key("l0").unwrap();
+    for _ in 0..4 {
+        steering.started(&plan, busy, now);
+    }
+    for step in 0..150u64 {
+        advance(Duration::from_millis(100)).await;
+        now = Instant::now();
+        let mut idle = beat("far", step + 1);
+        let service = name_hash("svc");
+        idle.loads = vec![ServiceLoad { service, utilization: 0.1, share: 0.0 }];
+        steering.receive(idle, address(1100), now);
+        steering.tick(now);
+    }
+    steering.freshness.confirm(now);
+    let part = far_part(&mut steering, now);
+    assert!(part > 0.3, "{part} of the uploads leave");
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -10,5 +10,6 @@
     budget::report_left_out,
     event::Event,
     logs::{LogSettings, init_logs, init_stdout_logs},
-    metrics::{Metrics, OutcomeLabels, RefusalLabels, TenantLabels, TrafficLabels},
+    metrics::{CallLabels, Metrics, OutcomeLabels, RefusalLabels, TenantLabels, TrafficLabels},
 };
+pub use prometheus_client::metrics::{counter::Counter, family::Family};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -47,6 +47,17 @@
     pub direction: String,
 }
 
+/// Labels of calls to the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// What was asked for: `list`, `watch`, `read`, `write`, `delete` or `announce`.
+    pub operation: &'static str,
+    /// Kind of the objects.
+    pub kind: String,
+    /// `answered` or `failed`.
+    pub result: &'static str,
+}
+
 /// All metrics of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -74,6 +85,8 @@
     pub control_bytes: Family<TrafficLabels, Counter>,
     /// Calls to the platform.
     pub platform_calls: Counter,
+    /// Calls to the platform's store by operation, kind and result.
+    pub store_calls: Family<CallLabels, Counter>,
     /// Known instances of upstreams.
     pub instances: Gauge,
     /// Open connections of callers.
@@ -102,6 +115,7 @@
             isolated: Gauge::default(),
             control_bytes: Family::default(),
             platform_calls: Counter::default(),
+            store_calls: Family::default(),
             instances: Gauge::default(),
             caller_connections: Gauge::default(),
             idle_upstream_connections: Gauge::default(),
@@ -144,6 +158,7 @@
             self.control_bytes.clone(),
         );
         it.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
+        it.register("store_calls", "Calls to the store by kind", self.store_calls.clone());
         it.register("instances", "Known instances of upstreams", self.instances.clone());
         it.register(
             "caller_connections",
