Tell first shares only once they are in use; let load estimates return to the mean

Change 1: beats tell a share only after the first request; until then it follows from the instances. Cause 2 (grown sites): one host of 25 hears of an instance every two seconds, and estimates of load fell towards zero with a half-life of one: queues of 1.3 s where 0.6 s was expected, refusals by instances, and objects that came back to the busy region. Change 2: estimates return to the mean of the service's instances in the region. A queued request counts 0.6 of the mean work, a further choice costs 0.35 of the target latency, objects move from 0.8 of utilization on, since utilization is no longer understated. Tried and dropped: the mean of all reports instead of all instances, the whole mean work per queued request, thresholds of 0.9 and 1.0, longer queues, a return that grows with the silence. Tests that failed first: share_first_by_all_instances, total_returns_to_mean.

--- a/crates/steer/src/beat.rs
+++ b/crates/steer/src/beat.rs
@@ -83,8 +83,9 @@
     pub service: u32,
     /// Requests at the region's instances per slot.
     pub utilization: f32,
-    /// Part of the region's objects that other regions handle.
-    pub share: f32,
+    /// Part of the region's objects that other regions handle; `None` before the sender's first
+    /// request, when it follows from whichever instances have registered so far.
+    pub share: Option<f32>,
 }
 
 /// What a process counted in one rollout since it saw the order.
--- a/crates/steer/src/choose.rs
+++ b/crates/steer/src/choose.rs
@@ -29,7 +29,11 @@
 /// Cost of the second and each further choice, as a part of the target latency: about what work on
 /// an object takes that is not cached. Below it a shorter queue is not worth spreading objects over
 /// more caches, which displace each other's objects.
-const RANK_COST_PART: f64 = 0.25;
+const RANK_COST_PART: f64 = 0.35;
+
+/// Part of the mean time for work that a request in a queue takes: most concern cached objects,
+/// while the mean includes the others.
+const QUEUED_WORK_PART: f64 = 0.6;
 
 /// Cost of leaving the zone, in milliseconds of latency; traffic between zones is paid for.
 const ZONE_COST_MS: f64 = 4.0;
@@ -446,7 +450,7 @@
         let work_ms = slowness * if is_warm { work.warm_ms } else { work.cold_ms };
         let slots = f64::from(instance.report.slots.max(1));
         let excess = instance.load.total(now) + 1.0 - slots;
-        let wait_ms = excess.max(0.0) / slots * work.mean_ms * slowness;
+        let wait_ms = excess.max(0.0) / slots * work.mean_ms * QUEUED_WORK_PART * slowness;
         let round_trip_ms = places.round_trip(instance.report.place).as_secs_f64() * 1000.0;
         let expected_ms = round_trip_ms + wait_ms + work_ms;
         let factor = if query.repeat == Repeat::Upload { UPLOAD_COST_FACTOR } else { 1.0 };
--- a/crates/steer/src/ready_set.rs
+++ b/crates/steer/src/ready_set.rs
@@ -1,6 +1,6 @@
 //! The known instances of all services.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -9,7 +9,8 @@
     cold::ColdPace,
     health::Health,
     instance::{InstanceKey, InstanceReport, ServingState},
-    load::LoadEstimate,
+    load::{LoadEstimate, MeanLoad},
+    place::RegionKey,
 };
 
 /// An instance with what this process observed of it.
@@ -159,6 +160,24 @@
         })
     }
 
+    /// Lets the estimates of instances that have not reported lately return to the mean of their
+    /// service in their region.
+    pub(crate) fn estimate_loads(&mut self, now: Instant) {
+        for (_, slots) in &self.by_service {
+            let mut means: BTreeMap<RegionKey, MeanLoad> = BTreeMap::new();
+            let instances = slots.iter().filter_map(|it| self.arena[*it as usize].1.as_ref());
+            for it in instances {
+                let mean = means.entry(it.report.place.region).or_default();
+                mean.add(&it.load, it.report.slots, now);
+            }
+            for slot in slots {
+                let Some(it) = &mut self.arena[*slot as usize].1 else { continue };
+                let mean = means.get(&it.report.place.region).copied().unwrap_or_default();
+                it.load.set_usual(mean.usual(it.report.slots), now);
+            }
+        }
+    }
+
     /// The instances of a service.
     pub fn of_service<'a>(
         &'a self,
@@ -241,6 +260,11 @@
 }
 
 impl Instance {
+    /// Requests of all hosts that run or wait at it, as far as this one can tell.
+    pub fn load_total(&self, now: Instant) -> f64 {
+        self.load.total(now)
+    }
+
     /// Whether it may get new requests at all.
     pub(crate) fn takes_requests(&self) -> bool {
         self.report.state == ServingState::Ready
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -14,7 +14,7 @@
 
 /// Utilization of the own region above which objects move to other regions: beyond it queues grow
 /// fast.
-const HIGH: f64 = 0.7;
+const HIGH: f64 = 0.8;
 
 /// Utilization below which they come back; an object that moves is not cached where it arrives.
 const LOW: f64 = 0.3;
@@ -160,7 +160,7 @@
         let entries = self.services.iter().map(|(_, it)| ServiceLoad {
             service: it.hash,
             utilization: it.utilization as f32,
-            share: it.share as f32,
+            share: it.first_at.map(|_| it.share as f32),
         });
         entries.collect()
     }
@@ -215,8 +215,8 @@
     /// region's part of the slots and of this system's hosts, which stand where callers are.
     fn first_share(&self, slots_part: f64, members: &Members, own: Place, now: Instant) -> f64 {
         let near = members.service_loads(self.hash, now);
-        let near: Vec<f64> =
-            near.filter(|it| it.0.region == own.region).map(|it| f64::from(it.1.share)).collect();
+        let near = near.filter(|it| it.0.region == own.region);
+        let near: Vec<f64> = near.filter_map(|it| it.1.share).map(f64::from).collect();
         if !near.is_empty() {
             return near.iter().sum::<f64>() / near.len() as f64;
         }
@@ -231,7 +231,9 @@
         let mut agreed = (0.0, 0.0);
         for (place, load) in members.service_loads(self.hash, now) {
             if place.region == own.region {
-                agreed = (agreed.0 + f64::from(load.share), agreed.1 + 1.0);
+                if let Some(share) = load.share {
+                    agreed = (agreed.0 + f64::from(share), agreed.1 + 1.0);
+                }
             } else {
                 elsewhere.push((place.region, f64::from(load.utilization)));
             }
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -454,6 +454,7 @@
         res.extend(expired.map(|it| SteeringEvent::InstanceExpired { id: it.report.id }));
         self.allowances.divide(&self.members, now);
         self.versions.learn(&self.ready_set);
+        self.ready_set.estimate_loads(now);
         self.chooser.tick(&self.ready_set, &self.members, &self.settings.places, now);
         let own_name = self.settings.own.name.as_str();
         for canary in self.versions.rollouts_mut() {
--- /dev/null
+++ b/crates/steer/tests/it/load.rs
@@ -0,0 +1,38 @@
+//! Estimates of instances' load.
+
+use std::time::Duration;
+
+use kingcupford_steer::LoadReport;
+use tokio::time::{Instant, advance};
+
+use crate::common::{instance, steering};
+
+/// Guards against instances of a busy service that are taken to be idle because this host heard of
+/// them seconds ago, and against a load that is believed for long after the last report.
+#[tokio::test(start_paused = true)]
+async fn total_returns_to_mean() {
+    let mut now = Instant::now();
+    let mut steering = steering(now);
+    let ids = ["i1", "i2", "i3", "i4"];
+    for id in ids {
+        steering.ready_set.register(instance(id, "a1"), now);
+    }
+    let busy = LoadReport { running: 4, waiting: 4, slots: 4 };
+    let heard = steering.ready_set.key("i1").unwrap();
+    let unheard = steering.ready_set.key("i4").unwrap();
+    for _ in 0..30 {
+        steering.chooser.load_report(heard, busy, &mut steering.ready_set, now);
+        advance(Duration::from_millis(100)).await;
+        now = Instant::now();
+        steering.tick(now);
+    }
+    let total = steering.ready_set.get(unheard).unwrap().load_total(now);
+    assert!(total > 4.0, "{total}");
+    for _ in 0..200 {
+        advance(Duration::from_millis(100)).await;
+        now = Instant::now();
+        steering.tick(now);
+    }
+    let total = steering.ready_set.get(unheard).unwrap().load_total(now);
+    assert!(total < 0.5, "{total}");
+}
--- a/crates/steer/tests/it/main.rs
+++ b/crates/steer/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod choose;
 mod common;
 mod freshness;
+mod load;
 mod manifest;
 mod members;
 mod ready_set;
--- a/crates/steer/tests/it/shift.rs
+++ b/crates/steer/tests/it/shift.rs
@@ -83,7 +83,7 @@
         now = Instant::now();
         let mut idle = beat("far", step + 1);
         let service = name_hash("svc");
-        idle.loads = vec![ServiceLoad { service, utilization: 0.1, share: 0.0 }];
+        idle.loads = vec![ServiceLoad { service, utilization: 0.1, share: None }];
         steering.receive(idle, address(1100), now);
         steering.tick(now);
         shares.push(steering.chooser.describe("svc").unwrap().0);
@@ -199,7 +199,7 @@
         now = Instant::now();
         let mut idle = beat("far", step + 1);
         let service = name_hash("svc");
-        idle.loads = vec![ServiceLoad { service, utilization: 0.1, share: 0.0 }];
+        idle.loads = vec![ServiceLoad { service, utilization: 0.1, share: None }];
         steering.receive(idle, address(1100), now);
         steering.tick(now);
     }
@@ -207,3 +207,26 @@
     let part = far_part(&mut steering, now);
     assert!(part > 0.3, "{part} of the uploads leave");
 }
+
+/// Guards against a first share that hosts take from each other before any of them knows all
+/// instances: nobody would change it until the first requests queue.
+#[tokio::test(start_paused = true)]
+async fn share_first_by_all_instances() {
+    let now = Instant::now();
+    let mut steering = two_regions(1, 8, now);
+    let own = steering.settings().places.own();
+    steering.members.register(member("near", "a2", 1200), own, now);
+    let mut early = beat("near", 1);
+    let service = name_hash("svc");
+    early.loads = vec![ServiceLoad { service, utilization: 0.0, share: None }];
+    steering.receive(early, address(1200), now);
+    steering.tick(now);
+    let first = steering.chooser.describe("svc").unwrap().0;
+    assert!(first > 0.2, "{first}");
+    let mut serving = beat("near", 2);
+    serving.loads = vec![ServiceLoad { service, utilization: 0.5, share: Some(0.1) }];
+    steering.receive(serving, address(1200), now);
+    steering.tick(now);
+    let taken_over = steering.chooser.describe("svc").unwrap().0;
+    assert!((taken_over - 0.1).abs() < 1e-6, "{taken_over}");
+}
