Accept and serve connections in one place; drop fields that nothing reads; a larger first share

The accept loops of callers, control and relay were the same. health_path, cold_start and header_timeout were decoded and never read. The first share takes 0.75 of the expected excess up to 0.55, as it now follows from all instances.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -4,7 +4,6 @@
     cell::{Cell, RefCell},
     convert::Infallible,
     io,
-    net::SocketAddr,
     pin::pin,
     rc::Rc,
     time::Duration,
@@ -14,22 +13,16 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpStream},
     sync::Notify,
-    time::{Instant, sleep},
+    time::Instant,
 };
 
-use crate::{forward, state::State};
-
-/// Connections that wait to be accepted: those of a burst of callers.
-const BACKLOG: u32 = 1024;
+use crate::{forward, listener::accept_each, state::State};
 
 /// Time for which sent bytes may stay unacknowledged before the caller is taken to be gone.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Pause after a connection could not be accepted, for example for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Idle time of connections before a manifest says otherwise.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
@@ -56,38 +49,19 @@
     close: Notify,
 }
 
-/// Listens on an address.
-pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 impl Callers {
     /// Accepts connections until it is dropped.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener, state: Rc<State>) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let most = state.settings().max_connections;
-                    if self.open.borrow().len() >= most && !self.close_longest_idle() {
-                        log::debug!("connection refused: {most} are open");
-                        continue;
-                    }
-                    let callers = Rc::clone(&self);
-                    let state = Rc::clone(&state);
-                    tokio::task::spawn_local(callers.serve(stream, state));
-                }
-                Err(error) => {
-                    log::warn!("connection could not be accepted: {error}");
-                    sleep(ACCEPT_PAUSE).await;
-                }
+        accept_each(listener, |stream| {
+            let most = state.settings().max_connections;
+            if self.open.borrow().len() >= most && !self.close_longest_idle() {
+                log::debug!("connection refused: {most} are open");
+                return;
             }
-        }
+            let (callers, state) = (Rc::clone(&self), Rc::clone(&state));
+            tokio::task::spawn_local(callers.serve(stream, state));
+        })
+        .await;
     }
 
     /// Closes connections that are idle for too long.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,26 +1,20 @@
 //! Lookups, readiness and metrics over HTTP.
 
-use std::{convert::Infallible, rc::Rc};
+use std::{future::ready, rc::Rc};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use serde::Serialize;
-use tokio::{
-    net::TcpListener,
-    time::{Instant, sleep},
-};
+use tokio::{net::TcpListener, time::Instant};
 
 use crate::{
     callers::Callers,
+    listener::serve_each,
     state::{Phase, State},
 };
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
-
 /// The answer to a lookup.
 #[derive(Debug, Serialize)]
 struct LookupAnswer {
@@ -32,29 +26,8 @@
 
 /// Serves the control interface until it is dropped.
 pub(crate) async fn serve(listener: TcpListener, state: Rc<State>, callers: Rc<Callers>) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((it, _)) => it,
-            Err(error) => {
-                log::warn!("connection could not be accepted: {error}");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let (state, callers) = (Rc::clone(&state), Rc::clone(&callers));
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let res = answer(&state, &callers, &request);
-                async move { Ok::<_, Infallible>(res) }
-            });
-            let connection = http1::Builder::new()
-                .auto_date_header(false)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!("connection to the control interface ended: {error}");
-            }
-        });
-    }
+    let answer = move |request: Request<Incoming>| ready(answer(&state, &callers, &request));
+    serve_each(listener, answer).await;
 }
 
 /// Answers one request.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,10 +12,10 @@
 };
 
 use crate::{
-    callers::{self, Callers},
+    callers::Callers,
     control,
     feed::{Decoder, Feed},
-    peers, relay,
+    listener, peers, relay,
     settings::{GatewaySettings, SettingsSource},
     state::{Phase, State},
 };
@@ -58,7 +58,7 @@
     let callers = Rc::new(Callers::default());
     let listen = state.settings().listen;
     let bind =
-        |address| callers::listen(address).with_context(|| format!("cannot listen on {address}"));
+        |address| listener::listen(address).with_context(|| format!("cannot listen on {address}"));
     let caller_listener = bind(listen.callers)?;
     let mut control_addresses = vec![listen.readiness, listen.lookup, listen.metrics];
     control_addresses.sort();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod gateway;
 mod incoming;
+mod listener;
 mod mirror;
 mod outgoing;
 mod peers;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,6 @@
 //! Following the platform through another host, so that calls do not grow with the hosts.
 
 use std::{
-    convert::Infallible,
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -12,29 +11,22 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use kingcupford_platform::{
     Announce, Answer, Call, Condition, Dialect, HostEntry, HttpObjectStore, HttpStoreSettings,
     ListedObject, Listing, Object, ObjectChange, ObjectStore, Page, Reply, Watched, WriteOutcome,
 };
 use kingcupford_steer::Source;
 use kingcupford_telemetry::{CallLabels, Counter, Family};
-use tokio::{
-    net::TcpListener,
-    sync::watch,
-    time::{Instant, sleep},
-};
+use tokio::{net::TcpListener, sync::watch, time::Instant};
 
 use crate::{
     control,
+    listener::serve_each,
     mirror::{Missing, Relayed},
     state::State,
 };
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Longest wait that another host may ask for.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
@@ -373,29 +365,11 @@
 
 /// Serves other hosts until it is dropped.
 pub(crate) async fn serve(listener: TcpListener, state: Rc<State>) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((it, _)) => it,
-            Err(error) => {
-                log::warn!("connection of a host could not be accepted: {error}");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    let answer = move |request: Request<Incoming>| {
         let state = Rc::clone(&state);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let state = Rc::clone(&state);
-                async move { Ok::<_, Infallible>(answer(&state, &request).await) }
-            });
-            let connection = http1::Builder::new()
-                .auto_date_header(false)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!("connection of a host ended: {error}");
-            }
-        });
-    }
+        async move { answer(&state, &request).await }
+    };
+    serve_each(listener, answer).await;
 }
 
 /// Answers one call of another host.
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -195,13 +195,8 @@
             route("order", Repeat::Once),
             route("photo", Repeat::Upload),
         ];
-        let service = Service {
-            name: "svc".to_owned(),
-            health_path: "/health".to_owned(),
-            max_connections: 100,
-            cold_start: Duration::ZERO,
-            cold_rate_per_s: 100.0,
-        };
+        let service =
+            Service { name: "svc".to_owned(), max_connections: 100, cold_rate_per_s: 100.0 };
         let tenant = Tenant {
             name: "acme".to_owned(),
             keys: keys.split(',').map(|it| KeyDigest::of(it.as_bytes())).collect(),
@@ -213,7 +208,6 @@
         let limits = CallerLimits {
             max_header_bytes: 16_384,
             max_body_bytes: 1 << 20,
-            header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         };
         Manifest::new(version.parse()?, routes, vec![service], vec![tenant], limits)
--- a/crates/steer/src/manifest.rs
+++ b/crates/steer/src/manifest.rs
@@ -71,12 +71,8 @@
 pub struct Service {
     /// Its name.
     pub name: String,
-    /// Path of its health check.
-    pub health_path: String,
     /// Connections that one instance takes from all callers.
     pub max_connections: u32,
-    /// Time for which an instance is cold after its start.
-    pub cold_start: Duration,
     /// Requests per second that a cold instance takes.
     pub cold_rate_per_s: f64,
 }
@@ -105,8 +101,6 @@
     pub max_header_bytes: usize,
     /// Bytes of a request's body.
     pub max_body_bytes: u64,
-    /// Time for sending a head.
-    pub header_timeout: Duration,
     /// Time without a request after which a connection is closed.
     pub idle_timeout: Duration,
 }
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -28,10 +28,10 @@
 
 /// Part of the expected excess of demand that is moved from the first request on; the rest follows
 /// when it shows.
-const FIRST_PART: f64 = 0.5;
+const FIRST_PART: f64 = 0.75;
 
 /// Largest share from the first request on.
-const MAX_FIRST_SHARE: f64 = 0.35;
+const MAX_FIRST_SHARE: f64 = 0.55;
 
 /// Largest share.
 const MAX_SHARE: f64 = 0.7;
--- a/crates/steer/tests/it/common.rs
+++ b/crates/steer/tests/it/common.rs
@@ -91,13 +91,7 @@
 
 /// A service.
 pub(crate) fn service(name: &str) -> Service {
-    Service {
-        name: name.to_owned(),
-        health_path: "/health".to_owned(),
-        max_connections: 100,
-        cold_start: Duration::from_secs(3),
-        cold_rate_per_s: 20.0,
-    }
+    Service { name: name.to_owned(), max_connections: 100, cold_rate_per_s: 20.0 }
 }
 
 /// What callers may send.
@@ -105,7 +99,6 @@
     CallerLimits {
         max_header_bytes: 16_384,
         max_body_bytes: 1 << 20,
-        header_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     }
 }
