Divide tenants' rates by claims that all hosts have acknowledged

Cause: both sides of a partition divided a tenant's rate by the demand that they saw, and each raised its own share while the other side's demand stood still. Counts of hosts that deregistered in a restart were lost.

Change: a host uses a raised claim only after all hosts that may be serving have acknowledged it; it may lead by 3% of a window over all hosts before a partition is noticed. Without reports of all hosts it keeps to its part of a window. Counts of ended processes stay for a window.

--- a/crates/gateway/src/heartbeats.rs
+++ b/crates/gateway/src/heartbeats.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bincode::config::{Configuration, standard};
-use kingcupford_steer::Heartbeat;
+use kingcupford_steer::{HEARTBEAT_INTERVAL, Heartbeat, remote_heartbeat_interval};
 use kingcupford_telemetry::{Event, TrafficLabels};
 use tokio::{
     net::UdpSocket,
@@ -12,14 +12,6 @@
 
 use crate::state::State;
 
-/// Interval between heartbeats within a region, and the minimum between regions. Several heartbeats
-/// fit into the time after which a host counts as silent, so that some may be lost.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Interval between heartbeats to other regions per known host, which bounds the heartbeats per
-/// second between regions.
-const HEARTBEAT_INTERVAL_PER_HOST: Duration = Duration::from_millis(8);
-
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
 const BINCODE_CONFIG: Configuration = standard();
@@ -47,9 +39,8 @@
                 now,
             );
             if includes_other_regions {
-                other_regions_due_at = now
-                    + HEARTBEAT_INTERVAL
-                        .max(HEARTBEAT_INTERVAL_PER_HOST * steering.members.known_count() as u32);
+                other_regions_due_at =
+                    now + remote_heartbeat_interval(steering.members.known_count());
             }
             drop(steering);
             for (address, ack) in receivers {
--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -636,7 +636,7 @@
             return;
         }
         let Some(object) = event.object else {
-            steering.members.deregister(name);
+            steering.members.deregister(name, Instant::now());
             Event::MemberGone.log(format_args!("member={name} reason=\"no longer registered\""));
             return;
         };
--- a/crates/steer/src/heartbeat.rs
+++ b/crates/steer/src/heartbeat.rs
@@ -1,5 +1,7 @@
 //! Heartbeats: datagrams that hosts exchange several times per second.
 
+use std::time::Duration;
+
 use bincode::{Decode, Encode};
 use kingcupford_route::QuarantineUpdate;
 use xxhash_rust::xxh3::xxh3_64;
@@ -7,6 +9,20 @@
 /// Version of the heartbeat format. Heartbeats of other versions are ignored.
 pub const PROTOCOL_VERSION: u16 = 2;
 
+/// Interval between heartbeats within a region, and the minimum between regions. Several heartbeats
+/// fit into the time after which a host counts as silent, so that some may be lost.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Interval between heartbeats to other regions per known host, which bounds the heartbeats per
+/// second between regions.
+const HEARTBEAT_INTERVAL_PER_HOST: Duration = Duration::from_millis(8);
+
+/// Interval between heartbeats to hosts of other regions, in a deployment of `known_hosts`.
+pub fn remote_heartbeat_interval(known_hosts: usize) -> Duration {
+    let hosts = u32::try_from(known_hosts).unwrap_or(u32::MAX);
+    HEARTBEAT_INTERVAL.max(HEARTBEAT_INTERVAL_PER_HOST.saturating_mul(hosts))
+}
+
 /// State that one host reports to another.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub struct Heartbeat {
@@ -70,7 +86,8 @@
 pub struct TenantDemand {
     /// Hash of the tenant's name, see [`name_hash`].
     pub tenant_hash: u32,
-    /// Rate of the callers' requests, including refused ones.
+    /// Rate of the callers' requests, including refused ones, for which the host claims a share of
+    /// the tenant's rate.
     pub requests_per_s: f32,
     /// Requests admitted within the last window of the rate limit.
     pub admitted: u32,
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -30,8 +30,8 @@
     freshness::ViewFreshness,
     health::ExchangeFailure,
     heartbeat::{
-        Heartbeat, HeartbeatAck, HostState, PROTOCOL_VERSION, RolloutTally, ServiceLoad,
-        TenantDemand, name_hash,
+        HEARTBEAT_INTERVAL, Heartbeat, HeartbeatAck, HostState, PROTOCOL_VERSION, RolloutTally,
+        ServiceLoad, TenantDemand, name_hash, remote_heartbeat_interval,
     },
     instance::{InstanceKey, InstanceRegistration, LoadReport, ServingState},
     instance_registry::{Instance, InstanceRegistry, Lapse, RegistrationChange},
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -9,8 +9,8 @@
 use crate::{
     cache_affinity::mix,
     heartbeat::{
-        Heartbeat, HeartbeatAck, HostState, PROTOCOL_VERSION, RolloutTally, ServiceLoad,
-        TenantDemand,
+        HEARTBEAT_INTERVAL, Heartbeat, HeartbeatAck, HostState, PROTOCOL_VERSION, RolloutTally,
+        ServiceLoad, TenantDemand, remote_heartbeat_interval,
     },
     locality::Locality,
 };
@@ -42,6 +42,14 @@
 /// partition.
 const DEMAND_RETENTION: Duration = Duration::from_secs(30);
 
+/// Time after which a host that has not sent a heartbeat since it was registered is no longer waited
+/// for. Longer than the start of a host takes, shorter than the time in which a restarted
+/// deployment must serve again.
+const UNHEARD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Number of heartbeat intervals after which a report is outdated. Covers two lost heartbeats.
+const MAX_REPORT_INTERVALS: u32 = 4;
+
 /// Number of sent heartbeats that are retained per peer, to look up when an acknowledged one was
 /// sent.
 const MAX_SENT_HEARTBEATS: usize = 32;
@@ -67,6 +75,8 @@
 pub struct Members {
     /// Peers sorted by name.
     peers: Vec<Peer>,
+    /// Last reports of processes that ended, with the times of the reports.
+    ended_processes: Vec<(Vec<TenantDemand>, Instant)>,
 }
 
 #[derive(Debug)]
@@ -76,9 +86,8 @@
     heartbeat: Option<Heartbeat>,
     received_at: Option<Instant>,
     registered_at: Instant,
-    /// Demand that the peer's previous process reported last, with the time of the report.
-    previous_demand: Option<(Vec<TenantDemand>, Instant)>,
-    silence_timeout: Duration,
+    /// Whether the peer is in the region of this host.
+    is_local: bool,
     /// Liveness at the last call of [`Members::liveness_changes`].
     was_live: bool,
     /// Sequence numbers and times of the heartbeats sent to the peer.
@@ -112,20 +121,24 @@
 
 impl Members {
     /// Adds or updates a host; `own` is the locality of this host. What a host reported is dropped
-    /// if its registration changes.
+    /// if its registration changes, except for the requests that it admitted.
     pub fn register(&mut self, member: Member, own: Locality, now: Instant) {
         let is_local = member.locality.region == own.region;
         match self.position(&member.name) {
             Ok(at) if self.peers[at].member == member => {}
-            Ok(at) => self.peers[at] = Peer::new(member, is_local, now),
+            Ok(at) => {
+                let old = std::mem::replace(&mut self.peers[at], Peer::new(member, is_local, now));
+                self.record_ended_process(old.heartbeat, old.received_at, now);
+            }
             Err(at) => self.peers.insert(at, Peer::new(member, is_local, now)),
         }
     }
 
-    /// Removes a host.
-    pub fn deregister(&mut self, name: &str) {
+    /// Removes a host. The requests that it admitted still count.
+    pub fn deregister(&mut self, name: &str, now: Instant) {
         if let Ok(at) = self.position(name) {
-            self.peers.remove(at);
+            let old = self.peers.remove(at);
+            self.record_ended_process(old.heartbeat, old.received_at, now);
         }
     }
 
@@ -149,11 +162,10 @@
         {
             return None;
         }
-        if let Some(it) = peer.heartbeat.take_if(|it| it.incarnation != heartbeat.incarnation) {
-            peer.previous_demand = Some((it.tenant_demand, peer.received_at.unwrap_or(now)));
-        }
-        peer.received_at = Some(now);
-        Some(peer.heartbeat.insert(heartbeat))
+        let previous = peer.heartbeat.take_if(|it| it.incarnation != heartbeat.incarnation);
+        let previous_received_at = peer.received_at.replace(now);
+        self.record_ended_process(previous, previous_received_at, now);
+        Some(self.peers[at].heartbeat.insert(heartbeat))
     }
 
     /// Version of a peer's manifest and a time at which the peer's view was current, from the
@@ -371,14 +383,43 @@
     }
 
     /// Requests of a tenant that the other hosts admitted within the last `window`, as far as they
-    /// were reported.
+    /// were reported. Includes processes that have ended since.
     pub fn tenant_admitted(&self, tenant_hash: u32, window: Duration, now: Instant) -> u32 {
-        self.peers.iter().map(|it| it.admitted(tenant_hash, window, now)).sum()
+        let running = self
+            .peers
+            .iter()
+            .filter_map(|it| Some((&it.heartbeat.as_ref()?.tenant_demand, it.received_at?)));
+        let ended = self.ended_processes.iter().map(|it| (&it.0, it.1));
+        running
+            .chain(ended)
+            .filter(|it| now.saturating_duration_since(it.1) < window)
+            .filter_map(|it| demand_entry(it.0, tenant_hash))
+            .map(|it| it.admitted)
+            .sum()
     }
 
-    /// Whether all hosts that may be serving are live, so that no host admits requests unnoticed.
+    /// Whether all hosts that may be serving reported recently, so that no host admits requests
+    /// unnoticed.
     pub fn all_hosts_reporting(&self, now: Instant) -> bool {
-        self.peers.iter().all(|it| it.is_live(now) || it.is_presumed_down(now))
+        let max_age = self.max_report_age();
+        let max_local_age = HEARTBEAT_INTERVAL * MAX_REPORT_INTERVALS;
+        self.peers.iter().all(|it| {
+            let max_age = if it.is_local { max_local_age } else { max_age };
+            it.report_age(now).is_some_and(|it| it < max_age) || it.is_presumed_down(now)
+        })
+    }
+
+    /// Largest age of a report that counts as recent; a partition is noticed within this time.
+    pub fn max_report_age(&self) -> Duration {
+        let interval = remote_heartbeat_interval(self.known_count());
+        (interval * MAX_REPORT_INTERVALS).min(SILENCE_TIMEOUT)
+    }
+
+    /// Sequence number up to which every other host that may be serving has received the heartbeats
+    /// of this process; `None` if one of them has received none.
+    pub fn acknowledged_by_all(&self, incarnation: u64, now: Instant) -> Option<u64> {
+        let awaited = self.peers.iter().filter(|it| it.is_awaited(now));
+        awaited.map(|it| it.acknowledged(incarnation)).min().unwrap_or(Some(u64::MAX))
     }
 
     /// Tallies of the other hosts for a rollout, with the name and incarnation of each host.
@@ -413,6 +454,18 @@
         heartbeat.map_or(&[], |it| &it.quarantine_updates)
     }
 
+    /// Keeps the last report of a process that has ended for as long as it may count.
+    fn record_ended_process(
+        &mut self,
+        heartbeat: Option<Heartbeat>,
+        received_at: Option<Instant>,
+        now: Instant,
+    ) {
+        self.ended_processes.retain(|it| now.saturating_duration_since(it.1) < DEMAND_RETENTION);
+        let report = heartbeat.map(|it| it.tenant_demand).zip(received_at);
+        self.ended_processes.extend(report);
+    }
+
     fn position(&self, name: &str) -> Result<usize, usize> {
         self.peers.binary_search_by(|it| it.member.name.as_str().cmp(name))
     }
@@ -421,19 +474,42 @@
 impl Peer {
     fn new(member: Member, is_local: bool, now: Instant) -> Self {
         Self {
-            silence_timeout: if is_local { LOCAL_SILENCE_TIMEOUT } else { SILENCE_TIMEOUT },
+            is_local,
             member,
             heartbeat: None,
             received_at: None,
             registered_at: now,
-            previous_demand: None,
             was_live: false,
             sent_heartbeats: VecDeque::new(),
         }
     }
 
     fn is_live(&self, now: Instant) -> bool {
-        self.received_at.is_some_and(|it| now.saturating_duration_since(it) < self.silence_timeout)
+        self.report_age(now).is_some_and(|it| it < self.silence_timeout())
+    }
+
+    fn silence_timeout(&self) -> Duration {
+        if self.is_local { LOCAL_SILENCE_TIMEOUT } else { SILENCE_TIMEOUT }
+    }
+
+    /// Time since the newest heartbeat; `None` before the first one.
+    fn report_age(&self, now: Instant) -> Option<Duration> {
+        self.received_at.map(|it| now.saturating_duration_since(it))
+    }
+
+    /// Newest heartbeat of the incarnation that the peer has received, as far as it reported.
+    fn acknowledged(&self, incarnation: u64) -> Option<u64> {
+        let ack = self.heartbeat.as_ref()?.ack?;
+        (ack.incarnation == incarnation).then_some(ack.sequence)
+    }
+
+    /// Whether the peer may be admitting requests.
+    fn is_awaited(&self, now: Instant) -> bool {
+        if self.received_at.is_some() {
+            !self.is_presumed_down(now)
+        } else {
+            now.saturating_duration_since(self.registered_at) < UNHEARD_TIMEOUT
+        }
     }
 
     /// Whether the platform responds to the peer.
@@ -481,21 +557,6 @@
         demand_entry(&heartbeat.tenant_demand, tenant_hash)
             .map_or(0.0, |it| f64::from(it.requests_per_s.max(0.0)))
     }
-
-    /// Requests of a tenant that the peer admitted within the last `window`, including those of its
-    /// previous process.
-    fn admitted(&self, tenant_hash: u32, window: Duration, now: Instant) -> u32 {
-        let count_admitted = |entries: &[TenantDemand], at: Instant| {
-            let counts = now.saturating_duration_since(at) < window;
-            let entry = demand_entry(entries, tenant_hash).filter(|_| counts);
-            entry.map_or(0, |it| it.admitted)
-        };
-        let previous_admitted =
-            self.previous_demand.as_ref().map_or(0, |it| count_admitted(&it.0, it.1));
-        let current = self.heartbeat.as_ref().zip(self.received_at);
-        previous_admitted
-            + current.map_or(0, |(heartbeat, at)| count_admitted(&heartbeat.tenant_demand, at))
-    }
 }
 
 fn demand_entry(entries: &[TenantDemand], tenant_hash: u32) -> Option<&TenantDemand> {
--- a/crates/steer/src/rate_limit.rs
+++ b/crates/steer/src/rate_limit.rs
@@ -1,4 +1,10 @@
 //! Rate limits of tenants over all hosts, divided among the hosts by demand.
+//!
+//! Every host claims a part of a tenant's rate, in proportion to the demand that it reports. It uses
+//! a higher claim only after all hosts have acknowledged the report, and a lower one at once, so no
+//! host ever counts less for another one than that one uses. The shares of all hosts therefore never
+//! add up to more than the rate, however late heartbeats arrive and wherever the network is
+//! partitioned.
 
 use std::time::Duration;
 
@@ -11,19 +17,30 @@
     window::WindowCount,
 };
 
-/// Time constant of the demand estimate: long compared to the gaps between requests of small
-/// tenants, short compared to a burst.
+/// Time constant of the demand estimate: short compared to a burst.
 const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(1);
 
-/// Fraction of the tolerated excess that hosts may use for uneven arrivals. The rest covers views
-/// of the hosts that differ while demand moves.
-const LOCAL_SLACK_FRACTION: f64 = 0.6;
+/// Time constant of the claimed demand while it falls: long compared to the gaps between requests
+/// of small tenants, since a claim that was given up takes a round of heartbeats to return.
+const CLAIM_TIME_CONSTANT: Duration = Duration::from_secs(5);
+
+/// Part of an even share that a process uses before all hosts have acknowledged its first claim.
+/// The process that it replaces has claimed about an even share.
+const UNACKNOWLEDGED_SHARE_FRACTION: f64 = 0.5;
+
+/// Fraction of the tolerated excess that hosts may use for uneven arrivals. The rest covers
+/// [`LEAD_EXCESS_FRACTION`].
+const LOCAL_SLACK_FRACTION: f64 = 0.7;
+
+/// Requests that all hosts together may admit ahead of acknowledged claims before they notice a
+/// partition, as a fraction of those allowed in a window.
+const LEAD_EXCESS_FRACTION: f64 = 0.03;
 
 /// Minimum demand assumed for each host, as a fraction of an even share, so that a host without
 /// requests can admit the first ones.
 const MIN_DEMAND_FRACTION: f64 = 0.05;
 
-/// Demand up to which a tenant without admitted requests is not reported to other hosts.
+/// Demand up to which nothing is claimed.
 const MIN_REPORTED_DEMAND_PER_S: f32 = 0.01;
 
 /// Upper bound for the retry-after time of a refused request.
@@ -71,6 +88,12 @@
     /// Time at which this process began to admit requests. Requests that an earlier process
     /// admitted are unknown.
     started_at: Option<Instant>,
+    /// Heartbeat that first reported the current claims.
+    claimed_sequence: Option<u64>,
+    /// Whether all hosts have acknowledged a claim of this process.
+    has_acknowledged_claim: bool,
+    /// Whether all hosts reported recently, so that their admitted requests are known.
+    knows_all_admitted: bool,
 }
 
 #[derive(Debug)]
@@ -89,6 +112,12 @@
     refilled_at: Instant,
     demand_per_s: f64,
     demand_updated_at: Instant,
+    /// Demand that falls with [`CLAIM_TIME_CONSTANT`].
+    sustained_demand_per_s: f64,
+    /// Demand that this host reports to the others.
+    claim_per_s: f32,
+    /// Demand by which this host computes its own share; at most what any other host counts for it.
+    usable_claim_per_s: f32,
     /// Requests that this host admitted within the last window.
     admitted: WindowCount,
     /// Requests that the other hosts admitted within the last window.
@@ -100,7 +129,14 @@
 impl TenantRateLimiter {
     /// Rate limiter without tenants, which admits every request.
     pub fn new(settings: RateLimitSettings) -> Self {
-        Self { settings, buckets: Vec::new(), started_at: None }
+        Self {
+            settings,
+            buckets: Vec::new(),
+            started_at: None,
+            claimed_sequence: None,
+            has_acknowledged_claim: false,
+            knows_all_admitted: false,
+        }
     }
 
     /// Applies the tenants of a manifest. Known tenants keep their tokens. New tenants start with
@@ -140,6 +176,14 @@
         // A burst may follow the previous one after one window, provided that all admitted requests
         // are known.
         let knows_all_admitted = age >= window && members.all_hosts_reporting(now);
+        self.knows_all_admitted = knows_all_admitted;
+        // Until a partition is noticed, this much more than the whole rate is spent.
+        let lead = if knows_all_admitted {
+            let unnoticed_s = members.max_report_age().as_secs_f64();
+            LEAD_EXCESS_FRACTION * self.settings.window_s / unnoticed_s / hosts
+        } else {
+            0.0
+        };
         for it in &mut self.buckets {
             it.refill(now);
             it.admitted_elsewhere = members.tenant_admitted(it.tenant_hash, window, now);
@@ -148,13 +192,18 @@
             it.refill_per_s = it.rate_per_s + burst_per_s;
             let even_share_per_s = it.rate_per_s / hosts;
             let min_demand_per_s = even_share_per_s * MIN_DEMAND_FRACTION;
-            let own_demand_per_s = it.demand_per_s_at(now) + min_demand_per_s;
+            let usable_claim_per_s = f64::from(it.usable_claim_per_s) + min_demand_per_s;
             let other_demand_per_s = members.tenant_demand(it.tenant_hash, even_share_per_s, now)
                 + min_demand_per_s * (hosts - 1.0);
-            it.share = if own_demand_per_s + other_demand_per_s > 0.0 {
-                own_demand_per_s / (own_demand_per_s + other_demand_per_s)
+            let share_of = |demand_per_s: f64| {
+                let total_per_s = demand_per_s + other_demand_per_s;
+                if total_per_s > 0.0 { demand_per_s / total_per_s } else { 1.0 / hosts }
+            };
+            it.share = if self.has_acknowledged_claim {
+                let share = share_of(usable_claim_per_s);
+                share_of(it.demand_per_s_at(now) + min_demand_per_s).clamp(share, share + lead)
             } else {
-                1.0 / hosts
+                UNACKNOWLEDGED_SHARE_FRACTION / hosts
             };
             let tolerated_excess = self.settings.overage_fraction
                 * (it.rate_per_s * self.settings.window_s + it.burst)
@@ -175,8 +224,12 @@
         }
         bucket.refill(now);
         let window_limit = bucket.rate_per_s * self.settings.window_s + bucket.burst;
-        let admitted = f64::from(bucket.admitted.total(now) + bucket.admitted_elsewhere);
-        if admitted >= window_limit {
+        let own_admitted = bucket.admitted.total(now);
+        let admitted = f64::from(own_admitted + bucket.admitted_elsewhere);
+        // Requests of hosts that do not report are unknown, so that each host keeps to its own part.
+        let exceeds_own_part = !self.knows_all_admitted
+            && f64::from(own_admitted) >= window_limit * bucket.share + bucket.slack;
+        if admitted >= window_limit || exceeds_own_part {
             // Saved tokens must not be spent by all hosts at once when the window moves on.
             bucket.tokens = bucket.tokens.min(0.0);
         }
@@ -204,16 +257,29 @@
         }
     }
 
-    /// Demand of all limited tenants for the heartbeats, sorted by tenant hash.
-    pub fn demand(&mut self, now: Instant) -> Vec<TenantDemand> {
+    /// Demand of all limited tenants for the heartbeat with a sequence number, sorted by tenant hash.
+    ///
+    /// `acknowledged` is the newest heartbeat that all other hosts have received. Once that includes
+    /// the current claims, this host uses them and reports new ones.
+    pub fn claim_demand(
+        &mut self,
+        acknowledged: Option<u64>,
+        sequence: u64,
+        now: Instant,
+    ) -> Vec<TenantDemand> {
+        if self.claimed_sequence.is_none_or(|it| acknowledged >= Some(it)) {
+            self.has_acknowledged_claim = self.claimed_sequence.is_some();
+            self.claimed_sequence = Some(sequence);
+            self.buckets.iter_mut().for_each(|it| it.renew_claim(now));
+        }
         let entries = self.buckets.iter_mut().filter(|it| it.rate_per_s > 0.0);
         let mut res: Vec<TenantDemand> = entries
             .map(|it| TenantDemand {
                 tenant_hash: it.tenant_hash,
-                requests_per_s: it.demand_per_s_at(now) as f32,
+                requests_per_s: it.claim_per_s,
                 admitted: it.admitted.total(now),
             })
-            .filter(|it| it.requests_per_s > MIN_REPORTED_DEMAND_PER_S || it.admitted > 0)
+            .filter(|it| it.requests_per_s > 0.0 || it.admitted > 0)
             .collect();
         res.sort_by_key(|it| it.tenant_hash);
         res
@@ -233,6 +299,9 @@
             refilled_at: now,
             demand_per_s: 0.0,
             demand_updated_at: now,
+            sustained_demand_per_s: 0.0,
+            claim_per_s: 0.0,
+            usable_claim_per_s: 0.0,
             admitted: WindowCount::new(window, now),
             admitted_elsewhere: 0,
             refill_per_s: 0.0,
@@ -253,12 +322,35 @@
     }
 
     fn count_demand(&mut self, now: Instant) {
-        self.demand_per_s = self.demand_per_s_at(now) + 1.0 / DEMAND_TIME_CONSTANT.as_secs_f64();
+        self.decay_demand(now);
+        self.demand_per_s += 1.0 / DEMAND_TIME_CONSTANT.as_secs_f64();
+        self.sustained_demand_per_s = self.sustained_demand_per_s.max(self.demand_per_s);
+    }
+
+    fn decay_demand(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.demand_updated_at);
         self.demand_updated_at = now;
+        self.demand_per_s *= decay(elapsed, DEMAND_TIME_CONSTANT);
+        self.sustained_demand_per_s *= decay(elapsed, CLAIM_TIME_CONSTANT);
     }
 
     fn demand_per_s_at(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.demand_updated_at);
-        self.demand_per_s * (-elapsed.as_secs_f64() / DEMAND_TIME_CONSTANT.as_secs_f64()).exp()
+        self.demand_per_s * decay(elapsed, DEMAND_TIME_CONSTANT)
     }
+
+    /// Uses the acknowledged claim, and claims the present demand.
+    fn renew_claim(&mut self, now: Instant) {
+        self.decay_demand(now);
+        self.usable_claim_per_s = self.claim_per_s;
+        let demand_per_s = self.sustained_demand_per_s as f32;
+        self.claim_per_s =
+            if demand_per_s > MIN_REPORTED_DEMAND_PER_S { demand_per_s } else { 0.0 };
+        self.usable_claim_per_s = self.usable_claim_per_s.min(self.claim_per_s);
+    }
+}
+
+/// Fraction of an estimate that remains after a time.
+fn decay(elapsed: Duration, time_constant: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp()
 }
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -460,6 +460,8 @@
         self.quarantine_updates.iter_mut().for_each(|it| it.1 -= 1);
         self.quarantine_updates.retain(|it| it.1 > 0);
         let age = self.freshness.age(now);
+        let acknowledged = self.members.acknowledged_by_all(self.settings.incarnation, now);
+        let tenant_demand = self.rate_limiter.claim_demand(acknowledged, self.last_sequence, now);
         Heartbeat {
             protocol_version: PROTOCOL_VERSION,
             sender: self.settings.own_host.name.clone(),
@@ -473,7 +475,7 @@
             platform_age_ms: self
                 .platform_answered_at
                 .map(|it| whole_ms(now.saturating_duration_since(it))),
-            tenant_demand: self.rate_limiter.demand(now),
+            tenant_demand,
             service_loads: self.selector.service_loads(),
             rollout_tallies: self.versions.rollouts().map(|it| it.tally()).collect(),
             quarantine_updates,
