Judge a new version by the latencies of the old one on the same route

Cause: a response counted as slow from twice the route's target latency on. Where usual work is above the target, responses of the old version were slow too, so a version that was eight times slower for half of its requests passed. The test of failures used the share within one host's last 100 ms, which is a half or all of one or two exchanges. Two instances took all canary requests, however large the fleet.

Change: hosts exchange latency histograms of both versions by route, apart for cached keys; RouteTest compares them by a cumulative sum, and the ramp waits while there is evidence. Shares come from all exchanges. Canary instances grow with the new version's. Heartbeats have version 3.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -49,12 +49,13 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         let hedge_delay = self.state.steering.borrow().hedge_delay(&self.plan);
-        let outcome = if self.sent_at.elapsed() >= hedge_delay {
+        let elapsed = self.sent_at.elapsed();
+        let outcome = if elapsed >= hedge_delay {
             ExchangeOutcome::Silent
         } else {
             ExchangeOutcome::Cancelled
         };
-        self.report(ExchangeReport { outcome, load: None, cold_remaining: None });
+        self.report(ExchangeReport { outcome, elapsed, load: None, cold_remaining: None });
     }
 }
 
@@ -95,6 +96,7 @@
     };
     attempt.report(ExchangeReport {
         outcome,
+        elapsed: latency,
         load: instance_status.load,
         cold_remaining: instance_status.cold_remaining,
     });
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -12,12 +12,14 @@
 mod fault_detector;
 mod operator;
 mod rollout;
+mod route_test;
 mod sequential;
 mod slow_threshold;
 mod splitter;
 mod stage;
 mod timeline;
 mod transition;
+mod version_tally;
 
 pub use crate::{
     controller::{
@@ -28,8 +30,10 @@
     fault_detector::{Assessment, FalseAlarmBudget, FaultDetector, RequestOutcome, Verdict},
     operator::{RollBackError, StartError, StartRequest, roll_back, start},
     rollout::{FORMAT_VERSION, FaultKind, Reason, Rollout, RouteExposure, State},
+    route_test::RouteTest,
     sequential::{Hypotheses, SequentialTest},
     splitter::{RouteRequestCounts, Side, TrafficSplitter, VersionPick},
     stage::Stage,
     timeline::{CLOCK_MARGIN_MS, MIN_DURATION_MS, MIN_WATCH_MS, ROLLBACK_RESERVE_MS, Timeline},
+    version_tally::{LatencyHistogram, TimedTally, VersionSample, VersionTally},
 };
--- a/crates/steer/src/cache_affinity.rs
+++ b/crates/steer/src/cache_affinity.rs
@@ -15,8 +15,15 @@
 /// Fixed-size table of recent pairs of instance and affinity key.
 #[derive(Debug)]
 pub(crate) struct CacheAffinity {
-    /// Hash of the pair and time of the last response, by table slot.
-    entries: Vec<Option<(u64, Instant)>>,
+    entries: Vec<Option<Entry>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    pair_hash: u64,
+    /// First of the responses that each followed the previous one within the cache retention.
+    first_response_at: Instant,
+    last_response_at: Instant,
 }
 
 impl CacheAffinity {
@@ -26,9 +33,21 @@
 
     /// Whether an instance responded for a key within the cache retention.
     pub(crate) fn is_warm(&self, instance: InstanceKey, affinity_hash: u64, now: Instant) -> bool {
+        self.warm_since(instance, affinity_hash, now).is_some()
+    }
+
+    /// Time since which an instance has had the data of a key in its cache; `None` if it has not
+    /// responded for the key within the cache retention.
+    pub(crate) fn warm_since(
+        &self,
+        instance: InstanceKey,
+        affinity_hash: u64,
+        now: Instant,
+    ) -> Option<Instant> {
         let hash = pair_hash(instance, affinity_hash);
-        self.entries[table_slot(hash)]
-            .is_some_and(|it| it.0 == hash && now.saturating_duration_since(it.1) < CACHE_RETENTION)
+        let entry = self.entries[table_slot(hash)].filter(|it| it.pair_hash == hash)?;
+        let age = now.saturating_duration_since(entry.last_response_at);
+        (age < CACHE_RETENTION).then_some(entry.first_response_at)
     }
 
     pub(crate) fn record_response(
@@ -37,8 +56,10 @@
         affinity_hash: u64,
         now: Instant,
     ) {
-        let hash = pair_hash(instance, affinity_hash);
-        self.entries[table_slot(hash)] = Some((hash, now));
+        let first_response_at = self.warm_since(instance, affinity_hash, now).unwrap_or(now);
+        let pair_hash = pair_hash(instance, affinity_hash);
+        self.entries[table_slot(pair_hash)] =
+            Some(Entry { pair_hash, first_response_at, last_response_at: now });
     }
 }
 
--- a/crates/steer/src/canary.rs
+++ b/crates/steer/src/canary.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use kingcupford_rollout::{Hypotheses, SequentialTest};
+use kingcupford_rollout::{
+    Hypotheses, LatencyHistogram, RouteTest, SequentialTest, VersionSample, VersionTally,
+};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -22,6 +24,33 @@
 /// late show in this phase.
 const CANARY_PHASE_FRACTION: f64 = 0.45;
 
+/// Log evidence on a route at which the new version is faulty.
+const FAULTY_LOG_EVIDENCE: f64 = 8.0;
+
+/// Log evidence on a route at which the new version is faulty late in the rollout. A good version
+/// that is rolled back costs less than a bad one that is completed.
+const LATE_FAULTY_LOG_EVIDENCE: f64 = 4.5;
+
+/// Fraction of the rollout's duration after which [`LATE_FAULTY_LOG_EVIDENCE`] suffices.
+const LATE_FRACTION: f64 = 0.65;
+
+/// Log evidence against the new version from which its share does not follow the ramp.
+const SUSPICIOUS_LOG_EVIDENCE: f64 = 2.0;
+
+/// Log evidence on a route at which the new version is faulty when there is no time left to collect
+/// more. About four slow responses in a row.
+const LAST_FAULTY_LOG_EVIDENCE: f64 = 3.5;
+
+/// Fraction of the rollout's duration after which [`LAST_FAULTY_LOG_EVIDENCE`] suffices.
+const LAST_FRACTION: f64 = 0.8;
+
+/// Share of a suspicious version while its exposure is within the limit, so that a few more
+/// responses settle the suspicion.
+const SUSPICIOUS_SHARE: f64 = 0.3;
+
+/// Weight of the planned share against the counted one, as a number of exchanges.
+const SHARE_PRIOR_EXCHANGES: f64 = 50.0;
+
 /// Fraction of the rollout's duration after which all requests go to the new version.
 const FULL_EXPOSURE_FRACTION: f64 = 0.75;
 
@@ -89,20 +118,23 @@
     state: Option<RolloutState>,
     /// Time of the order, as far as this host knows.
     started_at: Instant,
-    /// Exchanges that this process counted.
-    own_tally: RolloutTally,
-    /// State of `own_tally` up to which the tests have seen it.
-    tested_own_tally: RolloutTally,
-    /// Tallies of the peers that the tests have seen, with name and incarnation.
-    tested_peer_tallies: Vec<(String, u64, RolloutTally)>,
+    rollout_hash: u32,
+    /// Exchanges that this process counted, by route.
+    own_tallies: Vec<RolloutTally>,
+    /// State of `own_tallies` up to which the tests have seen it.
+    tested_own_tallies: Vec<RolloutTally>,
+    /// Tallies of the peers that the tests have seen, by name, incarnation and route.
+    tested_peer_tallies: Vec<(String, u64, Vec<RolloutTally>)>,
     /// Requests that this host sent to the old and to the new side.
     sent_requests: [u64; 2],
-    /// Compares the failures of both sides.
+    /// Compares the failures of both sides over all routes, and finds versions that fail rarely.
     failure_test: SequentialTest,
-    /// Compares the slow responses of both sides.
-    slow_test: SequentialTest,
-    /// Exchanges with the new version at all hosts.
-    new_total: u64,
+    /// Tests of the routes by the hash of their names, sorted.
+    route_tests: Vec<(u32, RouteTest)>,
+    /// Exchanges with the old and the new side at all hosts.
+    totals: [u64; 2],
+    /// Progress at which the share began to rise.
+    ramp_start: Option<f64>,
     /// Reason why the new version is considered faulty.
     fault: Option<&'static str>,
     /// Time at which this host last tried to write a status.
@@ -121,18 +153,19 @@
     ) -> Self {
         let duration_ms = u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX).max(1);
         let rollout_hash = name_hash(&format!("{}\n{}", order.service, order.target_version));
-        let own_tally = RolloutTally { rollout_hash, ..RolloutTally::default() };
         Self {
             settings,
             state: None,
             started_at: now.checked_sub(elapsed).unwrap_or(now),
-            own_tally,
-            tested_own_tally: own_tally,
+            rollout_hash,
+            own_tallies: Vec::new(),
+            tested_own_tallies: Vec::new(),
             tested_peer_tallies: Vec::new(),
             sent_requests: [0; 2],
             failure_test: SequentialTest::new(Hypotheses::FAILURES, 0.5, duration_ms, now),
-            slow_test: SequentialTest::new(Hypotheses::SLOW_RESPONSES, 0.5, duration_ms, now),
-            new_total: 0,
+            route_tests: Vec::new(),
+            totals: [0; 2],
+            ramp_start: None,
             fault: None,
             status_written_at: None,
             due_status: None,
@@ -155,9 +188,17 @@
         self.fault
     }
 
-    /// Exchanges that this process counted, for the heartbeats.
-    pub fn tally(&self) -> RolloutTally {
-        RolloutTally { faulty: self.fault.is_some(), ..self.own_tally }
+    /// Exchanges that this process counted, for the heartbeats; one tally if there are none, so that
+    /// a fault is reported.
+    pub fn tallies(&self) -> Vec<RolloutTally> {
+        let faulty = self.fault.is_some();
+        let counted = self.own_tallies.iter().map(|it| RolloutTally { faulty, ..it.clone() });
+        let mut res: Vec<RolloutTally> = counted.collect();
+        if res.is_empty() {
+            let rollout_hash = self.rollout_hash;
+            res.push(RolloutTally { rollout_hash, faulty, ..RolloutTally::default() });
+        }
+        res
     }
 
     /// Records the state that the platform stores. A final state does not change any more.
@@ -179,14 +220,16 @@
         }
         let canary_share = self.settings.exposure_share * CANARY_EXPOSURE_FRACTION;
         let progress = self.progress(now);
-        let lacks_responses =
-            self.new_total < MIN_RAMP_RESPONSES && progress < MAX_RAMP_DELAY_FRACTION;
-        if progress < CANARY_PHASE_FRACTION || lacks_responses {
-            return canary_share;
+        let Some(ramp_start) = self.ramp_start else { return canary_share };
+        if self.is_suspicious() && progress < LAST_FRACTION {
+            let [old_total, new_total] = self.totals.map(|it| it as f64);
+            let is_within_limit = new_total < canary_share * (old_total + new_total);
+            return if is_within_limit { SUSPICIOUS_SHARE } else { canary_share };
         }
-        let ramp =
-            (progress - CANARY_PHASE_FRACTION) / (FULL_EXPOSURE_FRACTION - CANARY_PHASE_FRACTION);
-        (canary_share + ramp * (1.0 - canary_share)).clamp(canary_share, 1.0)
+        let ramp = (progress - ramp_start) / (FULL_EXPOSURE_FRACTION - ramp_start);
+        let ramp = ramp.clamp(0.0, 1.0);
+        // Rises slowly at first, since each response counts as evidence for the next steps.
+        (canary_share + ramp * ramp * (1.0 - canary_share)).clamp(canary_share, 1.0)
     }
 
     /// Selects the side for a request by its affinity hash.
@@ -217,52 +260,76 @@
         self.sent_requests[usize::from(side == Side::New)] += 1;
     }
 
-    /// Counts a response or a missing one. A failed exchange does not count as slow.
-    pub fn record_response(&mut self, side: Side, failed: bool, slow: bool) {
-        let (total, failures, slow_responses) = match side {
-            Side::New => (
-                &mut self.own_tally.new_total,
-                &mut self.own_tally.new_failed,
-                &mut self.own_tally.new_slow,
-            ),
-            Side::Old => (
-                &mut self.own_tally.old_total,
-                &mut self.own_tally.old_failed,
-                &mut self.own_tally.old_slow,
-            ),
+    /// Counts an exchange on a route.
+    pub fn record_sample(&mut self, side: Side, route_hash: u32, sample: VersionSample) {
+        let tally = self.own_tally_mut(route_hash);
+        match side {
+            Side::New => tally.new.record(sample),
+            Side::Old => tally.old.record(sample),
+        }
+    }
+
+    /// Adds latencies of the old side from before the order.
+    pub(crate) fn add_old_latencies(
+        &mut self,
+        route_hash: u32,
+        [uncached, cached]: &[LatencyHistogram; 2],
+    ) {
+        let old = &mut self.own_tally_mut(route_hash).old;
+        old.uncached.latencies.add(uncached);
+        old.cached.latencies.add(cached);
+    }
+
+    fn own_tally_mut(&mut self, route_hash: u32) -> &mut RolloutTally {
+        let at = match self.own_tallies.binary_search_by_key(&route_hash, |it| it.route_hash) {
+            Ok(at) => at,
+            Err(at) => {
+                let rollout_hash = self.rollout_hash;
+                let tally = RolloutTally { rollout_hash, route_hash, ..RolloutTally::default() };
+                self.own_tallies.insert(at, tally);
+                at
+            }
         };
-        *total += 1;
-        *failures += u64::from(failed);
-        *slow_responses += u64::from(slow && !failed);
+        &mut self.own_tallies[at]
     }
 
     /// Passes the exchanges that all hosts counted since the last call to the tests. Returns
     /// whether the new version has just been found faulty.
     pub fn evaluate(&mut self, members: &Members, now: Instant) -> bool {
         let was_faulty = self.fault.is_some();
-        let own_tally = self.own_tally;
-        let delta = tally_difference(&own_tally, &self.tested_own_tally);
-        self.tested_own_tally = own_tally;
-        self.observe_tally(&delta, now);
-        let peers: Vec<(String, u64, RolloutTally)> = members
-            .rollout_tallies(self.own_tally.rollout_hash)
-            .map(|it| (it.0.to_owned(), it.1, *it.2))
-            .collect();
-        for (name, incarnation, tally) in peers {
-            let known = self.tested_peer_tallies.iter().position(|it| it.0 == name);
-            let seen = known
-                .filter(|at| self.tested_peer_tallies[*at].1 == incarnation)
-                .map_or(RolloutTally::default(), |at| self.tested_peer_tallies[at].2);
-            let delta = tally_difference(&tally, &seen);
-            match known {
-                Some(at) => self.tested_peer_tallies[at] = (name, incarnation, tally),
-                None => self.tested_peer_tallies.push((name, incarnation, tally)),
-            }
-            self.observe_tally(&delta, now);
+        let mut deltas = Vec::new();
+        for tally in &self.own_tallies {
+            deltas.push(difference(tally, &self.tested_own_tallies));
+        }
+        self.tested_own_tallies.clone_from(&self.own_tallies);
+        for (name, incarnation, tally) in members.rollout_tallies(self.rollout_hash) {
             if tally.faulty {
                 self.fault.get_or_insert("found by a peer");
             }
+            let at = match self.tested_peer_tallies.binary_search_by(|it| it.0.as_str().cmp(name)) {
+                Ok(at) => at,
+                Err(at) => {
+                    let entry = (name.to_owned(), incarnation, Vec::new());
+                    self.tested_peer_tallies.insert(at, entry);
+                    at
+                }
+            };
+            let tested = &mut self.tested_peer_tallies[at];
+            if tested.1 != incarnation {
+                *tested = (name.to_owned(), incarnation, Vec::new());
+            }
+            let delta = difference(tally, &tested.2);
+            if delta.old == VersionTally::default() && delta.new == VersionTally::default() {
+                continue;
+            }
+            match tested.2.binary_search_by_key(&tally.route_hash, |it| it.route_hash) {
+                Ok(at) => tested.2[at] = tally.clone(),
+                Err(at) => tested.2.insert(at, tally.clone()),
+            }
+            deltas.push(delta);
         }
+        self.observe(&deltas, now);
+        self.update_ramp(now);
         self.fault.is_some() && !was_faulty
     }
 
@@ -308,38 +375,68 @@
         elapsed / self.order.duration.as_secs_f64().max(f64::MIN_POSITIVE)
     }
 
-    fn observe_tally(&mut self, delta: &RolloutTally, now: Instant) {
-        self.new_total += delta.new_total;
-        let total = delta.new_total + delta.old_total;
-        if total == 0 {
-            return;
+    /// Whether there is some evidence against the new version.
+    fn is_suspicious(&self) -> bool {
+        let route_tests = self.route_tests.iter().map(|it| it.1.log_evidence());
+        let strongest = route_tests.fold(self.failure_test.log_evidence(), f64::max);
+        strongest >= SUSPICIOUS_LOG_EVIDENCE
+    }
+
+    /// Lets the share rise once the canary has had enough responses.
+    fn update_ramp(&mut self, now: Instant) {
+        let progress = self.progress(now);
+        let has_responses = self.totals[1] >= MIN_RAMP_RESPONSES && !self.is_suspicious();
+        let may_rise = has_responses || progress >= MAX_RAMP_DELAY_FRACTION;
+        if self.ramp_start.is_none() && progress >= CANARY_PHASE_FRACTION && may_rise {
+            self.ramp_start = Some(progress.min(MAX_RAMP_DELAY_FRACTION));
         }
-        // If one side has no response in the batch, the planned share is used instead of the
-        // observed one.
-        let share = match (delta.new_total, delta.old_total) {
-            (0, _) | (_, 0) => self.new_version_share(now).clamp(0.02, 0.98),
-            (new, _) => new as f64 / total as f64,
+    }
+
+    /// Passes new exchanges of all hosts to the tests.
+    fn observe(&mut self, deltas: &[RolloutTally], now: Instant) {
+        let mut failed = [0; 2];
+        let faulty_log_evidence = match self.progress(now) {
+            it if it < LATE_FRACTION => FAULTY_LOG_EVIDENCE,
+            it if it < LAST_FRACTION => LATE_FAULTY_LOG_EVIDENCE,
+            _ => LAST_FAULTY_LOG_EVIDENCE,
         };
-        self.failure_test.observe(share, delta.new_failed, delta.old_failed, now);
-        self.slow_test.observe(share, delta.new_slow, delta.old_slow, now);
+        for delta in deltas {
+            for (at, tally) in [&delta.old, &delta.new].into_iter().enumerate() {
+                self.totals[at] += tally.total;
+                failed[at] += tally.failed;
+            }
+            let at = match self.route_tests.binary_search_by_key(&delta.route_hash, |it| it.0) {
+                Ok(at) => at,
+                Err(at) => {
+                    self.route_tests.insert(at, (delta.route_hash, RouteTest::new(now)));
+                    at
+                }
+            };
+            let test = &mut self.route_tests[at].1;
+            test.record(&delta.old, &delta.new, now);
+            if test.log_evidence() >= faulty_log_evidence {
+                self.fault.get_or_insert("failed or slow responses on one route");
+            }
+        }
+        // A share that is too large only weakens the evidence. Few exchanges say little about it.
+        let planned = self.new_version_share(now).clamp(0.02, 0.98);
+        let [old_total, new_total] = self.totals.map(|it| it as f64);
+        let counted = (new_total + SHARE_PRIOR_EXCHANGES * planned)
+            / (old_total + new_total + SHARE_PRIOR_EXCHANGES);
+        self.failure_test.observe(planned.max(counted), failed[1], failed[0], now);
         if self.failure_test.is_faulty() {
             self.fault.get_or_insert("failures");
-        } else if self.slow_test.is_faulty() {
-            self.fault.get_or_insert("slow responses");
         }
     }
 }
 
-/// Exchanges counted since an earlier tally of the same process.
-fn tally_difference(new: &RolloutTally, old: &RolloutTally) -> RolloutTally {
+/// Exchanges counted since the earlier tally of the same process and route, if there is one.
+fn difference(new: &RolloutTally, earlier: &[RolloutTally]) -> RolloutTally {
+    let at = earlier.binary_search_by_key(&new.route_hash, |it| it.route_hash);
+    let Ok(at) = at else { return new.clone() };
     RolloutTally {
-        rollout_hash: new.rollout_hash,
-        new_total: new.new_total.saturating_sub(old.new_total),
-        new_failed: new.new_failed.saturating_sub(old.new_failed),
-        new_slow: new.new_slow.saturating_sub(old.new_slow),
-        old_total: new.old_total.saturating_sub(old.old_total),
-        old_failed: new.old_failed.saturating_sub(old.old_failed),
-        old_slow: new.old_slow.saturating_sub(old.old_slow),
-        faulty: new.faulty,
+        new: new.new.since(&earlier[at].new),
+        old: new.old.since(&earlier[at].old),
+        ..new.clone()
     }
 }
--- a/crates/steer/src/heartbeat.rs
+++ b/crates/steer/src/heartbeat.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
+use kingcupford_rollout::VersionTally;
 use kingcupford_route::QuarantineUpdate;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Version of the heartbeat format. Heartbeats of other versions are ignored.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 /// Interval between heartbeats within a region, and the minimum between regions. Several heartbeats
 /// fit into the time after which a host counts as silent, so that some may be lost.
@@ -106,23 +107,17 @@
     pub shift_share: Option<f32>,
 }
 
-/// Exchanges that a process has counted in one rollout since it received the order.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
+/// Exchanges that a process has counted on one route of a rollout since it received the order.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
 pub struct RolloutTally {
     /// Hash of the service's name and the target version, see [`name_hash`].
     pub rollout_hash: u32,
+    /// Hash of the route's name, see [`name_hash`].
+    pub route_hash: u32,
     /// Exchanges with the new version.
-    pub new_total: u64,
-    /// Failed exchanges with the new version.
-    pub new_failed: u64,
-    /// Slow exchanges with the new version that did not fail.
-    pub new_slow: u64,
+    pub new: VersionTally,
     /// Exchanges with the old versions.
-    pub old_total: u64,
-    /// Failed exchanges with the old versions.
-    pub old_failed: u64,
-    /// Slow exchanges with the old versions that did not fail.
-    pub old_slow: u64,
+    pub old: VersionTally,
     /// Whether the sender has found the new version to be faulty.
     pub faulty: bool,
 }
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -422,16 +422,17 @@
         awaited.map(|it| it.acknowledged(incarnation)).min().unwrap_or(Some(u64::MAX))
     }
 
-    /// Tallies of the other hosts for a rollout, with the name and incarnation of each host.
+    /// Tallies of the other hosts for a rollout, one for each route, with the name and incarnation
+    /// of each host.
     pub fn rollout_tallies(
         &self,
         rollout_hash: u32,
     ) -> impl Iterator<Item = (&str, u64, &RolloutTally)> {
-        self.peers.iter().filter_map(move |it| {
-            let heartbeat = it.heartbeat.as_ref()?;
-            let tally =
-                heartbeat.rollout_tallies.iter().find(|it| it.rollout_hash == rollout_hash)?;
-            Some((it.member.name.as_str(), heartbeat.incarnation, tally))
+        let reported = self.peers.iter().filter_map(|it| Some((it, it.heartbeat.as_ref()?)));
+        reported.flat_map(move |(peer, heartbeat)| {
+            let tallies = heartbeat.rollout_tallies.iter();
+            let of_rollout = tallies.filter(move |it| it.rollout_hash == rollout_hash);
+            of_rollout.map(|it| (peer.member.name.as_str(), heartbeat.incarnation, it))
         })
     }
 
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -112,6 +112,8 @@
 pub struct ExchangeReport {
     /// How the exchange ended.
     pub outcome: ExchangeOutcome,
+    /// Time from sending the request to the end of the exchange.
+    pub elapsed: Duration,
     /// Load that the instance reported.
     pub load: Option<LoadReport>,
     /// Time for which the instance reported to stay cold.
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -74,8 +74,12 @@
 /// Initial estimate of the service time for an uncached key, as a fraction of the target latency.
 const INITIAL_COLD_FRACTION: f64 = 1.0;
 
-/// Number of instances of a new version that are used while few requests are exposed.
-const MAX_CANARY_INSTANCES: usize = 2;
+/// Minimum number of instances of a new version that are used while few requests are exposed.
+const MIN_CANARY_INSTANCES: usize = 3;
+
+/// Fraction of a new version's instances that are used while few requests are exposed. About equal
+/// to the share of the requests, so that the instances are as loaded as the old ones.
+const CANARY_INSTANCE_FRACTION: f64 = 0.08;
 
 /// Retry-after time of a request for which no instance has capacity. A few requests end in that
 /// time.
@@ -371,6 +375,18 @@
         res
     }
 
+    /// Whether an instance is known to have cached an affinity key at the time `sent_at`.
+    pub(crate) fn was_cached(
+        &self,
+        key: InstanceKey,
+        affinity_hash: u64,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        let since = self.cache_affinity.warm_since(key, affinity_hash, now);
+        since.is_some_and(|it| it <= sent_at)
+    }
+
     /// Learns from a failed exchange; returns whether it ejects the instance.
     pub fn record_failure(
         &mut self,
@@ -431,7 +447,8 @@
                 it.rendezvous_score = rendezvous_score(0, id_hash, 1);
             }
             candidates.sort_by(|a, b| a.rendezvous_score.total_cmp(&b.rendezvous_score));
-            candidates.truncate(MAX_CANARY_INSTANCES);
+            let count = (candidates.len() as f64 * CANARY_INSTANCE_FRACTION).round() as usize;
+            candidates.truncate(count.max(MIN_CANARY_INSTANCES));
             return candidates;
         }
         let is_upload = query.repeat == RepeatPolicy::Upload;
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use kingcupford_rollout::VersionSample;
 use kingcupford_route::{
     AttemptOutcome, Quarantine, QuarantineStatus, QuarantineUpdate, RetryBudget, RetryContext,
     RetryDecision, RetryPolicy,
@@ -10,11 +11,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    canary::{CanarySettings, RolloutState},
+    canary::{Canary, CanarySettings, RolloutState},
     cold_pace::MAX_COLD_SENDERS,
     freshness::ViewFreshness,
     health::ExchangeFailure,
-    heartbeat::{Heartbeat, HostState, PROTOCOL_VERSION},
+    heartbeat::{Heartbeat, HostState, PROTOCOL_VERSION, name_hash},
     instance::InstanceKey,
     instance_registry::InstanceRegistry,
     locality::{RegionKey, ZoneMap},
@@ -45,9 +46,9 @@
 /// Number of heartbeats that carry a quarantine update, since heartbeats can get lost.
 const UPDATE_REPETITIONS: u32 = 5;
 
-/// Multiple of the target latency above which a response counts as slow in the tests of a rollout.
-/// The response for an uncached key takes about one target latency.
-const SLOW_RESPONSE_FACTOR: u32 = 2;
+/// Factor by which a queue of any length may have delayed a response. The queue when the request
+/// arrived is unknown; it may have been longer than the one that the response reports.
+const MIN_QUEUE_FACTOR: f64 = 1.5;
 
 /// Multiple of the mean service time after which a response is overdue.
 const HEDGE_MEAN_FACTOR: u32 = 4;
@@ -323,7 +324,15 @@
             }
             ExchangeOutcome::Answered { failed: true, .. } => ExchangeFailure::Status,
             ExchangeOutcome::Shed if load < f64::from(slots) => ExchangeFailure::Shed,
-            ExchangeOutcome::Shed | ExchangeOutcome::Cancelled => return None,
+            ExchangeOutcome::Cancelled => {
+                if self.instances.get(key).is_some_and(|it| !it.is_cold(now)) {
+                    let after = report.elapsed;
+                    let is_cached = self.was_cached(plan, key, report, now);
+                    self.record_version_sample(plan, VersionSample::CutShort { after, is_cached });
+                }
+                return None;
+            }
+            ExchangeOutcome::Shed => return None,
             ExchangeOutcome::Misdirected | ExchangeOutcome::Unreachable => ExchangeFailure::Connect,
             ExchangeOutcome::Broken { crashed } => {
                 if crashed {
@@ -337,9 +346,8 @@
         if matches!(
             failure,
             ExchangeFailure::Status | ExchangeFailure::Broken | ExchangeFailure::Silent
-        ) && let Some(it) = self.versions.rollout_mut(&plan.service)
-        {
-            it.record_response(plan.side, true, false);
+        ) {
+            self.record_version_sample(plan, VersionSample::Failed);
         }
         self.selector.record_failure(key, failure, &mut self.instances, now).then_some(true)
     }
@@ -477,7 +485,7 @@
                 .map(|it| whole_ms(now.saturating_duration_since(it))),
             tenant_demand,
             service_loads: self.selector.service_loads(),
-            rollout_tallies: self.versions.rollouts().map(|it| it.tally()).collect(),
+            rollout_tallies: self.versions.rollouts().flat_map(Canary::tallies).collect(),
             quarantine_updates,
         }
     }
@@ -538,10 +546,12 @@
         now: Instant,
     ) -> Option<bool> {
         self.quarantine.record_success(plan.fingerprint, now);
-        if let Some(it) = self.versions.rollout_mut(&plan.service) {
-            let is_slow = latency > plan.route.target_latency * SLOW_RESPONSE_FACTOR;
-            it.record_response(plan.side, false, is_slow);
-        }
+        let is_cached = self.was_cached(plan, key, report, now);
+        let sample = match self.service_time(key, latency, report, now) {
+            Some(latency) => VersionSample::Answered { latency, is_cached },
+            None => VersionSample::AnsweredCold,
+        };
+        self.record_version_sample(plan, sample);
         let was_queued = report.load.is_some_and(|it| it.waiting > 0);
         let query = query(plan, &[]);
         let observation = ResponseObservation { key, latency, was_queued };
@@ -551,6 +561,40 @@
         recovered.then_some(false)
     }
 
+    fn record_version_sample(&mut self, plan: &RequestPlan, sample: VersionSample) {
+        let route_hash = name_hash(&plan.route.name);
+        self.versions.record_sample(&plan.service, route_hash, plan.side, sample);
+    }
+
+    /// Whether the instance was known to have cached the request's key when the request was sent.
+    fn was_cached(
+        &self,
+        plan: &RequestPlan,
+        key: InstanceKey,
+        report: &ExchangeReport,
+        now: Instant,
+    ) -> bool {
+        let sent_at = now.checked_sub(report.elapsed).unwrap_or(now);
+        plan.has_affinity && self.selector.was_cached(key, plan.affinity_hash, sent_at, now)
+    }
+
+    /// Time that an instance worked on a request, estimated without the round trip and the wait in
+    /// the instance's queue; `None` if the instance has just started and is slow for that reason.
+    fn service_time(
+        &self,
+        key: InstanceKey,
+        latency: Duration,
+        report: &ExchangeReport,
+        now: Instant,
+    ) -> Option<Duration> {
+        let instance = self.instances.get(key).filter(|it| !it.is_cold(now))?;
+        let round_trip = self.settings.zone_map.expected_round_trip(instance.registration.locality);
+        let queue_factor = report.load.filter(|it| it.waiting > 0).map_or(1.0, |it| {
+            MIN_QUEUE_FACTOR + f64::from(it.waiting) / f64::from(it.slots.max(1))
+        });
+        Some(latency.saturating_sub(round_trip).div_f64(queue_factor))
+    }
+
     /// Whether the view is fresh enough to decide on keys.
     fn has_fresh_view(&self, now: Instant) -> bool {
         let Some(bound) = self.settings.max_revocation_delay else { return true };
--- a/crates/steer/src/versions.rs
+++ b/crates/steer/src/versions.rs
@@ -1,5 +1,6 @@
 //! Active versions of the services and their rollouts.
 
+use kingcupford_rollout::{LatencyHistogram, VersionSample};
 use tokio::time::Instant;
 
 use crate::{
@@ -7,6 +8,9 @@
     instance_registry::{Instance, InstanceRegistry},
 };
 
+/// Latencies retained for each route of a service; beyond it, older ones lose weight.
+const MAX_RETAINED_LATENCIES: u64 = 4000;
+
 /// Side of a rollout.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -24,6 +28,9 @@
     active_versions: Vec<(String, String)>,
     /// Rollouts sorted by service.
     rollouts: Vec<Canary>,
+    /// Latencies of each service's routes for uncached and for cached keys, sorted by service and
+    /// hash of the route's name.
+    latencies: Vec<((String, u32), [LatencyHistogram; 2])>,
 }
 
 impl ServiceVersions {
@@ -49,8 +56,47 @@
         self.rollouts.iter()
     }
 
-    /// Adds a rollout, in place of an earlier one of the same service.
-    pub fn insert_rollout(&mut self, canary: Canary) {
+    /// Counts an exchange with a side of a service, in its rollout if there is one.
+    pub fn record_sample(
+        &mut self,
+        service: &str,
+        route_hash: u32,
+        side: Side,
+        sample: VersionSample,
+    ) {
+        if let Some(it) = self.rollout_mut(service) {
+            it.record_sample(side, route_hash, sample);
+        }
+        let VersionSample::Answered { latency, is_cached } = sample else { return };
+        if side == Side::New {
+            return;
+        }
+        let find = |it: &((String, u32), [LatencyHistogram; 2])| {
+            (it.0.0.as_str(), it.0.1).cmp(&(service, route_hash))
+        };
+        let at = match self.latencies.binary_search_by(find) {
+            Ok(at) => at,
+            Err(at) => {
+                let key = (service.to_owned(), route_hash);
+                self.latencies.insert(at, (key, Default::default()));
+                at
+            }
+        };
+        let latencies = &mut self.latencies[at].1[usize::from(is_cached)];
+        latencies.record(latency);
+        if latencies.count() > MAX_RETAINED_LATENCIES {
+            latencies.halve();
+        }
+    }
+
+    /// Adds a rollout, in place of an earlier one of the same service. The old side starts with the
+    /// latencies from before the order.
+    pub fn insert_rollout(&mut self, mut canary: Canary) {
+        for ((service, route_hash), latencies) in &self.latencies {
+            if *service == canary.order().service {
+                canary.add_old_latencies(*route_hash, latencies);
+            }
+        }
         match self.position(&canary.order().service) {
             Ok(at) => self.rollouts[at] = canary,
             Err(at) => self.rollouts.insert(at, canary),
--- a/crates/steer/tests/it/canary.rs
+++ b/crates/steer/tests/it/canary.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use kingcupford_rollout::VersionSample;
 use kingcupford_steer::{
-    Canary, CanarySettings, Members, RolloutOrder, RolloutState, ServiceVersions, Side,
+    Canary, CanarySettings, Members, RolloutOrder, RolloutState, ServiceVersions, Side, name_hash,
 };
 use tokio::time::{Instant, advance};
 
@@ -56,11 +57,14 @@
             let is_bad_response =
                 side == Side::New && is_bad(elapsed.as_secs_f64(), res.all_requests);
             // Instances of every version fail a few requests.
-            canary.record_response(
-                side,
-                is_bad_response || res.all_requests.is_multiple_of(400),
-                false,
-            );
+            let failed = is_bad_response || res.all_requests.is_multiple_of(400);
+            let latency = Duration::from_millis(100);
+            let sample = if failed {
+                VersionSample::Failed
+            } else {
+                VersionSample::Answered { latency, is_cached: true }
+            };
+            canary.record_sample(side, name_hash("r"), sample);
             if side == Side::New {
                 res.new_requests += 1;
                 res.new_after_50_bad += u64::from(res.bad_responses >= 50);
@@ -127,9 +131,8 @@
     let mut members = Members::default();
     members.register(member("peer", "a1", 1100), zone_map().own_locality(), Instant::now());
     let mut heartbeat = heartbeat("peer", 1);
-    let mut tally = canary.tally();
-    tally.faulty = true;
-    heartbeat.rollout_tallies = vec![tally];
+    heartbeat.rollout_tallies = canary.tallies();
+    heartbeat.rollout_tallies[0].faulty = true;
     members.receive(heartbeat, address(1100), now);
     assert!(canary.evaluate(&members, now));
     assert_eq!(canary.new_version_share(now), 0.0);
--- a/crates/steer/tests/it/main.rs
+++ b/crates/steer/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod manifest;
 mod members;
 mod rate_limit;
+mod rollout_faults;
 mod selector;
 mod shift;
 mod split;
--- a/crates/steer/tests/it/selector.rs
+++ b/crates/steer/tests/it/selector.rs
@@ -46,6 +46,7 @@
     let latency = Duration::from_millis(latency_ms);
     ExchangeReport {
         outcome: ExchangeOutcome::Answered { failed: false, latency },
+        elapsed: latency,
         load: None,
         cold_remaining: None,
     }
@@ -53,7 +54,7 @@
 
 /// Report of an outcome without load.
 fn report(outcome: ExchangeOutcome) -> ExchangeReport {
-    ExchangeReport { outcome, load: None, cold_remaining: None }
+    ExchangeReport { outcome, elapsed: Duration::ZERO, load: None, cold_remaining: None }
 }
 
 /// Guards against affinity keys that move between instances and lose their cached data.
--- a/crates/steer/tests/it/shift.rs
+++ b/crates/steer/tests/it/shift.rs
@@ -163,7 +163,8 @@
         if region != own_region || all_requests[window] % 3 == 0 {
             let latency = Duration::from_millis(100);
             let outcome = ExchangeOutcome::Answered { failed: false, latency };
-            let report = ExchangeReport { outcome, load: None, cold_remaining: None };
+            let report =
+                ExchangeReport { outcome, elapsed: latency, load: None, cold_remaining: None };
             steering.record_ended(&plan, key, &report, now);
         }
     }
--- a/crates/steer/tests/it/steering.rs
+++ b/crates/steer/tests/it/steering.rs
@@ -102,6 +102,7 @@
         steering.record_sent(&plan, key, now);
         let report = ExchangeReport {
             outcome: ExchangeOutcome::Broken { crashed: true },
+            elapsed: Duration::ZERO,
             load: None,
             cold_remaining: None,
         };
