--- a/crates/capacity/src/declarations.rs
+++ b/crates/capacity/src/declarations.rs
@@ -4,7 +4,7 @@
 
 use kingcupford_config::{
     BlockDecl, Declarations, InstanceDecl, IsolationPolicy, LinkDecl, PresetDecl, RegionDecl,
-    RouteDecl, ServiceDecl, SiteDecl, TenantDecl, VersionDecl,
+    RouteDecl, ServiceDecl, SiteDecl, TeamDecl, VersionDecl,
 };
 
 use crate::report::Shape;
@@ -62,9 +62,9 @@
         versions: vec![version],
         active_version: "v1".to_owned(),
     });
-    for tenant in 0..shape.tenants {
-        res.tenants.push(TenantDecl {
-            name: format!("tenant-{tenant}"),
+    for team in 0..shape.teams {
+        res.teams.push(TeamDecl {
+            name: format!("tenant-{team}"),
             rate_per_s: 100.0,
             burst: 200.0,
             when_isolated: IsolationPolicy::Serve,
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -42,7 +42,7 @@
         ("today", hosts_table(report, "today")),
         ("zones", hosts_table(report, "zones")),
         ("blocks", blocks_table(report)),
-        ("tenants", sizes_table(report, "tenants", |it| it.shape.tenants)),
+        ("tenants", sizes_table(report, "tenants", |it| it.shape.teams)),
         ("instances", sizes_table(report, "instances", |it| it.shape.instances)),
         ("platform", platform_table(report)),
         ("start", start_table(report)),
@@ -204,7 +204,7 @@
     ];
     for (name, value) in figures {
         let (mut rows, mut values) = (Vec::new(), Vec::new());
-        let runs = report.runs.iter().filter(|it| it.shape.blocks < 1_000 && it.shape.tenants == 8);
+        let runs = report.runs.iter().filter(|it| it.shape.blocks < 1_000 && it.shape.teams == 8);
         for run in runs {
             for host in &run.idle {
                 // Measurement errors grow with the value, so relative errors are minimized. With
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -25,8 +25,9 @@
     pub zones_per_region: usize,
     /// Number of client blocks, each a network of 256 addresses.
     pub blocks: usize,
-    /// Number of declared tenants.
-    pub tenants: usize,
+    /// Number of declared teams.
+    #[serde(rename = "tenants")]
+    pub teams: usize,
     /// Number of upstream instances, spread over the zones.
     pub instances: usize,
     /// Rate limit of the platform stand-in, as a fraction of 2,000 reads and 400 writes per second.
--- a/crates/capacity/src/series.rs
+++ b/crates/capacity/src/series.rs
@@ -11,7 +11,7 @@
 const ZONES_TODAY: usize = 6;
 
 /// Number of hosts per zone in the series over zones, and in the single-zone series over blocks,
-/// tenants and instances.
+/// teams and instances.
 const HOSTS_PER_ZONE: usize = 8;
 
 /// Number of hosts per zone at the target size, 550 hosts in 25 zones.
@@ -46,8 +46,8 @@
     report.runs.retain(|it| !shapes.iter().any(|shape| shape.series == it.shape.series));
     for shape in shapes {
         eprintln!(
-            "{}: {} hosts in {} zones, {} blocks, {} tenants, {} instances",
-            shape.series, shape.hosts, shape.zones, shape.blocks, shape.tenants, shape.instances,
+            "{}: {} hosts in {} zones, {} blocks, {} teams, {} instances",
+            shape.series, shape.hosts, shape.zones, shape.blocks, shape.teams, shape.instances,
         );
         let with_faults = shape.series == "today" || shape.series == "blocks";
         match run(&shape, Duration::from_secs(idle_s), with_faults).await {
@@ -68,7 +68,7 @@
         zones,
         zones_per_region: 2,
         blocks: BASE_BLOCKS,
-        tenants: 8,
+        teams: 8,
         instances: INSTANCES_TODAY,
         platform_part: 1.0,
     };
@@ -83,8 +83,8 @@
     for blocks in [10_000, 40_000, 160_000] {
         res.push(Shape { blocks, ..base_shape("blocks", HOSTS_PER_ZONE, 1) });
     }
-    for tenants in [8, 64, 512] {
-        res.push(Shape { tenants, ..base_shape("tenants", HOSTS_PER_ZONE, 1) });
+    for teams in [8, 64, 512] {
+        res.push(Shape { teams, ..base_shape("tenants", HOSTS_PER_ZONE, 1) });
     }
     for instances in [0, 160, 640] {
         res.push(Shape { instances, ..base_shape("instances", HOSTS_PER_ZONE, 1) });
--- a/crates/config/src/arena.rs
+++ b/crates/config/src/arena.rs
@@ -46,8 +46,8 @@
     InstanceId(u32);
     /// Id of a route of a service.
     RouteId(u32);
-    /// Id of a tenant.
-    TenantId(u16);
+    /// Id of a team.
+    TeamId(u16);
     /// Id of a preset.
     PresetId(u16);
     /// Id of a traffic shift of a preset.
--- a/crates/config/src/chunk.rs
+++ b/crates/config/src/chunk.rs
@@ -55,8 +55,10 @@
     Blocks,
     /// One service with its routes, versions and instances.
     Services,
-    /// Tenants with their rate limits.
-    Tenants,
+    /// Teams with their rate limits.
+    #[serde(rename = "tenants")]
+    #[strum(serialize = "tenants")]
+    Teams,
     /// Issued keys, stored as hashes.
     Keys,
     /// Presets and the name of the initial preset.
@@ -111,9 +113,9 @@
         let subset = Declarations { services: vec![service], ..Declarations::default() };
         chunks.push(Chunk::encode(ChunkKind::Services, &subset)?);
     }
-    for tenants in sorted.tenants.chunks(1024) {
-        let subset = Declarations { tenants: tenants.to_vec(), ..Declarations::default() };
-        chunks.push(Chunk::encode(ChunkKind::Tenants, &subset)?);
+    for teams in sorted.teams.chunks(1024) {
+        let subset = Declarations { teams: teams.to_vec(), ..Declarations::default() };
+        chunks.push(Chunk::encode(ChunkKind::Teams, &subset)?);
     }
     for keys in sorted.keys.chunks(1024) {
         let subset = Declarations { keys: keys.to_vec(), ..Declarations::default() };
--- a/crates/config/src/declare.rs
+++ b/crates/config/src/declare.rs
@@ -27,9 +27,10 @@
     /// Services with their routes, versions and instances.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub services: Vec<ServiceDecl>,
-    /// Tenants with their rate limits.
+    /// Teams with their rate limits.
     #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub tenants: Vec<TenantDecl>,
+    #[serde(rename = "tenants")]
+    pub teams: Vec<TeamDecl>,
     /// Issued keys. They are stored on the platform only, never in a folder, so that applying a
     /// folder cannot restore a revoked key.
     #[serde(skip_serializing_if = "Vec::is_empty")]
@@ -149,7 +150,7 @@
 /// A customer, whose requests share one rate limit.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct TenantDecl {
+pub struct TeamDecl {
     /// Unique name.
     pub name: String,
     /// Rate limit in requests per second across the whole fleet.
@@ -157,12 +158,12 @@
     /// Capacity of the rate limit's token bucket in requests, across the whole fleet.
     pub burst: f64,
     /// Whether an isolated host, which receives nothing from the platform or any other zone, keeps
-    /// serving the tenant's keys.
+    /// serving the team's keys.
     #[serde(default)]
     pub when_isolated: IsolationPolicy,
 }
 
-/// What an isolated host does with a tenant's keys.
+/// What an isolated host does with a team's keys.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, Display, EnumString,
 )]
@@ -182,8 +183,9 @@
 pub struct KeyDecl {
     /// Unique identifier, the public part of the key.
     pub id: String,
-    /// Name of the tenant that owns the key.
-    pub tenant: String,
+    /// Name of the team that owns the key.
+    #[serde(rename = "tenant")]
+    pub team: String,
     /// SHA-256 of the whole key.
     pub sha256: KeyHash,
 }
@@ -329,7 +331,7 @@
         self.sites.extend(other.sites);
         self.blocks.extend(other.blocks);
         self.services.extend(other.services);
-        self.tenants.extend(other.tenants);
+        self.teams.extend(other.teams);
         self.keys.extend(other.keys);
         self.presets.extend(other.presets);
         self.initial_preset = other.initial_preset.or(self.initial_preset.take());
@@ -342,7 +344,7 @@
         self.sites.sort_by(|a, b| a.name.cmp(&b.name));
         self.blocks.sort_by_key(|a| a.cidr);
         self.services.sort_by(|a, b| a.name.cmp(&b.name));
-        self.tenants.sort_by(|a, b| a.name.cmp(&b.name));
+        self.teams.sort_by(|a, b| a.name.cmp(&b.name));
         self.keys.sort_by(|a, b| a.id.cmp(&b.id));
         self.presets.sort_by(|a, b| a.name.cmp(&b.name));
     }
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -12,7 +12,7 @@
 pub struct Change {
     /// How the entry differs.
     pub kind: ChangeKind,
-    /// Path of the entry in the declarations, such as `tenants.acme`.
+    /// Path of the entry in the declarations, such as `teams.acme`.
     pub place: String,
 }
 
@@ -45,7 +45,7 @@
     diff_lists("sites", &active.sites, &desired.sites, |it| it.name.clone(), &mut changes);
     diff_lists("blocks", &active.blocks, &desired.blocks, |it| it.cidr.to_string(), &mut changes);
     diff_lists("services", &active.services, &desired.services, |it| it.name.clone(), &mut changes);
-    diff_lists("tenants", &active.tenants, &desired.tenants, |it| it.name.clone(), &mut changes);
+    diff_lists("tenants", &active.teams, &desired.teams, |it| it.name.clone(), &mut changes);
     diff_lists("presets", &active.presets, &desired.presets, |it| it.name.clone(), &mut changes);
     changes
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,7 +15,7 @@
 pub use crate::{
     arena::{
         Arena, ArenaId, HostId, InstanceId, PresetId, RegionId, RouteId, ServiceId, ShiftId,
-        SiteId, TenantId, VersionId, ZoneId,
+        SiteId, TeamId, VersionId, ZoneId,
     },
     chunk::{
         Chunk, ChunkKind, ChunkRef, Head, MAX_CHUNK_BYTES, assemble_chunks, split_into_chunks,
@@ -23,13 +23,13 @@
     declare::{
         BlockDecl, Declarations, DrainDecl, DrainTarget, InstanceDecl, IsolationPolicy, KeyDecl,
         LinkDecl, LoadError, PresetDecl, RegionDecl, RegionLimitDecl, RouteDecl, ServiceDecl,
-        ShiftDecl, SiteDecl, TenantDecl, VersionDecl, load_folder,
+        ShiftDecl, SiteDecl, TeamDecl, VersionDecl, load_folder,
     },
     diff::{Change, ChangeKind, diff},
     key::{CallerKey, KeyHash, KeyParseError},
     snapshot::{
         ConfigVersion, Instance, Link, Preset, Region, RegionLimit, Route, Service, Shift, Site,
-        Snapshot, StoredKey, Tenant, Version, Zone,
+        Snapshot, StoredKey, Team, Version, Zone,
     },
     validate::{ValidationError, validate},
 };
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     arena::{
-        Arena, InstanceId, PresetId, RegionId, RouteId, ServiceId, ShiftId, SiteId, TenantId,
+        Arena, InstanceId, PresetId, RegionId, RouteId, ServiceId, ShiftId, SiteId, TeamId,
         VersionId, ZoneId,
     },
     declare::{Declarations, DrainDecl, IsolationPolicy, ServiceDecl},
@@ -129,7 +129,7 @@
 
 /// A customer, whose requests share one rate limit.
 #[derive(Debug, Clone)]
-pub struct Tenant {
+pub struct Team {
     /// Unique name.
     pub name: String,
     /// Rate limit in requests per second across the whole fleet.
@@ -137,7 +137,7 @@
     /// Capacity of the rate limit's token bucket in requests, across the whole fleet.
     pub burst: f64,
     /// Whether an isolated host, which receives nothing from the platform or any other zone, keeps
-    /// serving the tenant's keys.
+    /// serving the team's keys.
     pub when_isolated: IsolationPolicy,
 }
 
@@ -146,8 +146,8 @@
 pub struct StoredKey {
     /// Unique identifier, the public part of the key.
     pub id: String,
-    /// Tenant that owns the key.
-    pub tenant: TenantId,
+    /// Team that owns the key.
+    pub team: TeamId,
     /// SHA-256 of the whole key.
     pub hash: KeyHash,
 }
@@ -219,8 +219,8 @@
     pub versions: Arena<VersionId, Version>,
     /// Upstream instances by name.
     pub instances: Arena<InstanceId, Instance>,
-    /// Tenants by name.
-    pub tenants: Arena<TenantId, Tenant>,
+    /// Teams by name.
+    pub teams: Arena<TeamId, Team>,
     /// Presets by name.
     pub presets: Arena<PresetId, Preset>,
     /// Traffic shifts of all presets by name.
@@ -260,7 +260,7 @@
             routes: Arena::with_ids_of(&previous.routes),
             versions: Arena::with_ids_of(&previous.versions),
             instances: Arena::with_ids_of(&previous.instances),
-            tenants: Arena::with_ids_of(&previous.tenants),
+            teams: Arena::with_ids_of(&previous.teams),
             presets: Arena::with_ids_of(&previous.presets),
             shifts: Arena::with_ids_of(&previous.shifts),
             ..Self::default()
@@ -270,18 +270,18 @@
         for service in &declarations.services {
             snapshot.add_service(service)?;
         }
-        snapshot.add_tenants(declarations)?;
+        snapshot.add_teams(declarations)?;
         snapshot.add_presets(declarations)?;
         snapshot.activate(active_preset)?;
         Ok(snapshot)
     }
 
-    /// Returns the tenant that owns `key`, `None` when the key is unknown or revoked or its secret
+    /// Returns the team that owns `key`, `None` when the key is unknown or revoked or its secret
     /// is wrong.
-    pub fn authenticate(&self, key: &CallerKey) -> Option<TenantId> {
+    pub fn authenticate(&self, key: &CallerKey) -> Option<TeamId> {
         let index = self.keys.binary_search_by(|it| it.id.as_str().cmp(key.id())).ok()?;
         let stored = &self.keys[index];
-        stored.hash.matches(&key.hash()).then_some(stored.tenant)
+        stored.hash.matches(&key.hash()).then_some(stored.team)
     }
 
     /// Returns the route of a request: the one with the longest path prefix among those that match
@@ -429,20 +429,20 @@
         Ok(())
     }
 
-    /// Adds tenants and keys.
-    fn add_tenants(&mut self, declarations: &Declarations) -> anyhow::Result<()> {
-        for tenant in &declarations.tenants {
-            let value = Tenant {
-                name: tenant.name.clone(),
-                rate_per_s: tenant.rate_per_s,
-                burst: tenant.burst,
-                when_isolated: tenant.when_isolated,
+    /// Adds teams and keys.
+    fn add_teams(&mut self, declarations: &Declarations) -> anyhow::Result<()> {
+        for team in &declarations.teams {
+            let value = Team {
+                name: team.name.clone(),
+                rate_per_s: team.rate_per_s,
+                burst: team.burst,
+                when_isolated: team.when_isolated,
             };
-            self.tenants.insert(&tenant.name, value);
+            self.teams.insert(&team.name, value);
         }
         for key in &declarations.keys {
-            let tenant = self.tenants.id(&key.tenant).context("key names an unknown tenant")?;
-            self.keys.push(StoredKey { id: key.id.clone(), tenant, hash: key.sha256 });
+            let team = self.teams.id(&key.team).context("key names an unknown tenant")?;
+            self.keys.push(StoredKey { id: key.id.clone(), team, hash: key.sha256 });
         }
         self.keys.sort_by(|a, b| a.id.cmp(&b.id));
         Ok(())
--- a/crates/config/src/validate.rs
+++ b/crates/config/src/validate.rs
@@ -13,7 +13,7 @@
 /// An error in declarations, with the entry that contains it and a hint to correct it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ValidationError {
-    /// Path of the entry in the declarations, such as `tenants.acme`.
+    /// Path of the entry in the declarations, such as `teams.acme`.
     pub place: String,
     /// Description of the error, to be read after the path.
     pub problem: String,
@@ -33,7 +33,7 @@
     validator.validate_regions();
     validator.validate_sites_and_blocks();
     validator.validate_services();
-    validator.validate_tenants_and_keys();
+    validator.validate_teams_and_keys();
     validator.validate_presets();
     validator.errors
 }
@@ -173,20 +173,20 @@
         }
     }
 
-    /// Validates tenants and keys.
-    fn validate_tenants_and_keys(&mut self) {
-        let tenants = &self.declarations.tenants;
-        self.require_unique("tenants", tenants.iter().map(|it| &it.name));
-        for tenant in tenants {
-            let place = format!("tenants.{}", tenant.name);
-            self.require_in_range(&place, "rate_per_s", tenant.rate_per_s, 0.001, MAX_RATE_PER_S);
-            self.require_in_range(&place, "burst", tenant.burst, 1.0, MAX_RATE_PER_S);
+    /// Validates teams and keys.
+    fn validate_teams_and_keys(&mut self) {
+        let teams = &self.declarations.teams;
+        self.require_unique("tenants", teams.iter().map(|it| &it.name));
+        for team in teams {
+            let place = format!("tenants.{}", team.name);
+            self.require_in_range(&place, "rate_per_s", team.rate_per_s, 0.001, MAX_RATE_PER_S);
+            self.require_in_range(&place, "burst", team.burst, 1.0, MAX_RATE_PER_S);
         }
         self.require_unique("keys", self.declarations.keys.iter().map(|it| &it.id));
         for key in &self.declarations.keys {
-            if !tenants.iter().any(|it| it.name == key.tenant) {
-                let problem = format!("belongs to the unknown tenant `{}`", key.tenant);
-                let hint = "keep the tenant, or revoke its keys before removing it";
+            if !teams.iter().any(|it| it.name == key.team) {
+                let problem = format!("belongs to the unknown team `{}`", key.team);
+                let hint = "keep the team, or revoke its keys before removing it";
                 self.report(&format!("keys.{}", key.id), &problem, hint);
             }
         }
--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -10,7 +10,7 @@
     test_runner::{Config, RngSeed},
 };
 
-/// Two regions, a service with overlapping routes, and two tenants.
+/// Two regions, a service with overlapping routes, and two teams.
 const DECLARATIONS: &str = "
 regions:
   - { name: alpen, zones: [alpen-a] }
@@ -50,8 +50,8 @@
     invalid.blocks.push(BlockDecl { cidr: "10.1.0.1/16".parse().unwrap(), site: "s9".to_owned() });
     invalid.services[0].active_version = "v9".to_owned();
     invalid.services[0].routes[0].timeout_ms = 0;
-    invalid.tenants[0].rate_per_s = -1.0;
-    invalid.tenants[1].name = "hof".to_owned();
+    invalid.teams[0].rate_per_s = -1.0;
+    invalid.teams[1].name = "hof".to_owned();
     invalid.presets[1].drains[0].name = "s9".to_owned();
     let errors: Vec<String> = validate(&invalid).iter().map(ToString::to_string).collect();
     expect![[r#"
@@ -95,14 +95,14 @@
 fn compile_keeps_ids_of_names() {
     let first = compile(&declarations(), "ordinary", None);
     let mut changed = declarations();
-    changed.tenants.remove(0);
-    changed.tenants.insert(0, changed.tenants[0].clone());
-    changed.tenants[0].name = "adler".to_owned();
+    changed.teams.remove(0);
+    changed.teams.insert(0, changed.teams[0].clone());
+    changed.teams[0].name = "adler".to_owned();
     let second = compile(&changed, "ordinary", Some(&first));
-    assert_eq!(first.tenants.id("zwinger"), second.tenants.id("zwinger"));
-    assert_eq!(second.tenants.id("hof"), None);
-    let hof = first.tenants.id("hof").expect("declared");
-    assert!(second.tenants.value(hof).is_none(), "the id of a removed name has a value");
+    assert_eq!(first.teams.id("zwinger"), second.teams.id("zwinger"));
+    assert_eq!(second.teams.id("hof"), None);
+    let hof = first.teams.id("hof").expect("declared");
+    assert!(second.teams.value(hof).is_none(), "the id of a removed name has a value");
 }
 
 /// Guards against drains that cover instances outside their target.
@@ -119,11 +119,11 @@
 fn authenticate_checks_secret() {
     let key = CallerKey::new("my_key", [7; 24]);
     let mut declared = declarations();
-    let (id, tenant) = ("my_key".to_owned(), "zwinger".to_owned());
-    declared.keys.push(KeyDecl { id, tenant, sha256: key.hash() });
+    let (id, team) = ("my_key".to_owned(), "zwinger".to_owned());
+    declared.keys.push(KeyDecl { id, team, sha256: key.hash() });
     let snapshot = compile(&declared, "ordinary", None);
     let parsed = CallerKey::parse(key.reveal()).expect("valid key");
-    assert_eq!(snapshot.authenticate(&parsed), snapshot.tenants.id("zwinger"));
+    assert_eq!(snapshot.authenticate(&parsed), snapshot.teams.id("zwinger"));
     let wrong_secret = CallerKey::new("my_key", [8; 24]);
     assert_eq!(snapshot.authenticate(&wrong_secret), None);
     assert_eq!(format!("{parsed:?}"), "CallerKey(my_key)");
@@ -135,7 +135,7 @@
 #[test]
 fn diff_reports_changes() {
     let mut desired = declarations();
-    desired.tenants[0].burst = 30.0;
+    desired.teams[0].burst = 30.0;
     desired.sites.remove(1);
     desired.blocks[1].site = "s1".to_owned();
     let changes: Vec<String> =
--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -57,7 +57,8 @@
     blocks: usize,
     services: usize,
     instances: usize,
-    tenants: usize,
+    #[serde(rename = "tenants")]
+    teams: usize,
     keys: usize,
     presets: usize,
 }
@@ -198,7 +199,7 @@
             blocks: declarations.blocks.len(),
             services: declarations.services.len(),
             instances: versions.map(|it| it.instances.len()).sum(),
-            tenants: declarations.tenants.len(),
+            teams: declarations.teams.len(),
             keys: declarations.keys.len(),
             presets: declarations.presets.len(),
         },
@@ -221,7 +222,7 @@
             counts.blocks,
             counts.services,
             counts.instances,
-            counts.tenants,
+            counts.teams,
             counts.keys,
             counts.presets,
         )
--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -53,7 +53,8 @@
 #[derive(Debug, Clone, Serialize)]
 pub(crate) struct IssuedKey {
     pub(crate) id: String,
-    pub(crate) tenant: String,
+    #[serde(rename = "tenant")]
+    pub(crate) team: String,
     /// Complete key, including the secret.
     pub(crate) key: String,
 }
--- a/crates/ctl/src/keys.rs
+++ b/crates/ctl/src/keys.rs
@@ -19,7 +19,8 @@
 #[derive(Debug, Serialize)]
 struct KeyRow {
     id: String,
-    tenant: String,
+    #[serde(rename = "tenant")]
+    team: String,
 }
 
 /// Issues a key and prints it.
@@ -29,8 +30,8 @@
     flags: KeyIssue,
 ) -> Result<ExitStatus, CommandError> {
     let mut rng = rand::rng();
-    let tenant = flags.tenant;
-    let id = flags.id.unwrap_or_else(|| format!("{tenant}-{:08x}", rng.random::<u32>()));
+    let team = flags.tenant;
+    let id = flags.id.unwrap_or_else(|| format!("{team}-{:08x}", rng.random::<u32>()));
     let is_allowed = |it: char| it.is_ascii_alphanumeric() || "-.".contains(it);
     if id.is_empty() || id.len() > MAX_KEY_ID_BYTES || !id.chars().all(is_allowed) {
         let hint = format!("use up to {MAX_KEY_ID_BYTES} letters, digits, `-` and `.`");
@@ -41,13 +42,13 @@
         ));
     }
     let key = CallerKey::new(&id, rng.random());
-    let declaration = KeyDecl { id: id.clone(), tenant: tenant.clone(), sha256: key.hash() };
+    let declaration = KeyDecl { id: id.clone(), team: team.clone(), sha256: key.hash() };
     let change_id = new_change_id("issue");
     let mut report = ChangeReport::new(&change_id);
     report.key =
-        Some(IssuedKey { id: id.clone(), tenant: tenant.clone(), key: key.reveal().to_owned() });
+        Some(IssuedKey { id: id.clone(), team: team.clone(), key: key.reveal().to_owned() });
     let messages = ChangeMessages {
-        success: format!("key {id} of tenant {tenant} is issued"),
+        success: format!("key {id} of team {team} is issued"),
         lookup_hint: format!("if `key list` shows {id}, revoke it, then issue another key"),
         unconfirmed_hint: "such a zone refuses the key until it hears of it; `status` shows when \
                           it has"
@@ -67,7 +68,7 @@
         success: format!("key {id} is revoked"),
         lookup_hint: format!("`key list` shows {id} if it is still valid"),
         unconfirmed_hint: "such a zone still serves the key until it hears of the revocation, \
-                          unless the tenant has `when_isolated: refuse` and the zone is cut off; \
+                          unless the team has `when_isolated: refuse` and the zone is cut off; \
                           `status` shows when it has heard"
             .to_owned(),
     };
@@ -81,12 +82,12 @@
 ) -> Result<ExitStatus, CommandError> {
     let head = session.read_required_head().await?.head;
     let declarations = session.read_declarations(&head, &[ChunkKind::Keys]).await?;
-    let keys = declarations.keys.into_iter().map(|it| KeyRow { id: it.id, tenant: it.tenant });
+    let keys = declarations.keys.into_iter().map(|it| KeyRow { id: it.id, team: it.team });
     let keys: Vec<_> = keys.collect();
     console.print_result(&keys, || {
         let mut table = Table::new(&["KEY", "TENANT"]);
         for it in &keys {
-            table.add_row(vec![it.id.clone(), it.tenant.clone()]);
+            table.add_row(vec![it.id.clone(), it.team.clone()]);
         }
         table.render()
     });
--- a/crates/ctl/tests/it/catalogue.rs
+++ b/crates/ctl/tests/it/catalogue.rs
@@ -80,8 +80,17 @@
         let page = read_page(name);
         // The fields of the error type are not settings.
         let text = text.split("pub struct SettingsError").next().unwrap();
-        let fields = text.lines().filter_map(|it| it.strip_prefix("    pub ")?.split_once(": "));
-        let fields: Vec<_> = fields.map(|it| it.0).filter(|it| !it.contains(' ')).collect();
+        let mut rename = None;
+        let mut fields = Vec::new();
+        for line in text.lines() {
+            let own_name = line.strip_prefix("    pub ").and_then(|it| it.split_once(": "));
+            if let Some(it) = line.trim().strip_prefix("#[serde(rename = \"") {
+                rename = it.split_once('"').map(|it| it.0);
+            } else if let Some((own_name, _)) = own_name.filter(|it| !it.0.contains(' ')) {
+                // Pages use the outer name.
+                fields.push(rename.take().unwrap_or(own_name));
+            }
+        }
         assert!(fields.len() > 10, "{source} has only {fields:?}");
         for field in fields {
             // Keys are not declared in folders.
--- a/crates/ctl/tests/it/changes.rs
+++ b/crates/ctl/tests/it/changes.rs
@@ -79,7 +79,7 @@
         --- out
         key k1 is revoked in version 3
         --- err
-        error: not confirmed within <n> ms (hint: such a zone still serves the key until it hears of the revocation, unless the tenant has `when_isolated: refuse` and the zone is cut off; `status` shows when it has heard)
+        error: not confirmed within <n> ms (hint: such a zone still serves the key until it hears of the revocation, unless the team has `when_isolated: refuse` and the zone is cut off; `status` shows when it has heard)
         error: zone alpen-a: host entry-1 (live) has version 2
     "#]].assert_eq(&run.normalized());
 }
@@ -149,7 +149,7 @@
         key k1 is revoked in version 3
         --- err
         warning: host entry-3 is gone in the view of its zone but holds a share, so it may run cut off with an older version (hint: if its machine is lost, the share is reclaimed after 31 min)
-        error: not confirmed within <n> ms (hint: such a zone still serves the key until it hears of the revocation, unless the tenant has `when_isolated: refuse` and the zone is cut off; `status` shows when it has heard)
+        error: not confirmed within <n> ms (hint: such a zone still serves the key until it hears of the revocation, unless the team has `when_isolated: refuse` and the zone is cut off; `status` shows when it has heard)
         error: zone alpen-b: silent for <n> s, host entry-2 (draining) has version 2
     "#]].assert_eq(&text);
 }
@@ -211,7 +211,7 @@
     expect![[r#"
         exit 0
         --- out
-        key k2 of tenant kennel-1 is issued in version 3
+        key k2 of team kennel-1 is issued in version 3
         kc_k2_<hex>
         this key is shown once and cannot be shown again
         no zone has entry hosts yet
--- a/crates/demo/src/check.rs
+++ b/crates/demo/src/check.rs
@@ -18,8 +18,7 @@
     let client = Client::builder().no_proxy().build()?;
     let (key, version) = deployment.issue_key("demo-1", "school-1").await?;
     deployment.wait_until_active(version).await?;
-    verified
-        .push(format!("key demo-1 of tenant school-1 is active everywhere as version {version}"));
+    verified.push(format!("key demo-1 of team school-1 is active everywhere as version {version}"));
 
     let base = deployment.url(0)?;
     let lookup: Value = client
@@ -59,7 +58,7 @@
         upstream_report.contains("school-1"),
         "the upstream did not receive the tenant: {upstream_report}",
     );
-    verified.push("read was executed, the upstream saw the tenant and not the key".to_owned());
+    verified.push("read was executed, the upstream saw the team and not the key".to_owned());
 
     let refused = client.get(format!("{base}/ledger-view/balances/7")).send().await?;
     ensure!(
--- a/crates/demo/src/declarations.rs
+++ b/crates/demo/src/declarations.rs
@@ -4,7 +4,7 @@
 
 use kingcupford_config::{
     BlockDecl, Declarations, InstanceDecl, IsolationPolicy, LinkDecl, PresetDecl, RegionDecl,
-    RouteDecl, ServiceDecl, ShiftDecl, SiteDecl, TenantDecl, VersionDecl,
+    RouteDecl, ServiceDecl, ShiftDecl, SiteDecl, TeamDecl, VersionDecl,
 };
 
 use crate::deployment::UpstreamSpec;
@@ -13,7 +13,7 @@
 const REGIONS: [&str; 3] = ["fukuoka", "kumamoto", "kagoshima"];
 
 /// Returns sorted declarations of three regions with one site per zone, three services, eight
-/// tenants and three presets. `upstreams` become the instances of the services at the given
+/// teams and three presets. `upstreams` become the instances of the services at the given
 /// addresses.
 pub fn demo_declarations(upstreams: &[(UpstreamSpec, SocketAddr)]) -> Declarations {
     let zones = |region: &str| ["a", "b"].map(|it| format!("{region}-{it}")).to_vec();
@@ -29,7 +29,7 @@
             service("deposit-desk", route("/", false, 5_000), upstreams),
             service("photo-drop", route("/", false, 120_000), upstreams),
         ],
-        tenants: tenants(),
+        teams: teams(),
         presets: presets(),
         initial_preset: Some("ordinary".to_owned()),
         ..Declarations::default()
@@ -90,16 +90,16 @@
     }
 }
 
-/// Returns eight tenants, a few of which have much larger rate limits than the others.
-fn tenants() -> Vec<TenantDecl> {
+/// Returns eight teams, a few of which have much larger rate limits than the others.
+fn teams() -> Vec<TeamDecl> {
     let rates_per_s = [400.0, 200.0, 100.0, 20.0, 20.0, 20.0, 10.0, 10.0];
-    let tenants = rates_per_s.iter().enumerate().map(|(index, rate_per_s)| TenantDecl {
+    let teams = rates_per_s.iter().enumerate().map(|(index, rate_per_s)| TeamDecl {
         name: format!("school-{}", index + 1),
         rate_per_s: *rate_per_s,
         burst: rate_per_s * 2.0,
         when_isolated: IsolationPolicy::Serve,
     });
-    tenants.collect()
+    teams.collect()
 }
 
 /// Returns presets for ordinary days, for peaks with a traffic shift and for the maintenance of a
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -191,15 +191,15 @@
         applied_version(self.config.apply(declarations, &change).await)
     }
 
-    /// Issues a key with the given id to a tenant and returns it with the new configuration
+    /// Issues a key with the given id to a team and returns it with the new configuration
     /// version.
-    pub async fn issue_key(&self, id: &str, tenant: &str) -> anyhow::Result<(CallerKey, u64)> {
+    pub async fn issue_key(&self, id: &str, team: &str) -> anyhow::Result<(CallerKey, u64)> {
         let mut secret = [0; 24];
         for (index, byte) in secret.iter_mut().enumerate() {
             *byte = random_u64().to_le_bytes()[index % 8];
         }
         let key = CallerKey::new(id, secret);
-        let stored = KeyDecl { id: id.to_owned(), tenant: tenant.to_owned(), sha256: key.hash() };
+        let stored = KeyDecl { id: id.to_owned(), team: team.to_owned(), sha256: key.hash() };
         let version =
             applied_version(self.config.issue_key(&stored, &format!("issue-{id}")).await)?;
         Ok((key, version))
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -2,18 +2,18 @@
 
 use std::{sync::Arc, time::Duration};
 
-use kingcupford_config::{IsolationPolicy, TenantId};
+use kingcupford_config::{IsolationPolicy, TeamId};
 use kingcupford_fleet::MemberState;
 use kingcupford_quota::{AcquireOutcome, Resource};
 use kingcupford_route::{BeginResult, Outcome, Quarantine, QuarantineStatus, RunHandle};
 use tokio::time::Instant;
 
 use crate::{
-    engine::{ActiveRequest, Engine, OPEN_ROUTE_TENANT},
+    engine::{ActiveRequest, Engine, OPEN_ROUTE_TEAM},
     request::{Admission, PresentedKey, Refusal, RefusalReason, RequestHead, Ticket},
 };
 
-/// Maximum time from the arrival of a request for which it waits for tokens of its tenant's rate.
+/// Maximum time from the arrival of a request for which it waits for tokens of its team's rate.
 const MAX_RATE_WAIT: Duration = Duration::from_millis(250);
 
 /// Maximum time from the arrival of a request for which it waits until the host has caught up after
@@ -29,8 +29,8 @@
 /// Maximum interval at which a request asks again while a loan is pending.
 const MAX_LOAN_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Maximum `retry_after` reported for an exhausted tenant rate, unless one token takes longer at
-/// the tenant's full rate. The refill of this host may be slow only because its share is lent, and
+/// Maximum `retry_after` reported for an exhausted team rate, unless one token takes longer at
+/// the team's full rate. The refill of this host may be slow only because its share is lent, and
 /// other hosts may have tokens.
 const MAX_RATE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -72,16 +72,16 @@
         let route_id = snapshot.route(service, &head.method, path);
         let route_id = route_id.ok_or(Refusal::new(RefusalReason::UnknownRoute))?;
         let route = &snapshot.routes[route_id];
-        let tenant = if route.open { None } else { Some(self.authenticate(head, now)?) };
+        let team = if route.open { None } else { Some(self.authenticate(head, now)?) };
         let route_timeout = Duration::from_millis(route.timeout_ms);
         let deadline =
             head.arrived + head.timeout.map_or(route_timeout, |it| it.min(route_timeout));
         if now >= deadline {
             return Err(Refusal::new(RefusalReason::DeadlinePassed));
         }
-        let tenant_name = tenant.map_or("", |it| snapshot.tenants[it].name.as_str());
+        let team_name = team.map_or("", |it| snapshot.teams[it].name.as_str());
         let fingerprint = Quarantine::fingerprint(
-            tenant_name,
+            team_name,
             &head.method,
             &format!("{}{}", head.service, head.path),
             head.content_length,
@@ -91,20 +91,19 @@
             let retry_after = until.saturating_duration_since(now);
             return Err(Refusal::new(RefusalReason::Quarantined).with_retry_after(retry_after));
         }
-        if let Some(tenant) = tenant
-            && let Some(wait) =
-                self.acquire_tenant_token(tenant, head, has_waited, deadline, now)?
+        if let Some(team) = team
+            && let Some(wait) = self.acquire_team_token(team, head, has_waited, deadline, now)?
         {
             return Ok(wait);
         }
         let run_handle = if route.idempotent {
             None
         } else {
-            match self.begin_run(head, tenant.unwrap_or(OPEN_ROUTE_TENANT), now) {
+            match self.begin_run(head, team.unwrap_or(OPEN_ROUTE_TEAM), now) {
                 Ok(it) => Some(it),
                 Err(refusal) => {
-                    if let Some(tenant) = tenant {
-                        self.holder.refund(Resource::TenantRate(tenant), 1.0, now);
+                    if let Some(team) = team {
+                        self.holder.refund(Resource::TeamRate(team), 1.0, now);
                     }
                     return Err(refusal);
                 }
@@ -116,7 +115,7 @@
             ticket,
             service,
             route: route_id,
-            tenant,
+            team,
             idempotent: route.idempotent,
             fingerprint,
             run_handle,
@@ -143,33 +142,33 @@
             || self.resync.is_some_and(|it| now < it.expires_at)
     }
 
-    /// Returns the tenant of the key that came with a request.
-    fn authenticate(&self, head: &RequestHead, now: Instant) -> Result<TenantId, Refusal> {
+    /// Returns the team of the key that came with a request.
+    fn authenticate(&self, head: &RequestHead, now: Instant) -> Result<TeamId, Refusal> {
         let key = match &head.key {
             PresentedKey::Missing => return Err(Refusal::new(RefusalReason::KeyMissing)),
             PresentedKey::Malformed => return Err(Refusal::new(RefusalReason::KeyInvalid)),
             PresentedKey::Key(it) => it,
         };
-        let tenant =
+        let team =
             self.snapshot.authenticate(key).ok_or(Refusal::new(RefusalReason::KeyInvalid))?;
-        let policy = self.snapshot.tenants[tenant].when_isolated;
+        let policy = self.snapshot.teams[team].when_isolated;
         if policy == IsolationPolicy::Refuse && self.fleet.is_isolated(now) {
             return Err(Refusal::new(RefusalReason::KeyUnconfirmed));
         }
-        Ok(tenant)
+        Ok(team)
     }
 
-    /// Takes one token of a tenant's rate. Returns [`Admission::Wait`] if a token is expected in
+    /// Takes one token of a team's rate. Returns [`Admission::Wait`] if a token is expected in
     /// time: from a pending loan or the refill of this host's share.
-    fn acquire_tenant_token(
+    fn acquire_team_token(
         &mut self,
-        tenant: TenantId,
+        team: TeamId,
         head: &RequestHead,
         has_waited: bool,
         deadline: Instant,
         now: Instant,
     ) -> Result<Option<Admission>, Refusal> {
-        let resource = Resource::TenantRate(tenant);
+        let resource = Resource::TeamRate(team);
         let outcome = if has_waited {
             self.holder.retry_acquire_tokens(resource, 1.0, now)
         } else {
@@ -186,24 +185,23 @@
             let until = (now + delay.max(Duration::from_millis(1))).min(wait_limit);
             return Ok(Some(Admission::Wait { until }));
         }
-        let token_interval =
-            Duration::from_secs_f64(1.0 / self.snapshot.tenants[tenant].rate_per_s);
+        let token_interval = Duration::from_secs_f64(1.0 / self.snapshot.teams[team].rate_per_s);
         let retry_after = retry_after.min(MAX_RATE_RETRY_AFTER.max(token_interval));
-        Err(Refusal::new(RefusalReason::TenantRate).with_retry_after(retry_after))
+        Err(Refusal::new(RefusalReason::TeamRate).with_retry_after(retry_after))
     }
 
     /// Starts the run of a request that is not idempotent under its request id.
     fn begin_run(
         &mut self,
         head: &RequestHead,
-        tenant: TenantId,
+        team: TeamId,
         now: Instant,
     ) -> Result<RunHandle, Refusal> {
         let binding = self.request_ids.binding(now);
         let Some(text) = &head.request_id else {
             return Err(Refusal::new(RefusalReason::RequestIdMissing).with_binding(binding));
         };
-        Err(match self.request_ids.begin(text, tenant, now) {
+        Err(match self.request_ids.begin(text, team, now) {
             BeginResult::Run(handle) => return Ok(handle),
             BeginResult::Running => {
                 Refusal::new(RefusalReason::RequestIdRunning).with_outcome(Outcome::Unknown)
--- a/crates/engine/src/caps.rs
+++ b/crates/engine/src/caps.rs
@@ -26,9 +26,9 @@
     split: impl Fn(ServiceId) -> VersionSplit,
 ) -> Vec<(Resource, Cap)> {
     let mut res = Vec::new();
-    for (id, tenant) in snapshot.tenants.iter() {
-        let cap = Cap::Rate { rate_per_s: tenant.rate_per_s, burst: tenant.burst };
-        res.push((Resource::TenantRate(id), cap));
+    for (id, team) in snapshot.teams.iter() {
+        let cap = Cap::Rate { rate_per_s: team.rate_per_s, burst: team.burst };
+        res.push((Resource::TeamRate(id), cap));
     }
     for (service, _) in snapshot.services.iter() {
         for (region, _) in snapshot.regions.iter() {
--- a/crates/engine/src/completion.rs
+++ b/crates/engine/src/completion.rs
@@ -163,12 +163,12 @@
         }
         // A token refunded later than at admission would not have counted against the burst in the
         // meantime, so waiting requests could exceed rate and burst in total and then run at once.
-        if let Some(tenant) = request.tenant
+        if let Some(team) = request.team
             && !may_have_run
             && !result.byte_sent
             && now == request.admitted_at
         {
-            self.holder.refund(Resource::TenantRate(tenant), 1.0, now);
+            self.holder.refund(Resource::TeamRate(team), 1.0, now);
         }
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use kingcupford_config::{RegionId, RouteId, ServiceId, Snapshot, TenantId, ZoneId};
+use kingcupford_config::{RegionId, RouteId, ServiceId, Snapshot, TeamId, ZoneId};
 use kingcupford_fleet::{Fleet, FleetSettings, HostIdentity, ListedHost, MemberState};
 use kingcupford_quota::{FairQueue, Holder};
 use kingcupford_route::{
@@ -16,16 +16,16 @@
     rollouts::Rollouts,
 };
 
-/// Tenant id that stands for requests on open routes in fair queues and in the request id table.
-pub(crate) const OPEN_ROUTE_TENANT: TenantId = TenantId(u16::MAX);
+/// Team id that stands for requests on open routes in fair queues and in the request id table.
+pub(crate) const OPEN_ROUTE_TEAM: TeamId = TeamId(u16::MAX);
 
 /// Limits of an [`Engine`] and the settings of its components.
 #[derive(Debug, Clone)]
 pub struct EngineSettings {
     /// Maximum number of request ids retained at the same time.
     pub request_id_capacity: usize,
-    /// Maximum number of waiting requests of one tenant for one service.
-    pub max_waiting_per_tenant: usize,
+    /// Maximum number of waiting requests of one team for one service.
+    pub max_waiting_per_team: usize,
     /// Maximum time that a request waits for a slot; a request with a long timeout may wait for a
     /// tenth of the time left until its deadline, if that is longer.
     pub max_slot_wait: Duration,
@@ -41,7 +41,7 @@
     fn default() -> Self {
         Self {
             request_id_capacity: 1_000_000,
-            max_waiting_per_tenant: 256,
+            max_waiting_per_team: 256,
             max_slot_wait: Duration::from_secs(1),
             fleet: FleetSettings::default(),
             quota: kingcupford_quota::Settings::default(),
@@ -127,12 +127,12 @@
     pub(crate) service: ServiceId,
     pub(crate) route: RouteId,
     /// `None` on open routes.
-    pub(crate) tenant: Option<TenantId>,
+    pub(crate) team: Option<TeamId>,
     pub(crate) idempotent: bool,
     pub(crate) fingerprint: Fingerprint,
     /// Run of the request id, `None` for idempotent requests.
     pub(crate) run_handle: Option<RunHandle>,
-    /// Time of the admission, at which the tenant's rate was charged.
+    /// Time of the admission, at which the team's rate was charged.
     pub(crate) admitted_at: Instant,
     pub(crate) deadline: Instant,
     /// Time at which the request first asked for a slot.
@@ -248,7 +248,7 @@
         while self.services.len() < self.snapshot.services.slot_count() {
             self.services.push(ServiceState {
                 retry_budget: RetryBudget::new(now),
-                queue: FairQueue::new(self.settings.max_waiting_per_tenant),
+                queue: FairQueue::new(self.settings.max_waiting_per_team),
                 queue_head: None,
                 demand_counted_at: None,
             });
--- a/crates/engine/src/lookup.rs
+++ b/crates/engine/src/lookup.rs
@@ -2,7 +2,7 @@
 
 use std::{net::IpAddr, time::Duration};
 
-use kingcupford_config::{DrainTarget, HostId, TenantId, ZoneId};
+use kingcupford_config::{DrainTarget, HostId, TeamId, ZoneId};
 use kingcupford_fleet::MemberState;
 use kingcupford_route::{HostCandidate, HostTable, LocalityLevel};
 use tokio::time::Instant;
@@ -13,10 +13,10 @@
 /// Maximum number of hosts in one answer.
 const MAX_ANSWER_HOSTS: usize = 3;
 
-/// Request rate of a tenant for which one host of a region is enough.
-const TENANT_RATE_PER_HOST_PER_S: f64 = 50.0;
+/// Request rate of a team for which one host of a region is enough.
+const TEAM_RATE_PER_HOST_PER_S: f64 = 50.0;
 
-/// Maximum number of hosts on which the callers of a tenant are concentrated; tenants that need
+/// Maximum number of hosts on which the callers of a team are concentrated; teams that need
 /// more are spread by the callers' networks.
 const MAX_CONCENTRATED_HOSTS: f64 = 2.0;
 
@@ -36,8 +36,8 @@
     pub service: String,
     /// IP address of the caller, which determines its site.
     pub client: IpAddr,
-    /// Tenant of the key that came with the query, if any.
-    pub tenant: Option<TenantId>,
+    /// Team of the key that came with the query, if any.
+    pub team: Option<TeamId>,
 }
 
 /// Entry hosts that a caller should use.
@@ -86,20 +86,20 @@
     /// Returns the level and the affinity by which hosts are ranked; callers with the same values
     /// get the same hosts.
     ///
-    /// A small tenant's share on each host is a few tokens, so its callers of a region are directed
-    /// to only as many hosts as its rate needs. The callers of larger tenants and callers without a
+    /// A small team's share on each host is a few tokens, so its callers of a region are directed
+    /// to only as many hosts as its rate needs. The callers of larger teams and callers without a
     /// key are spread by their networks.
     fn affinity(&self, query: &LookupQuery) -> (LocalityLevel, u64) {
         let network_hash = network_hash(query.client);
-        let Some(tenant) = query.tenant.and_then(|it| self.snapshot.tenants.value(it)) else {
+        let Some(team) = query.team.and_then(|it| self.snapshot.teams.value(it)) else {
             return (LocalityLevel::Zone, network_hash);
         };
-        let hosts = (tenant.rate_per_s / TENANT_RATE_PER_HOST_PER_S).ceil().max(1.0);
+        let hosts = (team.rate_per_s / TEAM_RATE_PER_HOST_PER_S).ceil().max(1.0);
         if hosts > MAX_CONCENTRATED_HOSTS {
             return (LocalityLevel::Zone, network_hash);
         }
         let bucket = network_hash % hosts as u64;
-        (LocalityLevel::Region, xxh3_64_with_seed(tenant.name.as_bytes(), bucket))
+        (LocalityLevel::Region, xxh3_64_with_seed(team.name.as_bytes(), bucket))
     }
 
     /// Rebuilds the host table if its refresh is due.
--- a/crates/engine/src/placement.rs
+++ b/crates/engine/src/placement.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    engine::{Engine, OPEN_ROUTE_TENANT},
+    engine::{Engine, OPEN_ROUTE_TEAM},
     request::{Attempt, AttemptResult, Refusal, RefusalReason, StartOutcome, Ticket},
 };
 
@@ -138,10 +138,10 @@
         let max_wait = max_wait.max(remaining / SLOT_WAIT_DIVISOR);
         let until = *request.wait_until.get_or_insert(request.deadline.min(now + max_wait));
         if !request.is_queued {
-            let tenant = request.tenant.unwrap_or(OPEN_ROUTE_TENANT);
+            let team = request.team.unwrap_or(OPEN_ROUTE_TEAM);
             let queue = &mut self.services[usize::from(request.service.0)].queue;
-            if queue.push(tenant, 1.0, request.ticket).is_err() {
-                return self.refuse_admitted(index, RefusalReason::TenantQueueFull, now);
+            if queue.push(team, 1.0, request.ticket).is_err() {
+                return self.refuse_admitted(index, RefusalReason::TeamQueueFull, now);
             }
             self.requests[index].is_queued = true;
         }
@@ -373,7 +373,7 @@
             version: placement.version,
             service: request.service,
             route: request.route,
-            tenant: request.tenant,
+            team: request.team,
             region: placement.region,
             deadline: request.deadline,
             idempotent: request.idempotent,
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -2,9 +2,7 @@
 
 use std::{net::IpAddr, time::Duration};
 
-use kingcupford_config::{
-    CallerKey, InstanceId, RegionId, RouteId, ServiceId, TenantId, VersionId,
-};
+use kingcupford_config::{CallerKey, InstanceId, RegionId, RouteId, ServiceId, TeamId, VersionId};
 use kingcupford_rollout::VersionPick;
 use kingcupford_route::{AttemptOutcome, Fingerprint, Outcome};
 use strum::{Display, EnumIter, IntoStaticStr};
@@ -58,7 +56,7 @@
 pub enum Admission {
     /// The request is admitted and can be started.
     Admitted(Ticket),
-    /// The tenant's tokens are exhausted or the host is catching up after a pause; the call must be
+    /// The team's tokens are exhausted or the host is catching up after a pause; the call must be
     /// repeated.
     Wait {
         /// Time of the next call.
@@ -96,8 +94,8 @@
     pub service: ServiceId,
     /// Route of the request.
     pub route: RouteId,
-    /// Tenant of the request, `None` on open routes.
-    pub tenant: Option<TenantId>,
+    /// Team of the request, `None` on open routes.
+    pub team: Option<TeamId>,
     /// Region of the instance.
     pub region: RegionId,
     /// Time at which the whole request must have ended.
@@ -148,12 +146,14 @@
     KeyMissing,
     /// The key is malformed, unknown or revoked.
     KeyInvalid,
-    /// This host is isolated, and the tenant's setting refuses requests then.
+    /// This host is isolated, and the team's setting refuses requests then.
     KeyUnconfirmed,
-    /// The tokens of the tenant's rate cap are exhausted.
-    TenantRate,
-    /// The tenant has too many waiting requests.
-    TenantQueueFull,
+    /// The tokens of the team's rate cap are exhausted.
+    #[strum(serialize = "tenant-rate")]
+    TeamRate,
+    /// The team has too many waiting requests.
+    #[strum(serialize = "tenant-queue-full")]
+    TeamQueueFull,
     /// No slot became free in time, or the upstream shed the request.
     ServiceBusy,
     /// The service has no healthy instance that accepts work.
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -64,8 +64,8 @@
     fn install(&mut self, version: u64, preset: &str, with_key: bool) -> bool {
         let mut declarations = Declarations::from_yaml(DECLARATIONS).expect("valid");
         if with_key {
-            let (id, tenant) = ("k".to_owned(), "hof".to_owned());
-            declarations.keys.push(KeyDecl { id, tenant, sha256: self.key.hash() });
+            let (id, team) = ("k".to_owned(), "hof".to_owned());
+            declarations.keys.push(KeyDecl { id, team, sha256: self.key.hash() });
         }
         let previous = Arc::clone(self.engine.snapshot());
         let version = ConfigVersion(version);
--- a/crates/entry/benches/http.rs
+++ b/crates/entry/benches/http.rs
@@ -52,7 +52,7 @@
 }
 
 impl BenchHost {
-    /// Starts the deployment and returns it with the `authorization` header of a tenant whose rate
+    /// Starts the deployment and returns it with the `authorization` header of a team whose rate
     /// limit is too high to matter.
     async fn start() -> anyhow::Result<(Self, String)> {
         let zone = "fukuoka-a".to_owned();
@@ -72,8 +72,8 @@
         };
         let deployment = Deployment::start_standins(settings).await?;
         let mut declarations: Declarations = deployment.declarations();
-        for tenant in &mut declarations.tenants {
-            (tenant.rate_per_s, tenant.burst) = (1e6, 1e6);
+        for team in &mut declarations.teams {
+            (team.rate_per_s, team.burst) = (1e6, 1e6);
         }
         deployment.apply(&declarations, "bench").await?;
         let (key, version) = deployment.issue_key("bench", "school-1").await?;
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -62,11 +62,11 @@
         let Some(service) = service else {
             return refusals::to_response(&bad_request("the parameter `service` is missing"));
         };
-        let tenant = match forward::presented_key(request.headers()) {
+        let team = match forward::presented_key(request.headers()) {
             PresentedKey::Key(key) => self.host.snapshot.load().authenticate(&key),
             PresentedKey::Missing | PresentedKey::Malformed => None,
         };
-        let query = LookupQuery { service, client: address, tenant };
+        let query = LookupQuery { service, client: address, team };
         let answer = self.host.engine.lock().lookup(&query, Instant::now());
         self.host.metrics.lookups.inc();
         match answer {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -16,7 +16,7 @@
     RequestHead, StartOutcome, Ticket,
 };
 use kingcupford_route::{AttemptOutcome, Outcome};
-use kingcupford_telemetry::{OutcomeLabels, RefusalLabels, TenantLabels};
+use kingcupford_telemetry::{OutcomeLabels, RefusalLabels, TeamLabels};
 use poem::{Body, Request, Response};
 use tokio::time::{Instant, sleep_until};
 
@@ -220,11 +220,11 @@
     let mut headers = headers::filter_request(&caller_request.headers);
     let time_left = attempt.deadline.saturating_duration_since(Instant::now());
     headers.insert(headers::DEADLINE_MS, HeaderValue::from(time_left.as_millis() as u64));
-    let tenant = attempt.tenant.and_then(|it| snapshot.tenants.value(it));
-    if let Some(tenant) = tenant
-        && let Ok(value) = HeaderValue::from_str(&tenant.name)
+    let team = attempt.team.and_then(|it| snapshot.teams.value(it));
+    if let Some(team) = team
+        && let Ok(value) = HeaderValue::from_str(&team.name)
     {
-        headers.insert(headers::TENANT, value);
+        headers.insert(headers::TEAM, value);
     }
     let request = UpstreamRequest {
         method: caller_request.method.clone(),
@@ -288,28 +288,28 @@
     outcome: &str,
 ) {
     let snapshot = host.snapshot.load();
-    let tenant = attempt.tenant.and_then(|it| snapshot.tenants.value(it));
-    let tenant = tenant.map_or("open", |it| it.name.as_str()).to_owned();
+    let team = attempt.team.and_then(|it| snapshot.teams.value(it));
+    let team = team.map_or("open", |it| it.name.as_str()).to_owned();
     let service = head.service.clone();
-    let labels = TenantLabels { tenant: tenant.clone(), service: service.clone() };
+    let labels = TeamLabels { tenant: team.clone(), service: service.clone() };
     host.metrics.latency.get_or_create(&labels).observe(latency.as_secs_f64());
-    let labels = OutcomeLabels { tenant, service, outcome: outcome.to_owned() };
+    let labels = OutcomeLabels { tenant: team, service, outcome: outcome.to_owned() };
     host.metrics.requests.get_or_create(&labels).inc();
 }
 
 /// Counts a refusal or failure and returns the response for it.
 fn refuse(host: &Host, head: &RequestHead, refusal: &Refusal) -> Response {
     let snapshot = host.snapshot.load();
-    let tenant = match &head.key {
+    let team = match &head.key {
         PresentedKey::Key(key) => {
-            snapshot.authenticate(key).and_then(|it| snapshot.tenants.value(it))
+            snapshot.authenticate(key).and_then(|it| snapshot.teams.value(it))
         }
         PresentedKey::Missing | PresentedKey::Malformed => None,
     };
-    // Only configured tenants become labels, so that callers cannot create an unbounded number of
+    // Only configured teams become labels, so that callers cannot create an unbounded number of
     // time series.
-    let tenant = tenant.map_or("none", |it| it.name.as_str()).to_owned();
-    let labels = RefusalLabels { tenant, reason: refusal.reason.to_string() };
+    let team = team.map_or("none", |it| it.name.as_str()).to_owned();
+    let labels = RefusalLabels { tenant: team, reason: refusal.reason.to_string() };
     host.metrics.refusals.get_or_create(&labels).inc();
     refusals::to_response(refusal)
 }
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -17,8 +17,8 @@
 /// Time left until the deadline of a request in milliseconds.
 pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("kingcupford-deadline-ms");
 
-/// Name of the tenant that sent a request.
-pub(crate) const TENANT: HeaderName = HeaderName::from_static("kingcupford-tenant");
+/// Name of the team that sent a request.
+pub(crate) const TEAM: HeaderName = HeaderName::from_static("kingcupford-tenant");
 
 /// Set to `true` by an upstream that is draining.
 pub(crate) const DRAINING: HeaderName = HeaderName::from_static("kingcupford-draining");
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -66,7 +66,7 @@
     match reason {
         RefusalReason::UnknownService | RefusalReason::UnknownRoute => StatusCode::NOT_FOUND,
         RefusalReason::KeyMissing | RefusalReason::KeyInvalid => StatusCode::UNAUTHORIZED,
-        RefusalReason::TenantRate | RefusalReason::TenantQueueFull => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::TeamRate | RefusalReason::TeamQueueFull => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
         RefusalReason::RequestIdMissing => StatusCode::PRECONDITION_REQUIRED,
         RefusalReason::RequestIdMalformed | RefusalReason::BadRequest => StatusCode::BAD_REQUEST,
@@ -100,9 +100,9 @@
         RefusalReason::KeyUnconfirmed => {
             ("this host cannot confirm that the key is still valid", "ask another host")
         }
-        RefusalReason::TenantRate => ("the tenant's rate is spent", "wait and send fewer requests"),
-        RefusalReason::TenantQueueFull => {
-            ("the tenant has too many waiting requests", "wait and repeat")
+        RefusalReason::TeamRate => ("the tenant's rate is spent", "wait and send fewer requests"),
+        RefusalReason::TeamQueueFull => {
+            ("the team has too many waiting requests", "wait and repeat")
         }
         RefusalReason::ServiceBusy => ("no slot became free in time", "wait and repeat"),
         RefusalReason::NoUpstream => ("no healthy upstream can be reached", "wait and repeat"),
--- a/crates/entry/tests/it/forwarding.rs
+++ b/crates/entry/tests/it/forwarding.rs
@@ -467,7 +467,7 @@
     });
 }
 
-/// Repeats a read until the tenant's rate allows it. Token buckets are empty when hosts start.
+/// Repeats a read until the team's rate allows it. Token buckets are empty when hosts start.
 async fn send_within_rate(request: RequestBuilder) -> anyhow::Result<Response> {
     loop {
         let attempt = request.try_clone().context("the request cannot be cloned")?;
--- a/crates/entry/tests/it/keys.rs
+++ b/crates/entry/tests/it/keys.rs
@@ -1,4 +1,4 @@
-//! Keys of callers: revocation on open connections, keys of other tenants and malformed headers.
+//! Keys of callers: revocation on open connections, keys of other teams and malformed headers.
 
 use std::time::Duration;
 
@@ -77,10 +77,10 @@
     Ok(())
 }
 
-/// Guards against requests that run for a tenant other than the owner of the key, and against keys
+/// Guards against requests that run for a team other than the owner of the key, and against keys
 /// that combine parts of two keys.
 #[test]
-fn key_of_other_tenant() {
+fn key_of_other_team() {
     run_test(async {
         let fleet = TestFleet::start(settings(1, &["fukuoka-a"], 16)).await?;
         let first = fleet.issue_key("first", "school-1").await?;
@@ -94,14 +94,14 @@
         let combined = format!("Bearer kc_first_{secret}");
         assert_ne!(combined, first);
         assert_eq!(fleet.get(0, "/ledger-view/a", &combined).send().await?.status(), 401);
-        // Request ids are scoped by tenant, so this id of another tenant names another request.
+        // Request ids are scoped by team, so this id of another team names another request.
         let id = format!("{}.same", fleet.binding(0, &first).await?);
         assert_eq!(fleet.deposit(0, &first, &id, "first").send().await?.status(), 200);
         assert_eq!(fleet.deposit(0, &second, &id, "second").send().await?.status(), 200);
-        for (tag, tenant) in [("first", "school-1"), ("second", "school-2")] {
+        for (tag, team) in [("first", "school-1"), ("second", "school-2")] {
             let executions = fleet.executions(tag);
             assert_eq!(executions.len(), 1);
-            assert_eq!(executions[0].tenant.as_deref(), Some(tenant));
+            assert_eq!(executions[0].team.as_deref(), Some(team));
         }
         Ok(())
     });
--- a/crates/entry/tests/it/limits.rs
+++ b/crates/entry/tests/it/limits.rs
@@ -1,4 +1,4 @@
-//! Rate and burst of a tenant over all hosts together, measured at the upstreams.
+//! Rate and burst of a team over all hosts together, measured at the upstreams.
 
 use std::{
     sync::{
@@ -14,18 +14,18 @@
 
 use crate::support::{TestFleet, run_test, settings};
 
-/// Rate of tenant `school-2`.
+/// Rate of team `school-2`.
 const RATE_PER_S: f64 = 200.0;
 
-/// Burst of tenant `school-2` in requests.
+/// Burst of team `school-2` in requests.
 const BURST: f64 = 400.0;
 
-/// Generator that sends requests of one tenant at a constant rate to a selected host.
+/// Generator that sends requests of one team at a constant rate to a selected host.
 struct LoadGenerator {
     /// Index of the host that gets new requests; an index without a host selects all hosts in turn.
     target: AtomicUsize,
     sent: AtomicU64,
-    /// Number of requests refused because of the tenant's rate.
+    /// Number of requests refused because of the team's rate.
     refused: AtomicU64,
     stopped: AtomicBool,
 }
@@ -99,10 +99,10 @@
     res
 }
 
-/// Guards against a tenant that exceeds rate and burst over four hosts together, while demand moves
+/// Guards against a team that exceeds rate and burst over four hosts together, while demand moves
 /// from host to host, the platform is unavailable, and hosts are paused, killed and restarted.
 #[test]
-fn tenant_rate_through_faults() {
+fn team_rate_through_faults() {
     run_test(async {
         let mut fleet = TestFleet::start(settings(4, &["fukuoka-a", "kumamoto-a"], 64)).await?;
         let key = fleet.issue_key("k", "school-2").await?;
@@ -145,7 +145,7 @@
     });
 }
 
-/// Sends 90% of the tenant's rate to each target in turn, and fails if 1% of the requests or more
+/// Sends 90% of the team's rate to each target in turn, and fails if 1% of the requests or more
 /// are refused.
 async fn check_moved_demand(targets: &[usize]) -> anyhow::Result<()> {
     let fleet = TestFleet::start(settings(4, &["fukuoka-a", "kumamoto-a"], 64)).await?;
@@ -164,16 +164,16 @@
     Ok(())
 }
 
-/// Guards against refusals of a tenant that stays within the rate when demand moves from all hosts
+/// Guards against refusals of a team that stays within the rate when demand moves from all hosts
 /// to one.
 #[test]
-fn tenant_rate_moves_from_all_hosts() {
+fn team_rate_moves_from_all_hosts() {
     run_test(check_moved_demand(&[usize::MAX, 1]));
 }
 
-/// Guards against refusals of a tenant that stays within the rate when demand moves from one host
+/// Guards against refusals of a team that stays within the rate when demand moves from one host
 /// to the next, while the loans of the first host have not ended.
 #[test]
-fn tenant_rate_moves_between_hosts() {
+fn team_rate_moves_between_hosts() {
     run_test(check_moved_demand(&[0, 1, 2]));
 }
--- a/crates/entry/tests/it/platform.rs
+++ b/crates/entry/tests/it/platform.rs
@@ -87,7 +87,7 @@
         fleet.deployment.platform.set_faults(slow);
         let mut declarations = fleet.deployment.declarations();
         for number in 0..3 {
-            declarations.tenants[0].burst += 1.0;
+            declarations.teams[0].burst += 1.0;
             let revision = format!("slow-{number}");
             let version = fleet.deployment.apply(&declarations, &revision).await?;
             let elapsed = fleet.wait_until_active(version).await?;
--- a/crates/entry/tests/it/support.rs
+++ b/crates/entry/tests/it/support.rs
@@ -212,8 +212,8 @@
     }
 
     /// Issues a key, waits until it is active and returns the `authorization` header for it.
-    pub(crate) async fn issue_key(&self, id: &str, tenant: &str) -> anyhow::Result<String> {
-        let (key, version) = self.deployment.issue_key(id, tenant).await?;
+    pub(crate) async fn issue_key(&self, id: &str, team: &str) -> anyhow::Result<String> {
+        let (key, version) = self.deployment.issue_key(id, team).await?;
         self.wait_until_active(version).await?;
         Ok(format!("Bearer {}", key.reveal()))
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -224,12 +224,12 @@
     };
     let mut headers = response::end_to_end_headers(&head.headers);
     headers.remove(&names.api_key);
-    headers.remove(&names.tenant);
+    headers.remove(&names.team);
     headers.remove(&names.target_instance);
     headers.remove(header::EXPECT);
-    let tenant = plan.tenant.as_ref().map(|it| HeaderValue::from_str(&it.name));
-    if let Some(Ok(tenant)) = tenant {
-        headers.insert(&names.tenant, tenant);
+    let team = plan.team.as_ref().map(|it| HeaderValue::from_str(&it.name));
+    if let Some(Ok(team)) = team {
+        headers.insert(&names.team, team);
     }
     let uri =
         head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |it| Uri::from(it.clone()));
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use kingcupford_steer::{Refusal, RequestPlan, Side};
-use kingcupford_telemetry::{Event, OutcomeLabels, RefusalLabels, TenantLabels};
+use kingcupford_telemetry::{Event, OutcomeLabels, RefusalLabels, TeamLabels};
 use tokio::time::Instant;
 
 use crate::state::State;
@@ -70,12 +70,12 @@
     /// Writes the log line and updates the request metrics.
     pub(crate) fn finish(&self, state: &State, request_outcome: RequestOutcome) {
         let duration = self.arrived.elapsed();
-        let tenant = self.plan.as_ref().and_then(|it| it.tenant.as_ref());
-        let refused_tenant = self.refusal.as_ref().and_then(|it| match &it.refusal {
-            Refusal::OverRate { tenant, .. } => Some(tenant),
+        let team = self.plan.as_ref().and_then(|it| it.team.as_ref());
+        let refused_team = self.refusal.as_ref().and_then(|it| match &it.refusal {
+            Refusal::OverRate { team, .. } => Some(team),
             _ => None,
         });
-        let tenant = tenant.or(refused_tenant).map_or("open", |it| it.name.as_str()).to_owned();
+        let team = team.or(refused_team).map_or("open", |it| it.name.as_str()).to_owned();
         let service = self.plan.as_ref().map_or("-", |it| it.service.as_str()).to_owned();
         let metrics = &state.metrics;
         let (event, outcome, status, reason) = match request_outcome {
@@ -83,7 +83,7 @@
                 (Event::RequestAnswered, "executed", status.as_u16(), "-")
             }
             RequestOutcome::Refused(status, reason) => {
-                let labels = RefusalLabels { tenant: tenant.clone(), reason: reason.to_owned() };
+                let labels = RefusalLabels { tenant: team.clone(), reason: reason.to_owned() };
                 metrics.refusals.get_or_create(&labels).inc();
                 (Event::RequestRefused, "not-run", status.as_u16(), reason)
             }
@@ -93,10 +93,10 @@
             RequestOutcome::Abandoned => (Event::RequestAbandoned, "abandoned", 0, "caller left"),
         };
         if matches!(request_outcome, RequestOutcome::Answered(_)) {
-            let labels = TenantLabels { tenant: tenant.clone(), service: service.clone() };
+            let labels = TeamLabels { tenant: team.clone(), service: service.clone() };
             metrics.latency.get_or_create(&labels).observe(duration.as_secs_f64());
         }
-        let labels = OutcomeLabels { tenant, service, outcome: outcome.to_owned() };
+        let labels = OutcomeLabels { tenant: team, service, outcome: outcome.to_owned() };
         metrics.requests.get_or_create(&labels).inc();
         let id = &self.id;
         let took_ms = duration.as_millis();
@@ -112,11 +112,11 @@
         if let Some(it) = &self.refusal {
             let age_ms = age_ms(it.view_age);
             write!(f, " manifest={} view_age_ms={age_ms}", it.manifest_version)?;
-            if let Refusal::OverRate { tenant, refusal: rate_refusal } = &it.refusal {
+            if let Refusal::OverRate { team, refusal: rate_refusal } = &it.refusal {
                 write!(
                     f,
                     " tenant={} rate_per_s={:.1} share={:.3} demand_per_s={:.1}",
-                    tenant.name,
+                    team.name,
                     rate_refusal.rate_per_s,
                     rate_refusal.share,
                     rate_refusal.demand_per_s
@@ -124,11 +124,11 @@
             }
         }
         if let Some(plan) = &self.plan {
-            let tenant = plan.tenant.as_ref().map_or("open", |it| it.name.as_str());
+            let team = plan.team.as_ref().map_or("open", |it| it.name.as_str());
             let age_ms = age_ms(plan.view_age);
             write!(
                 f,
-                " route={} service={} tenant={tenant} manifest={} view_age_ms={age_ms}",
+                " route={} service={} tenant={team} manifest={} view_age_ms={age_ms}",
                 plan.route.name, plan.service, plan.manifest_version
             )?;
             if plan.side == Side::New {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -52,8 +52,8 @@
     pub affinity_key: HeaderName,
     /// API key of the caller; it is not forwarded.
     pub api_key: HeaderName,
-    /// Tenant that holds the API key, set by the gateway.
-    pub tenant: HeaderName,
+    /// Team that holds the API key, set by the gateway.
+    pub team: HeaderName,
     /// Id of the only instance that may run the request, set by the gateway.
     pub target_instance: HeaderName,
     /// Present if the instance did not run the request.
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -24,7 +24,7 @@
 use kingcupford_steer::{
     CallerLimits, CanarySettings, InstanceRegistration, KeyDigest, Manifest, Member,
     RateLimitSettings, RepeatPolicy, Route, RouteTarget, Service, ServingState, SteeringSettings,
-    Tenant, ZoneMap,
+    Team, ZoneMap,
 };
 use parking_lot::Mutex;
 use reqwest::{Client, RequestBuilder};
@@ -199,7 +199,7 @@
         ];
         let service =
             Service { name: "svc".to_owned(), max_connections: 100, cold_rate_per_s: 100.0 };
-        let tenant = Tenant {
+        let team = Team {
             name: "acme".to_owned(),
             keys: keys.split(',').map(|it| KeyDigest::of(it.as_bytes())).collect(),
             priority: None,
@@ -212,7 +212,7 @@
             max_body_bytes: 1 << 20,
             idle_timeout: Duration::from_secs(15),
         };
-        Manifest::new(version.parse()?, routes, vec![service], vec![tenant], limits)
+        Manifest::new(version.parse()?, routes, vec![service], vec![team], limits)
     }
 
     /// Format: `ADDRESS STATE`.
@@ -289,7 +289,7 @@
             deadline_ms: header("x-deadline"),
             affinity_key: header("x-object"),
             api_key: header("x-key"),
-            tenant: header("x-tenant"),
+            team: header("x-tenant"),
             target_instance: header("x-target"),
             not_run: header("x-not-run"),
             seal: header("x-seal"),
--- a/crates/load/src/baseline.rs
+++ b/crates/load/src/baseline.rs
@@ -21,11 +21,11 @@
 #[derive(Debug)]
 pub(crate) struct Baseline {
     snapshot: Arc<Snapshot>,
-    /// Number of hosts, each of which enforces an equal share of each tenant's rate.
+    /// Number of hosts, each of which enforces an equal share of each team's rate.
     host_count: u32,
     /// Start of the process, the time origin of the buckets.
     started: Instant,
-    /// Rate limiting buckets by tenant index.
+    /// Rate limiting buckets by team index.
     buckets: Vec<TokenBucket>,
     /// Round-robin counters by service index.
     round_robin_counters: Vec<usize>,
@@ -59,9 +59,9 @@
     /// Activates a configuration.
     pub(crate) fn install(&mut self, snapshot: Arc<Snapshot>, _now: Instant) {
         let host_count = f64::from(self.host_count);
-        if self.buckets.len() != snapshot.tenants.slot_count() {
-            let tenants = snapshot.tenants.iter();
-            self.buckets = tenants
+        if self.buckets.len() != snapshot.teams.slot_count() {
+            let teams = snapshot.teams.iter();
+            self.buckets = teams
                 .map(|(_, it)| TokenBucket::new(it.rate_per_s / host_count, it.burst / host_count))
                 .collect();
         }
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Authenticates a request, checks its tenant's rate and issues a ticket.
+    /// Authenticates a request, checks its team's rate and issues a ticket.
     fn check_request(&mut self, head: &RequestHead, now: Instant) -> Result<Ticket, RefusalReason> {
         let snapshot = Arc::clone(&self.snapshot);
         if snapshot.version.0 == 0 {
@@ -93,16 +93,16 @@
         let service = snapshot.services.id(&head.service).ok_or(RefusalReason::UnknownService)?;
         let route = snapshot.route(service, &head.method, &head.path);
         let route = route.ok_or(RefusalReason::UnknownRoute)?;
-        let tenant = match &head.key {
+        let team = match &head.key {
             PresentedKey::Key(key) => {
                 Some(snapshot.authenticate(key).ok_or(RefusalReason::KeyInvalid)?)
             }
             PresentedKey::Missing | PresentedKey::Malformed => None,
         };
-        if let Some(tenant) = tenant {
+        if let Some(team) = team {
             let age_us = now.saturating_duration_since(self.started).as_micros() as u64;
-            if !self.buckets[usize::from(tenant.0)].try_take(age_us) {
-                return Err(RefusalReason::TenantRate);
+            if !self.buckets[usize::from(team.0)].try_take(age_us) {
+                return Err(RefusalReason::TeamRate);
             }
         }
         let declared = &snapshot.routes[route];
@@ -114,7 +114,7 @@
             version: VersionId(0),
             service,
             route,
-            tenant,
+            team,
             region: kingcupford_config::RegionId(0),
             deadline: head.arrived + Duration::from_millis(declared.timeout_ms),
             idempotent: declared.idempotent,
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, net::IpAddr, sync::Arc};
 
-use kingcupford_config::{Declarations, ServiceId, Snapshot, TenantId};
+use kingcupford_config::{Declarations, ServiceId, Snapshot, TeamId};
 use kingcupford_engine::{LookupAnswer, LookupQuery, PresentedKey, RequestHead};
 use kingcupford_scenario::{Demand, FaultKind, Scenario};
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
@@ -28,7 +28,7 @@
 /// Time beyond the route's timeout for which a caller waits for a request that is not idempotent.
 const NON_IDEMPOTENT_TIMEOUT_MARGIN_US: u64 = 1_000_000;
 
-/// Zone, client network, service and tenant of the callers that share a lookup answer.
+/// Zone, client network, service and team of the callers that share a lookup answer.
 type LookupCacheKey = (usize, u32, usize, Option<usize>);
 
 /// State of all callers.
@@ -54,8 +54,8 @@
 /// Operation of a caller, carried out by one or more requests to hosts.
 #[derive(Debug)]
 pub(crate) struct Operation {
-    /// Index of the tenant, `None` on open routes.
-    pub(crate) tenant: Option<usize>,
+    /// Index of the team, `None` on open routes.
+    pub(crate) team: Option<usize>,
     pub(crate) service: usize,
     method: String,
     /// Request path after the service segment.
@@ -64,7 +64,7 @@
     pub(crate) zone: usize,
     /// Client network of the caller within its zone.
     network: u32,
-    /// Index of the presented key among the keys of the tenant.
+    /// Index of the presented key among the keys of the team.
     pub(crate) key_index: usize,
     pub(crate) idempotent: bool,
     /// Timeout of the route.
@@ -146,26 +146,26 @@
 }
 
 impl World {
-    /// Schedules the first operation of each demand and tenant.
+    /// Schedules the first operation of each demand and team.
     pub(crate) fn schedule_demands(&mut self) {
         for (demand, declared) in self.scenario.clone().demand.iter().enumerate() {
-            let tenants: Vec<usize> = match declared.tenants.as_slice() {
-                [] => self.snapshot.tenants.iter().map(|it| usize::from(it.0.0)).collect(),
+            let teams: Vec<usize> = match declared.teams.as_slice() {
+                [] => self.snapshot.teams.iter().map(|it| usize::from(it.0.0)).collect(),
                 names => {
-                    let ids = names.iter().filter_map(|it| self.snapshot.tenants.id(it));
+                    let ids = names.iter().filter_map(|it| self.snapshot.teams.id(it));
                     ids.map(|it| usize::from(it.0)).collect()
                 }
             };
-            for tenant in tenants {
-                self.schedule_demand(demand, declared, tenant, self.measure_start_us);
+            for team in teams {
+                self.schedule_demand(demand, declared, team, self.measure_start_us);
             }
         }
     }
 
     /// Schedules the next operation of a demand after `from_us`, by thinning a Poisson process at
     /// the maximum rate.
-    fn schedule_demand(&mut self, demand: usize, declared: &Demand, tenant: usize, from_us: u64) {
-        let scale = self.demand_scale(declared, tenant);
+    fn schedule_demand(&mut self, demand: usize, declared: &Demand, team: usize, from_us: u64) {
+        let scale = self.demand_scale(declared, team);
         let max_per_s = declared.max_rate() * scale;
         if max_per_s <= 0.0 {
             return;
@@ -180,33 +180,33 @@
             let at_s = (at_us - self.measure_start_us) as f64 / 1e6;
             let acceptance = declared.rate_at(at_s) * scale / max_per_s;
             if self.callers.rng.random::<f64>() < acceptance {
-                self.clock.at(at_us, Event::OperationDue { demand, tenant });
+                self.clock.at(at_us, Event::OperationDue { demand, team });
                 return;
             }
         }
     }
 
     /// Returns the requests per second that correspond to the value 1 of a demand's rate points.
-    fn demand_scale(&self, demand: &Demand, tenant: usize) -> f64 {
-        match demand.of_tenant_rate {
-            true => self.snapshot.tenants[TenantId(tenant as u16)].rate_per_s,
+    fn demand_scale(&self, demand: &Demand, team: usize) -> f64 {
+        match demand.of_team_rate {
+            true => self.snapshot.teams[TeamId(team as u16)].rate_per_s,
             false => 1.0,
         }
     }
 
     /// Starts an operation of a demand and schedules the next one.
-    pub(crate) fn start_operation(&mut self, demand: usize, tenant: usize) {
+    pub(crate) fn start_operation(&mut self, demand: usize, team: usize) {
         let scenario = self.scenario.clone();
         let declared = &scenario.demand[demand];
         let now_us = self.clock.now_us();
-        self.schedule_demand(demand, declared, tenant, now_us);
+        self.schedule_demand(demand, declared, team, now_us);
         let zone = self.draw_caller_zone(declared);
         let rng = &mut self.callers.rng;
         let network = rng.random_range(0..scenario.callers.networks_per_zone);
         let path = format!("{}/{}", declared.path.trim_end_matches('/'), rng.random::<u32>());
         let resends_unknown = rng.random::<f64>() * 100.0 < scenario.callers.resend_percent;
         let resends_elsewhere = rng.random::<bool>();
-        let op = self.new_operation(&declared.service, &declared.method, &path, Some(tenant));
+        let op = self.new_operation(&declared.service, &declared.method, &path, Some(team));
         let Some(op) = op else { return };
         let body_bytes = declared.body_bytes;
         self.callers.ops.push(Operation { zone, network, key_index: network as usize % 2, ..op });
@@ -225,13 +225,13 @@
         service: &str,
         method: &str,
         path: &str,
-        tenant: Option<usize>,
+        team: Option<usize>,
     ) -> Option<Operation> {
         let service = self.snapshot.services.id(service)?;
         let route = self.snapshot.route(service, method, path)?;
         let route = &self.snapshot.routes[route];
         Some(Operation {
-            tenant: tenant.filter(|_| !route.open),
+            team: team.filter(|_| !route.open),
             service: usize::from(service.0),
             method: method.to_owned(),
             path: path.to_owned(),
@@ -262,8 +262,7 @@
     pub(crate) fn send_poison(&mut self, fault: usize) {
         let scenario = self.scenario.clone();
         let declared = &scenario.faults[fault];
-        let FaultKind::Poison { service, tenant, method, path, every_ms, restart_s } =
-            &declared.what
+        let FaultKind::Poison { service, team, method, path, every_ms, restart_s } = &declared.what
         else {
             return;
         };
@@ -273,8 +272,8 @@
             return;
         }
         self.clock.after(every_ms * 1000, Event::PoisonDue { fault });
-        let tenant = self.snapshot.tenants.id(tenant).map(|it| usize::from(it.0));
-        let Some(op) = self.new_operation(service, method, path, tenant) else { return };
+        let team = self.snapshot.teams.id(team).map(|it| usize::from(it.0));
+        let Some(op) = self.new_operation(service, method, path, team) else { return };
         let sent_count = self.callers.ops.iter().filter(|it| it.poison_fault.is_some()).count();
         let poison_restart_us = (restart_s * 1e6) as u64;
         self.callers.ops.push(Operation {
@@ -316,7 +315,7 @@
                 (0..count).map(|it| ((it + first) % count, None)).collect();
         }
         let op = &self.callers.ops[id];
-        let key = (op.zone, op.network, op.service, op.tenant);
+        let key = (op.zone, op.network, op.service, op.team);
         if op.hosts.is_empty() {
             match self.callers.lookup_cache.get(&key) {
                 Some(it) if it.valid_until_us > now_us => {
@@ -352,8 +351,8 @@
     fn send_request(&mut self, id: OperationIndex, host: HostIndex) {
         let to = self.process_id(host);
         let op = &self.callers.ops[id];
-        let key = match op.tenant {
-            Some(tenant) => PresentedKey::Key(self.operator.key(tenant, op.key_index).clone()),
+        let key = match op.team {
+            Some(team) => PresentedKey::Key(self.operator.key(team, op.key_index).clone()),
             None => PresentedKey::Missing,
         };
         let head = RequestHead {
@@ -431,8 +430,8 @@
         let op = &self.callers.ops[id];
         let service = self.snapshot.services[ServiceId(op.service as u16)].name.clone();
         let client = self.callers.address(op.zone, op.network);
-        let tenant = op.tenant.map(|it| TenantId(it as u16));
-        let query = LookupQuery { service, client, tenant };
+        let team = op.team.map(|it| TeamId(it as u16));
+        let query = LookupQuery { service, client, team };
         let zone = op.zone;
         let host_zone = self.hosts[to.host].zone;
         let Some(process) = self.process_mut(to.host) else { return };
@@ -455,7 +454,7 @@
                 hosts.filter_map(|it| Some((host(&it.name)?, it.binding))).collect();
             let ttl_us = answer.ttl.as_micros() as u64;
             let valid_until_us = self.clock.now_us() + ttl_us;
-            let key = (op.zone, op.network, op.service, op.tenant);
+            let key = (op.zone, op.network, op.service, op.team);
             op.next_host %= hosts.len().max(1);
             op.hosts.clone_from(&hosts);
             self.callers.lookup_cache.insert(key, CachedLookup { valid_until_us, hosts });
--- a/crates/load/src/event.rs
+++ b/crates/load/src/event.rs
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub(crate) enum Event {
     /// A demand starts its next operation.
-    OperationDue { demand: usize, tenant: usize },
+    OperationDue { demand: usize, team: usize },
     /// The next poison request is due.
     PoisonDue {
         /// Index of the declaring fault.
--- a/crates/load/src/faults.rs
+++ b/crates/load/src/faults.rs
@@ -97,7 +97,7 @@
                 self.update_drains();
             }
             FaultKind::Poison { .. } => self.send_poison(fault),
-            FaultKind::KeyRevoked { tenant } => self.revoke_key(tenant),
+            FaultKind::KeyRevoked { team } => self.revoke_key(team),
             FaultKind::Rollout { service, to, deadline_s, fault: version_fault } => {
                 let now_us = self.clock.now_us();
                 if let (Some(version_fault), Some(version)) =
--- a/crates/load/src/forward.rs
+++ b/crates/load/src/forward.rs
@@ -29,7 +29,7 @@
     pub(crate) head: RequestHead,
     pub(crate) arrived_us: u64,
     pub(crate) admitted_us: u64,
-    /// Whether the reference bucket of the tenant had a token on arrival.
+    /// Whether the reference bucket of the team had a token on arrival.
     pub(crate) is_within_rate: bool,
     pub(crate) ticket: Option<Ticket>,
     /// Whether an earlier admission decision was to wait.
@@ -58,7 +58,7 @@
         }
         process.open_requests.push(request);
         let op = self.requests[request].op;
-        let is_within_rate = self.observer.record_arrival(self.callers.ops[op].tenant, now_us);
+        let is_within_rate = self.observer.record_arrival(self.callers.ops[op].team, now_us);
         let state = &mut self.requests[request];
         state.is_within_rate = is_within_rate;
         state.arrived_us = now_us;
--- a/crates/load/src/observe.rs
+++ b/crates/load/src/observe.rs
@@ -41,29 +41,29 @@
 pub(crate) struct Observer {
     pub(crate) measurements: Measurements,
     pub(crate) measure_start_us: u64,
-    /// Reference bucket of each tenant, which counts arriving requests.
+    /// Reference bucket of each team, which counts arriving requests.
     arrival_buckets: Vec<TokenBucket>,
     /// Number of refusals by reason.
     pub(crate) refusals: BTreeMap<String, u64>,
-    /// Number of refusals for the tenant's rate although the reference bucket had a token.
+    /// Number of refusals for the team's rate although the reference bucket had a token.
     pub(crate) refused_within_rate: u64,
     pub(crate) retries: u64,
     /// Number of offered operations by service.
     pub(crate) offered: Vec<u64>,
     /// Number of ended operations by service and [`OperationOutcome`].
     pub(crate) outcomes: Vec<[u64; 4]>,
-    /// Number of ended and of successful operations by tenant.
-    pub(crate) ended_and_done_by_tenant: Vec<[u64; 2]>,
+    /// Number of ended and of successful operations by team.
+    pub(crate) ended_and_done_by_team: Vec<[u64; 2]>,
     /// Latency of successful operations by service.
     pub(crate) latency_us: Vec<Histogram<u64>>,
-    /// Latency of successful operations by service and tenant.
-    pub(crate) tenant_latency_us: Vec<Vec<Histogram<u64>>>,
+    /// Latency of successful operations by service and team.
+    pub(crate) team_latency_us: Vec<Vec<Histogram<u64>>>,
     /// Latencies of successful operations by second of their end and service.
     pub(crate) latencies_by_second_us: Vec<Vec<Vec<u64>>>,
     /// Times at which requests were sent along each traffic shift that was active at the host, by
     /// index of the shift.
     pub(crate) shifted_at_us: BTreeMap<u16, Vec<u64>>,
-    /// Revocations: tenant, time of the revocation, and time of the last execution with the key.
+    /// Revocations: team, time of the revocation, and time of the last execution with the key.
     pub(crate) revocations: Vec<(usize, u64, u64)>,
     /// Time since which each instance is drained.
     drained_since_us: Vec<Option<u64>>,
@@ -127,12 +127,12 @@
         measure_start_us: u64,
     ) -> Self {
         let services = snapshot.services.slot_count();
-        let tenants = snapshot.tenants.slot_count();
+        let teams = snapshot.teams.slot_count();
         let histogram =
             || Histogram::new_with_bounds(1, MAX_LATENCY_US, 3).expect("constant bounds are valid");
         let seconds = scenario.duration_s.ceil() as usize + 6;
         let buckets =
-            snapshot.tenants.iter().map(|(_, it)| TokenBucket::new(it.rate_per_s, it.burst));
+            snapshot.teams.iter().map(|(_, it)| TokenBucket::new(it.rate_per_s, it.burst));
         Self {
             measurements: Measurements::new(),
             measure_start_us,
@@ -142,10 +142,10 @@
             retries: 0,
             offered: vec![0; services],
             outcomes: vec![[0; 4]; services],
-            ended_and_done_by_tenant: vec![[0; 2]; tenants],
+            ended_and_done_by_team: vec![[0; 2]; teams],
             latency_us: (0..services).map(|_| histogram()).collect(),
-            tenant_latency_us: (0..services)
-                .map(|_| (0..tenants).map(|_| histogram()).collect())
+            team_latency_us: (0..services)
+                .map(|_| (0..teams).map(|_| histogram()).collect())
                 .collect(),
             latencies_by_second_us: vec![vec![Vec::new(); services]; seconds],
             shifted_at_us: BTreeMap::new(),
@@ -160,9 +160,9 @@
     }
 
     /// Records the arrival of a request at a host. Returns whether the reference bucket of the
-    /// tenant had a token for the request.
-    pub(crate) fn record_arrival(&mut self, tenant: Option<usize>, now_us: u64) -> bool {
-        tenant.is_none_or(|it| self.arrival_buckets[it].try_take(now_us))
+    /// team had a token for the request.
+    pub(crate) fn record_arrival(&mut self, team: Option<usize>, now_us: u64) -> bool {
+        team.is_none_or(|it| self.arrival_buckets[it].try_take(now_us))
     }
 
     /// Records an offered operation.
@@ -179,25 +179,24 @@
     pub(crate) fn record_refusal(&mut self, refusal: &Refusal, within_rate: bool, ran: bool) {
         *self.refusals.entry(refusal.reason.to_string()).or_default() += 1;
         self.refused_within_rate +=
-            u64::from(within_rate && refusal.reason == RefusalReason::TenantRate);
+            u64::from(within_rate && refusal.reason == RefusalReason::TeamRate);
         self.measurements.record_violations(Requirement::NotRunTruth, u64::from(ran));
     }
 
     /// Records the end of an operation.
     pub(crate) fn record_end(&mut self, op: &Operation, outcome: OperationOutcome, now_us: u64) {
         self.outcomes[op.service][outcome as usize] += 1;
-        if let Some(tenant) = op.tenant {
-            self.ended_and_done_by_tenant[tenant][0] += 1;
-            self.ended_and_done_by_tenant[tenant][1] +=
-                u64::from(outcome == OperationOutcome::Done);
+        if let Some(team) = op.team {
+            self.ended_and_done_by_team[team][0] += 1;
+            self.ended_and_done_by_team[team][1] += u64::from(outcome == OperationOutcome::Done);
         }
         if outcome != OperationOutcome::Done {
             return;
         }
         let latency_us = (now_us - op.started_us).clamp(1, MAX_LATENCY_US);
         self.latency_us[op.service].saturating_record(latency_us);
-        if let Some(tenant) = op.tenant {
-            self.tenant_latency_us[op.service][tenant].saturating_record(latency_us);
+        if let Some(team) = op.team {
+            self.team_latency_us[op.service][team].saturating_record(latency_us);
         }
         let second = (now_us.saturating_sub(self.measure_start_us) / 1_000_000) as usize;
         if let Some(it) = self.latencies_by_second_us.get_mut(second) {
@@ -205,9 +204,9 @@
         }
     }
 
-    /// Records the revocation of a tenant's first key.
-    pub(crate) fn record_revocation(&mut self, tenant: usize, now_us: u64) {
-        self.revocations.push((tenant, now_us, now_us));
+    /// Records the revocation of a team's first key.
+    pub(crate) fn record_revocation(&mut self, team: usize, now_us: u64) {
+        self.revocations.push((team, now_us, now_us));
     }
 
     /// Records the crash of an instance by a poison request.
@@ -250,10 +249,10 @@
         if request.reported_not_run {
             violated.push(Requirement::NotRunTruth);
         }
-        let tenant = op.tenant;
+        let team = op.team;
         if let Some((attempt, _, sent_us)) = &request.current_attempt {
-            if attempt.tenant.map(|it| usize::from(it.0)) != tenant {
-                violated.push(Requirement::TenantIsolation);
+            if attempt.team.map(|it| usize::from(it.0)) != team {
+                violated.push(Requirement::TeamIsolation);
             }
             let zone = kingcupford_config::ZoneId(self.hosts[host].zone as u16);
             let host_region = self.snapshot.region_of(zone);
@@ -269,8 +268,8 @@
                 }
             }
         }
-        for (revoked_tenant, since_us, last_use_us) in &mut self.observer.revocations {
-            if tenant == Some(*revoked_tenant) && op.key_index == 0 && op.poison_fault.is_none() {
+        for (revoked_team, since_us, last_use_us) in &mut self.observer.revocations {
+            if team == Some(*revoked_team) && op.key_index == 0 && op.poison_fault.is_none() {
                 *last_use_us = now_us;
                 let limit_us =
                     available_since_us.map(|it| it.max(*since_us) + CHANGE_PROPAGATION_LIMIT_US);
--- a/crates/load/src/operator.rs
+++ b/crates/load/src/operator.rs
@@ -9,7 +9,7 @@
 
 use crate::world::World;
 
-const KEYS_PER_TENANT: usize = 2;
+const KEYS_PER_TEAM: usize = 2;
 
 /// Current declarations of the operators.
 #[derive(Debug)]
@@ -19,14 +19,14 @@
     preset: String,
     /// Version of the newest configuration.
     pub(crate) config_version: u64,
-    /// Issued keys by tenant index.
+    /// Issued keys by team index.
     keys: Vec<Vec<CallerKey>>,
     /// Preset before a switch, with the index of the fault that switched it.
     previous_presets: Vec<(usize, String)>,
 }
 
 impl Operator {
-    /// Issues keys to the tenants of a deployment; fails if it declares no preset.
+    /// Issues keys to the teams of a deployment; fails if it declares no preset.
     pub(crate) fn new(declarations: &Declarations, seed: u64) -> anyhow::Result<Self> {
         let mut declarations = declarations.clone();
         let mut rng = SmallRng::seed_from_u64(seed ^ 0x6e75);
@@ -35,13 +35,13 @@
             Some(first.name.clone())
         });
         let mut keys = Vec::new();
-        for tenant in &declarations.tenants {
+        for team in &declarations.teams {
             let issue =
-                |index: usize| CallerKey::new(&format!("{}-{}", tenant.name, index), rng.random());
-            let issued: Vec<CallerKey> = (0..KEYS_PER_TENANT).map(issue).collect();
+                |index: usize| CallerKey::new(&format!("{}-{}", team.name, index), rng.random());
+            let issued: Vec<CallerKey> = (0..KEYS_PER_TEAM).map(issue).collect();
             declarations.keys.extend(issued.iter().map(|it| KeyDecl {
                 id: it.id().to_owned(),
-                tenant: tenant.name.clone(),
+                team: team.name.clone(),
                 sha256: it.hash(),
             }));
             keys.push(issued);
@@ -61,9 +61,9 @@
         &self.preset
     }
 
-    /// Returns a key of a tenant by its index, below `KEYS_PER_TENANT`.
-    pub(crate) fn key(&self, tenant: usize, key_index: usize) -> &CallerKey {
-        &self.keys[tenant][key_index]
+    /// Returns a key of a team by its index, below `KEYS_PER_TEAM`.
+    pub(crate) fn key(&self, team: usize, key_index: usize) -> &CallerKey {
+        &self.keys[team][key_index]
     }
 
     /// Returns the declaration of the active preset.
@@ -108,14 +108,14 @@
         self.wake_watches();
     }
 
-    /// Revokes the first key of a tenant.
-    pub(crate) fn revoke_key(&mut self, tenant: &str) {
-        let id = format!("{tenant}-0");
+    /// Revokes the first key of a team.
+    pub(crate) fn revoke_key(&mut self, team: &str) {
+        let id = format!("{team}-0");
         self.operator.declarations.keys.retain(|it| it.id != id);
         self.write_config();
         let now_us = self.clock.now_us();
-        if let Some(tenant) = self.snapshot.tenants.id(tenant) {
-            self.observer.record_revocation(usize::from(tenant.0), now_us);
+        if let Some(team) = self.snapshot.teams.id(team) {
+            self.observer.record_revocation(usize::from(team.0), now_us);
         }
     }
 
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -1,12 +1,12 @@
 //! Evaluation of a finished run: figures and plots.
 
-use kingcupford_config::{ShiftId, TenantId};
+use kingcupford_config::{ShiftId, TeamId};
 use kingcupford_scenario::{FaultInterval, Measurements, Plot, Requirement, Series};
 
 use crate::{caller::OperationOutcome, reference, world::World};
 
-/// Tenants with fewer requests are left out of the figures of the worst tenant.
-const MIN_TENANT_REQUESTS: u64 = 20;
+/// Teams with fewer requests are left out of the figures of the worst team.
+const MIN_TEAM_REQUESTS: u64 = 20;
 
 impl World {
     /// Evaluates the whole run and returns its violations and figures.
@@ -15,25 +15,25 @@
         self.check_at_most_once();
         self.check_bad_versions();
         self.set_service_figures();
-        self.set_tenant_figures();
+        self.set_team_figures();
         self.set_event_figures();
         std::mem::take(&mut self.observer.measurements)
     }
 
-    /// Returns the admission times of a tenant's requests that ran, in microseconds.
-    fn admission_times_us(&self, tenant: usize) -> Vec<u64> {
+    /// Returns the admission times of a team's requests that ran, in microseconds.
+    fn admission_times_us(&self, team: usize) -> Vec<u64> {
         let ran = self.requests.iter().filter(|it| it.execution_count > 0);
-        let of_tenant = ran.filter(|it| self.callers.ops[it.op].tenant == Some(tenant));
-        of_tenant.map(|it| it.admitted_us).collect()
+        let of_team = ran.filter(|it| self.callers.ops[it.op].team == Some(team));
+        of_team.map(|it| it.admitted_us).collect()
     }
 
-    /// Compares the requests that ran with the rates of tenants and the caps of shifts.
+    /// Compares the requests that ran with the rates of teams and the caps of shifts.
     fn check_rates(&mut self) {
         let snapshot = self.snapshot.clone();
-        for (id, tenant) in snapshot.tenants.iter() {
+        for (id, team) in snapshot.teams.iter() {
             let mut times_us = self.admission_times_us(usize::from(id.0));
-            let excess = reference::count_excess(&mut times_us, tenant.rate_per_s, tenant.burst);
-            self.observer.measurements.record_violations(Requirement::TenantRate, excess);
+            let excess = reference::count_excess(&mut times_us, team.rate_per_s, team.burst);
+            self.observer.measurements.record_violations(Requirement::TeamRate, excess);
         }
         let mut moved = 0;
         for (id, mut times_us) in std::mem::take(&mut self.observer.shifted_at_us) {
@@ -72,9 +72,8 @@
                     observer.latency_us[index].value_at_quantile(quantile) as f64 / 1000.0;
                 observer.measurements.set_figure(format!("latency_{label}_ms.{name}"), value_ms);
             }
-            let compared = observer.tenant_latency_us[index]
-                .iter()
-                .filter(|it| it.len() >= MIN_TENANT_REQUESTS);
+            let compared =
+                observer.team_latency_us[index].iter().filter(|it| it.len() >= MIN_TEAM_REQUESTS);
             let worst = compared.map(|it| it.value_at_quantile(0.99)).max().unwrap_or(0);
             observer
                 .measurements
@@ -100,21 +99,21 @@
         observer.measurements.set_figure("goodput_per_s", all_done as f64 / duration_s);
     }
 
-    /// Sets the percentage of finished requests of each tenant, and the lowest among the tenants
-    /// with at least `MIN_TENANT_REQUESTS`.
-    fn set_tenant_figures(&mut self) {
+    /// Sets the percentage of finished requests of each team, and the lowest among the teams
+    /// with at least `MIN_TEAM_REQUESTS`.
+    fn set_team_figures(&mut self) {
         let observer = &mut self.observer;
         let compared =
-            observer.ended_and_done_by_tenant.iter().filter(|it| it[0] >= MIN_TENANT_REQUESTS);
+            observer.ended_and_done_by_team.iter().filter(|it| it[0] >= MIN_TEAM_REQUESTS);
         let worst = compared.map(|it| it[1] as f64 * 100.0 / it[0] as f64).fold(100.0, f64::min);
         observer.measurements.set_figure("worst_tenant_finished_percent", worst);
-        for (id, tenant) in self.snapshot.tenants.iter() {
-            let [ended, done] = observer.ended_and_done_by_tenant[usize::from(id.0)];
+        for (id, team) in self.snapshot.teams.iter() {
+            let [ended, done] = observer.ended_and_done_by_team[usize::from(id.0)];
             if ended > 0 {
                 let percent = done as f64 * 100.0 / ended as f64;
                 observer
                     .measurements
-                    .set_figure(format!("tenant_finished_percent.{}", tenant.name), percent);
+                    .set_figure(format!("tenant_finished_percent.{}", team.name), percent);
             }
         }
     }
@@ -159,7 +158,7 @@
         }
     }
 
-    /// Returns the plots of latency by service and of requests by tenant.
+    /// Returns the plots of latency by service and of requests by team.
     pub(crate) fn plots(&self) -> Vec<Plot> {
         let fault_intervals: Vec<FaultInterval> = self.fault_intervals();
         let end_s = self.scenario.duration_s;
@@ -191,20 +190,20 @@
                 fault_intervals: fault_intervals.clone(),
             });
         }
-        for (id, tenant) in self.snapshot.tenants.iter() {
+        for (id, team) in self.snapshot.teams.iter() {
             let admitted_us = self.admission_times_us(usize::from(id.0));
             if admitted_us.is_empty() {
                 continue;
             }
-            res.push(self.tenant_plot(id, &tenant.name, &admitted_us, fault_intervals.clone()));
+            res.push(self.team_plot(id, &team.name, &admitted_us, fault_intervals.clone()));
         }
         res
     }
 
-    /// Plots the requests of a tenant that ran, by second of admission, and the tenant's rate.
-    fn tenant_plot(
+    /// Plots the requests of a team that ran, by second of admission, and the team's rate.
+    fn team_plot(
         &self,
-        id: TenantId,
+        id: TeamId,
         name: &str,
         times_us: &[u64],
         fault_intervals: Vec<FaultInterval>,
@@ -218,7 +217,7 @@
             }
         }
         let points = counts.into_iter().enumerate().map(|(second, count)| (second as f64, count));
-        let rate = self.snapshot.tenants[id].rate_per_s;
+        let rate = self.snapshot.teams[id].rate_per_s;
         Plot {
             title: format!("Requests of {name}"),
             unit: "per second".to_owned(),
--- a/crates/load/src/world.rs
+++ b/crates/load/src/world.rs
@@ -43,7 +43,7 @@
     pub(crate) clock: Clock,
     /// Randomness of hosts, instances and the platform; demand has a generator of its own.
     pub(crate) rng: SmallRng,
-    /// Compiled initial configuration; its ids are the indices of zones, services, tenants and
+    /// Compiled initial configuration; its ids are the indices of zones, services, teams and
     /// instances everywhere in the simulation.
     pub(crate) snapshot: Arc<Snapshot>,
     pub(crate) network: Network,
@@ -177,7 +177,7 @@
             }
         }
         match event {
-            Event::OperationDue { demand, tenant } => self.start_operation(demand, tenant),
+            Event::OperationDue { demand, team } => self.start_operation(demand, team),
             Event::PoisonDue { fault } => self.send_poison(fault),
             Event::LookupArrived { to, op } => self.handle_lookup(to, op),
             Event::LookupAnswered { op, answer } => self.handle_lookup_answer(op, answer),
--- a/crates/platform/src/change.rs
+++ b/crates/platform/src/change.rs
@@ -81,7 +81,7 @@
                 ChunkKind::Topology,
                 ChunkKind::Blocks,
                 ChunkKind::Services,
-                ChunkKind::Tenants,
+                ChunkKind::Teams,
                 ChunkKind::Keys,
                 ChunkKind::Presets,
             ],
--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -343,7 +343,7 @@
         };
         let mut subset = read_kinds(
             current,
-            &[ChunkKind::Tenants, ChunkKind::Keys, ChunkKind::Presets],
+            &[ChunkKind::Teams, ChunkKind::Keys, ChunkKind::Presets],
             chunk_store,
         )
         .await?;
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -67,7 +67,7 @@
 
 pub(crate) fn key(id: &str) -> KeyDecl {
     let sha256 = CallerKey::new(id, [7; 24]).hash();
-    KeyDecl { id: id.to_owned(), tenant: "koala".to_owned(), sha256 }
+    KeyDecl { id: id.to_owned(), team: "koala".to_owned(), sha256 }
 }
 
 pub(crate) async fn read_head<S: ObjectStore>(store: &ConfigStore<S>) -> Head {
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -111,9 +111,9 @@
     res
 }
 
-fn declarations_with_faster_tenant() -> Declarations {
+fn declarations_with_faster_team() -> Declarations {
     let mut res = declarations();
-    res.tenants[0].rate_per_s = 99.0;
+    res.teams[0].rate_per_s = 99.0;
     res
 }
 
@@ -121,7 +121,7 @@
 #[tokio::test]
 async fn apply_race() {
     for (second, overlaps) in
-        [(declarations_with_faster_tenant(), false), (faster_tenant_without_block(), true)]
+        [(declarations_with_faster_team(), false), (faster_team_without_block(), true)]
     {
         let platform = start_platform().await;
         let (a, b) =
@@ -159,7 +159,7 @@
         applied(2)
     );
     for (desired, overlaps) in
-        [(declarations_with_faster_tenant(), false), (faster_tenant_without_block(), true)]
+        [(declarations_with_faster_team(), false), (faster_team_without_block(), true)]
     {
         let late = ChangeRequest { expected_version: Some(1), ..change_request("late") };
         let source_revision = "rev-first".to_owned();
@@ -169,8 +169,8 @@
     assert_eq!(read_head(&store).await.change_id, "first");
 }
 
-fn faster_tenant_without_block() -> Declarations {
-    let mut res = declarations_with_faster_tenant();
+fn faster_team_without_block() -> Declarations {
+    let mut res = declarations_with_faster_team();
     res.blocks.remove(0);
     res
 }
@@ -389,9 +389,9 @@
     assert_eq!(rejected_place(store.issue_key(&key("k1"), "2").await), "keys.k1");
     assert_eq!(rejected_place(store.revoke_key("k2", "3").await), "keys.k2");
     assert_eq!(rejected_place(store.switch_preset("night", "4").await), "active_preset");
-    let mut without_tenant = declarations();
-    without_tenant.tenants.remove(0);
-    assert_eq!(rejected_place(store.apply(&without_tenant, &change_request("5")).await), "keys.k1");
+    let mut without_team = declarations();
+    without_team.teams.remove(0);
+    assert_eq!(rejected_place(store.apply(&without_team, &change_request("5")).await), "keys.k1");
     let mut without_preset = declarations();
     without_preset.presets.remove(0);
     without_preset.initial_preset = None;
@@ -455,7 +455,7 @@
     let with_retention = config_store(inner.clone(), 2);
     let declarations_with_rate = |rate: u32| {
         let mut res = declarations();
-        res.tenants[0].rate_per_s = f64::from(rate);
+        res.teams[0].rate_per_s = f64::from(rate);
         res
     };
     let stored_chunk_count = async || match inner.list("chunk/").await {
@@ -467,13 +467,13 @@
             .apply(&declarations_with_rate(rate), &change_request(&format!("p{rate}")))
             .await;
     }
-    // One chunk each for topology, blocks, service and presets, and one with the tenants of each
+    // One chunk each for topology, blocks, service and presets, and one with the teams of each
     // version.
     assert_eq!(stored_chunk_count().await, 4 + 6);
     without_retention.apply(&declarations_with_rate(7), &change_request("e7")).await;
     assert_eq!(stored_chunk_count().await, 4 + 3);
     for (version, rate) in [(8, 6), (9, 1)] {
-        // The tenants return to a chunk that is still stored, then to one that was deleted.
+        // The teams return to a chunk that is still stored, then to one that was deleted.
         assert_eq!(
             without_retention
                 .apply(&declarations_with_rate(rate), &change_request(&format!("b{rate}")))
@@ -482,7 +482,7 @@
         );
         let head = read_head(&without_retention).await;
         let stored = without_retention.read_declarations(&head).await.unwrap();
-        assert_eq!(stored.tenants[1].rate_per_s, f64::from(rate));
+        assert_eq!(stored.teams[1].rate_per_s, f64::from(rate));
     }
     for rate in 10..30 {
         without_retention
--- a/crates/quota/benches/share.rs
+++ b/crates/quota/benches/share.rs
@@ -1,4 +1,4 @@
-//! Benchmark of the decision whether a request is within the share of its tenant's rate.
+//! Benchmark of the decision whether a request is within the share of its team's rate.
 
 use std::{
     hint::black_box,
@@ -6,12 +6,12 @@
 };
 
 use criterion::{Criterion, criterion_group, criterion_main};
-use kingcupford_config::{IsolationPolicy, Snapshot, Tenant};
+use kingcupford_config::{IsolationPolicy, Snapshot, Team};
 use kingcupford_quota::{AcquireOutcome, Cap, Holder, Resource, WriteOutcome};
 use tokio::time::Instant;
 
-/// Number of tenants, whose limiters together exceed the L1 cache.
-const TENANTS: usize = 512;
+/// Number of teams, whose limiters together exceed the L1 cache.
+const TEAMS: usize = 512;
 
 /// Number of requests between two ticks, about 50 ms on a busy host.
 const REQUESTS_PER_TICK: u64 = 1024;
@@ -19,7 +19,7 @@
 /// Number of decisions that the printed figure averages.
 const FIGURE_DECISIONS: u32 = 2_000_000;
 
-/// Holder of the whole cap, with half of the tenants within their rates.
+/// Holder of the whole cap, with half of the teams within their rates.
 struct Bench {
     holder: Holder,
     resources: Vec<Resource>,
@@ -35,16 +35,16 @@
         let mut snapshot = Snapshot::default();
         let mut resources = Vec::new();
         let mut caps = Vec::new();
-        for at in 0..TENANTS {
+        for at in 0..TEAMS {
             let rate_per_s = if at % 2 == 0 { 1000.0 } else { 1.0 };
-            let tenant = Tenant {
+            let team = Team {
                 name: format!("tenant-{at}"),
                 rate_per_s,
                 burst: rate_per_s,
                 when_isolated: IsolationPolicy::Serve,
             };
-            let name = tenant.name.clone();
-            let resource = Resource::TenantRate(snapshot.tenants.insert(&name, tenant));
+            let name = team.name.clone();
+            let resource = Resource::TeamRate(snapshot.teams.insert(&name, team));
             resources.push(resource);
             caps.push((resource, Cap::Rate { rate_per_s, burst: rate_per_s }));
         }
@@ -75,7 +75,7 @@
         if self.requests.is_multiple_of(REQUESTS_PER_TICK) {
             self.tick();
         }
-        let resource = self.resources[self.requests as usize * 7 % TENANTS];
+        let resource = self.resources[self.requests as usize * 7 % TEAMS];
         self.holder.acquire_tokens(black_box(resource), 1.0, self.now())
     }
 }
--- a/crates/quota/examples/moved_demand.rs
+++ b/crates/quota/examples/moved_demand.rs
@@ -1,4 +1,4 @@
-//! Prints the fraction of requests that are refused although the tenant is within its rate, when
+//! Prints the fraction of requests that are refused although the team is within its rate, when
 //! the demand moves between hosts, compared with a static equal split; and the time of one
 //! admission.
 
@@ -11,7 +11,7 @@
 
 use crate::model::Simulation;
 
-/// Resource index of the rate of the large tenant (200/s, burst 100) in the simulation.
+/// Resource index of the rate of the large team (200/s, burst 100) in the simulation.
 const LARGE: usize = 0;
 
 /// One-way latency of 8 hosts in three regions of two zones each, as in the Huskfutter deployment.
--- a/crates/quota/src/limiter.rs
+++ b/crates/quota/src/limiter.rs
@@ -197,7 +197,7 @@
     }
 
     /// Units whose bucket holds [`BURST_RESERVE_REQUESTS`] requests, because requests of a small
-    /// tenant arrive in bursts.
+    /// team arrive in bursts.
     pub(crate) fn burst_reserve_units(&self) -> u32 {
         match self.cap {
             Some(Cap::Rate { .. }) => {
--- a/crates/quota/src/resource.rs
+++ b/crates/quota/src/resource.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
-use kingcupford_config::{RegionId, ServiceId, ShiftId, Snapshot, TenantId};
+use kingcupford_config::{RegionId, ServiceId, ShiftId, Snapshot, TeamId};
 
 /// Resource with a cap that applies to all hosts of a fleet together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Resource {
-    /// Request rate of a tenant.
-    TenantRate(TenantId),
+    /// Request rate of a team.
+    TeamRate(TeamId),
     /// Concurrent requests of a service in a region.
     RegionSlots(ServiceId, RegionId),
     /// Byte rate of the traffic from one region to another.
@@ -26,8 +26,8 @@
 /// Names of a [`Resource`], for messages between processes.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 pub enum ResourceName {
-    /// Request rate of the named tenant.
-    TenantRate(String),
+    /// Request rate of the named team.
+    TeamRate(String),
     /// Concurrent requests of a service (first name) in a region (second name).
     RegionSlots(String, String),
     /// Byte rate of the traffic from one region to another.
@@ -47,7 +47,7 @@
     pub fn new(resource: Resource, snapshot: &Snapshot) -> Option<Self> {
         let region = |id| Some(snapshot.regions.value(id)?.name.clone());
         Some(match resource {
-            Resource::TenantRate(it) => Self::TenantRate(snapshot.tenants.value(it)?.name.clone()),
+            Resource::TeamRate(it) => Self::TeamRate(snapshot.teams.value(it)?.name.clone()),
             Resource::RegionSlots(service, it) => {
                 Self::RegionSlots(snapshot.services.value(service)?.name.clone(), region(it)?)
             }
@@ -60,7 +60,7 @@
     /// names.
     pub fn resolve(&self, snapshot: &Snapshot) -> Option<Resource> {
         Some(match self {
-            Self::TenantRate(it) => Resource::TenantRate(snapshot.tenants.id(it)?),
+            Self::TeamRate(it) => Resource::TeamRate(snapshot.teams.id(it)?),
             Self::RegionSlots(service, it) => {
                 Resource::RegionSlots(snapshot.services.id(service)?, snapshot.regions.id(it)?)
             }
--- a/crates/quota/tests/faults.rs
+++ b/crates/quota/tests/faults.rs
@@ -8,7 +8,7 @@
 
 use crate::model::Simulation;
 
-/// Resource index of the rate of the large tenant in the simulation.
+/// Resource index of the rate of the large team in the simulation.
 const LARGE: usize = 0;
 /// Resource index of the region slots in the simulation.
 const SLOTS: usize = 2;
@@ -24,14 +24,14 @@
     floor + main
 }
 
-/// Whether a host admits a request of the large tenant now.
+/// Whether a host admits a request of the large team now.
 fn admits(sim: &mut Simulation, host: usize) -> bool {
     let (resource, now) = (sim.caps[LARGE].0, sim.now);
     let holder = sim.hosts[host].holder.as_mut().expect("a running host");
     holder.acquire_tokens(resource, 1.0, now) == AcquireOutcome::Acquired
 }
 
-/// Burst capacity and rate of the large tenant that a host may use now.
+/// Burst capacity and rate of the large team that a host may use now.
 fn local_limit(sim: &mut Simulation, host: usize) -> (f64, f64) {
     let (resource, now) = (sim.caps[LARGE].0, sim.now);
     let holder = sim.hosts[host].holder.as_mut().expect("a running host");
@@ -194,7 +194,7 @@
     sim.run(5_000);
 }
 
-/// Guards against refusals after the whole demand of a tenant has moved to one host.
+/// Guards against refusals after the whole demand of a team has moved to one host.
 #[test]
 fn moved_demand_is_rarely_refused() {
     let mut sim = settled(8);
@@ -259,7 +259,7 @@
     }
 }
 
-/// Guards against floods of loan requests when a tenant exceeds its rate on every host.
+/// Guards against floods of loan requests when a team exceeds its rate on every host.
 #[test]
 fn exhausted_rate_causes_few_loan_requests() {
     let mut sim = settled(8);
--- a/crates/quota/tests/leases.rs
+++ b/crates/quota/tests/leases.rs
@@ -18,7 +18,7 @@
     holders: [Holder; 2],
     /// Version and content of the ledger.
     ledger_object: (u64, Ledger),
-    /// Rate of a tenant, 200/s with a burst of 100.
+    /// Rate of a team, 200/s with a burst of 100.
     resource: Resource,
 }
 
@@ -79,7 +79,7 @@
     /// Requests a loan from the first holder for the second one. Returns the lent units and the
     /// response.
     fn request_loan(&mut self, units: u32) -> (u32, Vec<(String, Message)>) {
-        let name = kingcupford_quota::ResourceName::TenantRate("large".to_owned());
+        let name = kingcupford_quota::ResourceName::TeamRate("large".to_owned());
         let id = kingcupford_quota::LoanId { incarnation: 1, sequence: 1_000 };
         let request = Message::LoanRequest { id, renews: None, resource: name, units };
         let response = self.holders[0].receive("b", request, self.now);
--- a/crates/quota/tests/model/mod.rs
+++ b/crates/quota/tests/model/mod.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use kingcupford_config::{Region, Service, Snapshot, Tenant, VersionId};
+use kingcupford_config::{Region, Service, Snapshot, Team, VersionId};
 use kingcupford_quota::{
     AcquireOutcome, Cap, Holder, Ledger, Message, Proposal, Resource, Settings, WriteOutcome,
 };
@@ -56,17 +56,17 @@
 
 impl Simulation {
     /// Creates hosts that have not started, with three caps: the rates of a large and of a small
-    /// tenant, and region slots.
+    /// team, and region slots.
     pub(crate) fn new(hosts: usize, seed: u64, settings: Settings) -> Self {
         let mut snapshot = Snapshot::default();
-        let tenant = |name: &str| Tenant {
+        let team = |name: &str| Team {
             name: name.to_owned(),
             rate_per_s: 0.0,
             burst: 0.0,
             when_isolated: kingcupford_config::IsolationPolicy::Serve,
         };
-        let large = snapshot.tenants.insert("large", tenant("large"));
-        let small = snapshot.tenants.insert("small", tenant("small"));
+        let large = snapshot.teams.insert("large", team("large"));
+        let small = snapshot.teams.insert("small", team("small"));
         let region = Region { name: "alpen".to_owned(), zones: Vec::new() };
         let region = snapshot.regions.insert("alpen", region);
         let service = Service {
@@ -77,8 +77,8 @@
         };
         let service = snapshot.services.insert("katalog", service);
         let caps = vec![
-            (Resource::TenantRate(large), Cap::Rate { rate_per_s: 200.0, burst: 100.0 }),
-            (Resource::TenantRate(small), Cap::Rate { rate_per_s: 10.0, burst: 7.0 }),
+            (Resource::TeamRate(large), Cap::Rate { rate_per_s: 200.0, burst: 100.0 }),
+            (Resource::TeamRate(small), Cap::Rate { rate_per_s: 10.0, burst: 7.0 }),
             (
                 Resource::RegionSlots(service, region),
                 Cap::Permits { permits: 21, max_request_duration: MAX_REQUEST_DURATION },
--- a/crates/quota/tests/parts.rs
+++ b/crates/quota/tests/parts.rs
@@ -1,28 +1,28 @@
 //! Tests of the fair queue, of resource names, and of the encoding and consistency of messages and
 //! ledgers.
 
-use kingcupford_config::{Snapshot, Tenant, TenantId};
+use kingcupford_config::{Snapshot, Team, TeamId};
 use kingcupford_quota::{FairQueue, Ledger, LoanId, Message, Resource, ResourceName, ShareRecord};
 
-/// Guards against a tenant with many waiting requests that delays other tenants.
+/// Guards against a team with many waiting requests that delays other teams.
 #[test]
-fn fair_queue_serves_small_tenant_first() {
-    let (large, small) = (TenantId(0), TenantId(1));
+fn fair_queue_serves_small_team_first() {
+    let (large, small) = (TeamId(0), TeamId(1));
     let mut queue = FairQueue::new(50);
     for at in 0..50 {
         queue.push(large, 1.0, at).expect("free capacity");
     }
-    assert_eq!(queue.push(large, 1.0, 99), Err(99), "the queue of the tenant is full");
+    assert_eq!(queue.push(large, 1.0, 99), Err(99), "the queue of the team is full");
     queue.push(small, 1.0, 100).expect("capacity for another tenant");
     let order: Vec<_> = std::iter::from_fn(|| queue.pop()).take(3).collect();
     assert!(order.contains(&(small, 100)), "{order:?}");
-    assert_eq!((queue.len(), queue.tenant_len(large), queue.tenant_len(small)), (48, 48, 0));
+    assert_eq!((queue.len(), queue.team_len(large), queue.team_len(small)), (48, 48, 0));
 }
 
-/// Guards against weights without effect, and against credit for idle times of a tenant.
+/// Guards against weights without effect, and against credit for idle times of a team.
 #[test]
 fn fair_queue_follows_weights() {
-    let (a, b) = (TenantId(0), TenantId(1));
+    let (a, b) = (TeamId(0), TeamId(1));
     let mut queue = FairQueue::new(100);
     for _ in 0..40 {
         queue.push(a, 1.0, ()).expect("free capacity");
@@ -42,18 +42,18 @@
 #[test]
 fn resource_name_round_trip() {
     let mut snapshot = Snapshot::default();
-    let tenant = Tenant {
+    let team = Team {
         name: "kennel".to_owned(),
         rate_per_s: 1.0,
         burst: 1.0,
         when_isolated: kingcupford_config::IsolationPolicy::Serve,
     };
-    let resource = Resource::TenantRate(snapshot.tenants.insert("kennel", tenant));
+    let resource = Resource::TeamRate(snapshot.teams.insert("kennel", team));
     let name = ResourceName::new(resource, &snapshot).expect("a known tenant");
-    assert_eq!(name, ResourceName::TenantRate("kennel".to_owned()));
+    assert_eq!(name, ResourceName::TeamRate("kennel".to_owned()));
     assert_eq!(name.resolve(&snapshot), Some(resource));
-    assert_eq!(ResourceName::TenantRate("other".to_owned()).resolve(&snapshot), None);
-    assert_eq!(ResourceName::new(Resource::TenantRate(TenantId(9)), &snapshot), None);
+    assert_eq!(ResourceName::TeamRate("other".to_owned()).resolve(&snapshot), None);
+    assert_eq!(ResourceName::new(Resource::TeamRate(TeamId(9)), &snapshot), None);
 }
 
 /// Guards against messages that change by encoding and decoding.
--- a/crates/route/src/host_table.rs
+++ b/crates/route/src/host_table.rs
@@ -82,7 +82,7 @@
     /// Hosts of the caller's zone are ranked before the others of its region.
     Zone,
     /// All hosts of the caller's region are ranked as one group, so that the callers of a small
-    /// tenant are sent to the same host and its few tokens are not divided among several hosts.
+    /// team are sent to the same host and its few tokens are not divided among several hosts.
     Region,
 }
 
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -143,18 +143,18 @@
         Self::default()
     }
 
-    /// Computes the fingerprint of a request from its tenant, method, path, body length and the
+    /// Computes the fingerprint of a request from its team, method, path, body length and the
     /// first 256 bytes of `body_start`; `length` is `None` if the length is not known in advance.
     pub fn fingerprint(
-        tenant: &str,
+        team: &str,
         method: &str,
         path: &str,
         length: Option<u64>,
         body_start: &[u8],
     ) -> Fingerprint {
-        // A cryptographic hash, so that no tenant can form a request that blocks another's.
+        // A cryptographic hash, so that no team can form a request that blocks another's.
         let mut hash = Sha256::new();
-        for part in [tenant, method, path] {
+        for part in [team, method, path] {
             hash.update((part.len() as u64).to_le_bytes());
             hash.update(part);
         }
--- a/crates/route/src/request_id.rs
+++ b/crates/route/src/request_id.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use kingcupford_config::TenantId;
+use kingcupford_config::TeamId;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -15,8 +15,8 @@
 /// Maximum length of the caller-chosen part of an id, which bounds the work for a hostile one.
 const MAX_UNIQUE_BYTES: usize = 128;
 
-/// Fraction of the table that one tenant may fill, so that it cannot lock out the others.
-const MAX_TENANT_FRACTION: f64 = 0.75;
+/// Fraction of the table that one team may fill, so that it cannot lock out the others.
+const MAX_TEAM_FRACTION: f64 = 0.75;
 
 /// Table of the request ids that are bound to this process, with the state of their runs.
 ///
@@ -44,11 +44,11 @@
 #[derive(Debug)]
 struct Epoch {
     number: u64,
-    /// Runs by tenant and hash of the id's unique part. Ids arrive in random order, for which a
+    /// Runs by team and hash of the id's unique part. Ids arrive in random order, for which a
     /// sorted vector would move half of its entries on each insertion.
-    runs: BTreeMap<(TenantId, u128), RunState>,
-    /// Number of ids per tenant, indexed by tenant id.
-    tenant_counts: Vec<usize>,
+    runs: BTreeMap<(TeamId, u128), RunState>,
+    /// Number of ids per team, indexed by team id.
+    team_counts: Vec<usize>,
 }
 
 /// State of the run of an id.
@@ -66,7 +66,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunHandle {
     epoch: u64,
-    tenant: TenantId,
+    team: TeamId,
     /// Hash of the id's unique part.
     unique_hash: u128,
     /// Number of the run; never used twice.
@@ -134,8 +134,8 @@
         format!("{}.{}.{}", self.host, self.incarnation, self.epoch(now))
     }
 
-    /// Looks up the id of a tenant's request and starts a run if the id is new.
-    pub fn begin(&mut self, text: &str, tenant: TenantId, now: Instant) -> BeginResult {
+    /// Looks up the id of a team's request and starts a run if the id is new.
+    pub fn begin(&mut self, text: &str, team: TeamId, now: Instant) -> BeginResult {
         self.advance(now);
         let Some(id) = ParsedId::parse(text) else { return BeginResult::Malformed };
         if id.host != self.host {
@@ -150,7 +150,7 @@
         let unique_hash = xxh3_128(id.unique.as_bytes());
         let position = self.epochs.binary_search_by_key(&id.epoch, |it| it.number);
         if let Ok(index) = position
-            && let Some(state) = self.epochs[index].runs.get(&(tenant, unique_hash))
+            && let Some(state) = self.epochs[index].runs.get(&(team, unique_hash))
         {
             return match *state {
                 RunState::Running(_) => BeginResult::Running,
@@ -158,19 +158,19 @@
                 RunState::Unknown => BeginResult::Unknown,
             };
         }
-        if !self.has_capacity(tenant) {
+        if !self.has_capacity(team) {
             return BeginResult::Full;
         }
         let index = position.unwrap_or_else(|index| {
             let number = id.epoch;
-            let epoch = Epoch { number, runs: BTreeMap::new(), tenant_counts: Vec::new() };
+            let epoch = Epoch { number, runs: BTreeMap::new(), team_counts: Vec::new() };
             self.epochs.insert(index, epoch);
             index
         });
         let run = self.next_run;
         self.next_run += 1;
-        self.epochs[index].insert(tenant, unique_hash, run);
-        BeginResult::Run(RunHandle { epoch: id.epoch, tenant, unique_hash, run })
+        self.epochs[index].insert(team, unique_hash, run);
+        BeginResult::Run(RunHandle { epoch: id.epoch, team, unique_hash, run })
     }
 
     /// Records the result of a run. Has no effect if the run already has a result or its epoch has
@@ -180,14 +180,14 @@
         let position = self.epochs.binary_search_by_key(&handle.epoch, |it| it.number);
         let Ok(index) = position else { return };
         let epoch = &mut self.epochs[index];
-        let Some(state) = epoch.runs.get_mut(&(handle.tenant, handle.unique_hash)) else { return };
+        let Some(state) = epoch.runs.get_mut(&(handle.team, handle.unique_hash)) else { return };
         if !matches!(state, RunState::Running(run) if *run == handle.run) {
             return;
         }
         match result {
             RunResult::Executed { status } => *state = RunState::Executed(status),
             RunResult::Unknown => *state = RunState::Unknown,
-            RunResult::NotRun => epoch.remove(handle.tenant, handle.unique_hash),
+            RunResult::NotRun => epoch.remove(handle.team, handle.unique_hash),
         }
     }
 
@@ -215,34 +215,34 @@
         self.epochs.retain(|it| it.number + RETAINED_EPOCHS >= current_epoch);
     }
 
-    /// Returns whether the table can hold one more id of a tenant.
-    fn has_capacity(&self, tenant: TenantId) -> bool {
-        let tenant_count: usize = self.epochs.iter().map(|it| it.tenant_count(tenant)).sum();
-        let tenant_capacity = (self.capacity as f64 * MAX_TENANT_FRACTION).ceil() as usize;
-        self.len() < self.capacity && tenant_count < tenant_capacity
+    /// Returns whether the table can hold one more id of a team.
+    fn has_capacity(&self, team: TeamId) -> bool {
+        let team_count: usize = self.epochs.iter().map(|it| it.team_count(team)).sum();
+        let team_capacity = (self.capacity as f64 * MAX_TEAM_FRACTION).ceil() as usize;
+        self.len() < self.capacity && team_count < team_capacity
     }
 }
 
 impl Epoch {
     /// Adds the run of a new id.
-    fn insert(&mut self, tenant: TenantId, unique_hash: u128, run: u64) {
-        let index = usize::from(tenant.0);
-        if self.tenant_counts.len() <= index {
-            self.tenant_counts.resize(index + 1, 0);
+    fn insert(&mut self, team: TeamId, unique_hash: u128, run: u64) {
+        let index = usize::from(team.0);
+        if self.team_counts.len() <= index {
+            self.team_counts.resize(index + 1, 0);
         }
-        self.tenant_counts[index] += 1;
-        self.runs.insert((tenant, unique_hash), RunState::Running(run));
+        self.team_counts[index] += 1;
+        self.runs.insert((team, unique_hash), RunState::Running(run));
     }
 
     /// Removes an id whose request did not run.
-    fn remove(&mut self, tenant: TenantId, unique_hash: u128) {
-        if self.runs.remove(&(tenant, unique_hash)).is_some() {
-            self.tenant_counts[usize::from(tenant.0)] -= 1;
+    fn remove(&mut self, team: TeamId, unique_hash: u128) {
+        if self.runs.remove(&(team, unique_hash)).is_some() {
+            self.team_counts[usize::from(team.0)] -= 1;
         }
     }
 
-    fn tenant_count(&self, tenant: TenantId) -> usize {
-        self.tenant_counts.get(usize::from(tenant.0)).copied().unwrap_or(0)
+    fn team_count(&self, team: TeamId) -> usize {
+        self.team_counts.get(usize::from(team.0)).copied().unwrap_or(0)
     }
 }
 
--- a/crates/route/tests/it/quarantine.rs
+++ b/crates/route/tests/it/quarantine.rs
@@ -146,7 +146,7 @@
     assert!(quarantine.take_updates().len() <= 2 * 4096);
 }
 
-// Guards against equal fingerprints of different requests, with which one tenant could block the
+// Guards against equal fingerprints of different requests, with which one team could block the
 // requests of another.
 #[test]
 fn fingerprint_covers_all_parts() {
--- a/crates/route/tests/it/request_id.rs
+++ b/crates/route/tests/it/request_id.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use kingcupford_config::TenantId;
+use kingcupford_config::TeamId;
 use kingcupford_route::{BeginResult, RequestIdTable, RunHandle, RunResult};
 use proptest::prelude::*;
 use tokio::time::Instant;
@@ -12,8 +12,8 @@
 /// A step of the property test.
 #[derive(Debug, Clone)]
 enum Step {
-    /// Sends a request of a tenant to a host; `id` selects one of the ids formed so far.
-    Send { id: usize, tenant: u16, host: usize },
+    /// Sends a request of a team to a host; `id` selects one of the ids formed so far.
+    Send { id: usize, team: u16, host: usize },
     /// Forms a new id from the current binding of a host.
     Form { host: usize },
     /// Finishes one of the runs, perhaps a second time; `result` selects how.
@@ -28,7 +28,7 @@
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let step = prop_oneof![
         6 => (any::<usize>(), 0_u16..2, 0_usize..2)
-            .prop_map(|(id, tenant, host)| Step::Send { id, tenant, host }),
+            .prop_map(|(id, team, host)| Step::Send { id, team, host }),
         2 => (0_usize..2).prop_map(|host| Step::Form { host }),
         4 => (any::<usize>(), 0_u8..3).prop_map(|(run, result)| Step::Finish { run, result }),
         1 => (0_usize..2).prop_map(|host| Step::Restart { host }),
@@ -37,7 +37,7 @@
     proptest::collection::vec(step, 1..120)
 }
 
-/// What actually happened to an id of a tenant.
+/// What actually happened to an id of a team.
 #[derive(Debug, Default)]
 struct History {
     /// Number of runs that are running or whose process was lost.
@@ -53,7 +53,7 @@
     handle: RunHandle,
     host: usize,
     incarnation: u64,
-    tenant_and_id: (u16, String),
+    team_and_id: (u16, String),
     finished: bool,
 }
 
@@ -77,18 +77,18 @@
                 Step::Form { host } => {
                     ids.push(format!("{}.id-{}", tables[host].binding(now), ids.len()));
                 }
-                Step::Send { id, tenant, host } if !ids.is_empty() => {
+                Step::Send { id, team, host } if !ids.is_empty() => {
                     let id = &ids[id % ids.len()];
-                    let tenant_and_id = (tenant, id.clone());
-                    let history = histories.entry(tenant_and_id.clone()).or_default();
+                    let team_and_id = (team, id.clone());
+                    let history = histories.entry(team_and_id.clone()).or_default();
                     let may_have_run = history.unfinished + history.effects > 0;
-                    match tables[host].begin(id, TenantId(tenant), now) {
+                    match tables[host].begin(id, TeamId(team), now) {
                         BeginResult::Run(handle) => {
                             prop_assert!(!may_have_run, "{} runs again", id);
                             history.unfinished += 1;
                             let incarnation = incarnations[host];
                             let finished = false;
-                            runs.push(Run { handle, host, incarnation, tenant_and_id, finished });
+                            runs.push(Run { handle, host, incarnation, team_and_id, finished });
                         }
                         BeginResult::Full | BeginResult::Malformed => prop_assert!(!may_have_run),
                         BeginResult::Running => prop_assert!(history.unfinished > 0),
@@ -117,7 +117,7 @@
                     if std::mem::replace(&mut run.finished, true) {
                         continue;
                     }
-                    let history = histories.get_mut(&run.tenant_and_id).unwrap();
+                    let history = histories.get_mut(&run.team_and_id).unwrap();
                     history.unfinished -= 1;
                     history.effects += u32::from(result != RunResult::NotRun);
                     if result == (RunResult::Executed { status }) {
@@ -136,43 +136,42 @@
     }
 }
 
-// Guards against a tenant that observes or blocks the requests of another by using their ids.
+// Guards against a team that observes or blocks the requests of another by using their ids.
 #[test]
-fn begin_separates_tenants() {
+fn begin_separates_teams() {
     let now = Instant::now();
     let mut table = RequestIdTable::new("a", 1, 100, now);
     let id = format!("{}.x", table.binding(now));
-    let BeginResult::Run(handle) = table.begin(&id, TenantId(0), now) else { panic!("id is new") };
+    let BeginResult::Run(handle) = table.begin(&id, TeamId(0), now) else { panic!("id is new") };
     table.finish(handle, RunResult::Executed { status: 201 }, now);
-    assert!(matches!(table.begin(&id, TenantId(1), now), BeginResult::Run(_)));
-    assert_eq!(table.begin(&id, TenantId(0), now), BeginResult::Executed { status: 201 });
+    assert!(matches!(table.begin(&id, TeamId(1), now), BeginResult::Run(_)));
+    assert_eq!(table.begin(&id, TeamId(0), now), BeginResult::Executed { status: 201 });
 }
 
-// Guards against a full table that evicts an unexpired id for a new one, and against one tenant
+// Guards against a full table that evicts an unexpired id for a new one, and against one team
 // that fills the table alone.
 #[test]
 fn begin_full_table() {
     let start = Instant::now();
     let mut table = RequestIdTable::new("a", 1, 8, start);
     let binding = table.binding(start);
-    let runs = |table: &mut RequestIdTable, tenant, now| {
+    let runs = |table: &mut RequestIdTable, team, now| {
         let ids = (0..20).map(|it| format!("{binding}.{it}"));
-        ids.filter(|it| matches!(table.begin(it, TenantId(tenant), now), BeginResult::Run(_)))
-            .count()
+        ids.filter(|it| matches!(table.begin(it, TeamId(team), now), BeginResult::Run(_))).count()
     };
     assert_eq!(runs(&mut table, 0, start), 6);
     assert_eq!(runs(&mut table, 1, start), 2);
-    assert_eq!(table.begin(&format!("{binding}.new"), TenantId(2), start), BeginResult::Full);
-    assert_eq!(table.begin(&format!("{binding}.0"), TenantId(0), start), BeginResult::Running);
+    assert_eq!(table.begin(&format!("{binding}.new"), TeamId(2), start), BeginResult::Full);
+    assert_eq!(table.begin(&format!("{binding}.0"), TeamId(0), start), BeginResult::Running);
     // Epochs 0 to 2 are retained, so the ids of epoch 0 are void from epoch 3 (900 s) on and no
     // longer use capacity.
     let before_expiry = start + Duration::from_secs(899);
     assert_eq!(
-        table.begin(&format!("{binding}.0"), TenantId(0), before_expiry),
+        table.begin(&format!("{binding}.0"), TeamId(0), before_expiry),
         BeginResult::Running
     );
     let expiry = start + Duration::from_secs(900);
-    assert_eq!(table.begin(&format!("{binding}.0"), TenantId(0), expiry), BeginResult::Void);
+    assert_eq!(table.begin(&format!("{binding}.0"), TeamId(0), expiry), BeginResult::Void);
     assert!(table.is_empty());
 }
 
@@ -187,12 +186,12 @@
     for id in
         ["", "x", "7.0.x", ".7.0.x", "a.b.7.0.", "a.b.7.0.é", "a.b.7.1.x", "a.b.+7.0.x", &long]
     {
-        assert_eq!(table.begin(id, TenantId(0), now), BeginResult::Malformed, "{id}");
+        assert_eq!(table.begin(id, TeamId(0), now), BeginResult::Malformed, "{id}");
     }
     for id in ["a.b.6.0.x", "a.b.8.0.x"] {
-        assert_eq!(table.begin(id, TenantId(0), now), BeginResult::Void, "{id}");
+        assert_eq!(table.begin(id, TeamId(0), now), BeginResult::Void, "{id}");
     }
     let elsewhere = BeginResult::Elsewhere { host: "b".to_owned() };
-    assert_eq!(table.begin("b.7.0.x", TenantId(0), now), elsewhere);
+    assert_eq!(table.begin("b.7.0.x", TeamId(0), now), elsewhere);
     assert!(table.is_empty());
 }
--- a/crates/scenario/src/check.rs
+++ b/crates/scenario/src/check.rs
@@ -20,7 +20,7 @@
         for (index, demand) in self.demand.iter().enumerate() {
             let place = format!("demand[{index}]");
             names.require_service(&place, &demand.service)?;
-            demand.tenants.iter().try_for_each(|it| names.require_tenant(&place, it))?;
+            demand.teams.iter().try_for_each(|it| names.require_team(&place, it))?;
             demand.zones.iter().try_for_each(|it| names.require_zone(&place, &it.zone))?;
             for zone in &demand.zones {
                 require_in_range(&format!("{place}.zones.weight"), zone.weight, 0.0, 1e6)?;
@@ -103,11 +103,11 @@
             FaultKind::InstanceCrash { instance }
             | FaultKind::InstanceSlow { instance, .. }
             | FaultKind::InstanceDrains { instance } => names.require_instance(place, instance),
-            FaultKind::Poison { service, tenant, .. } => {
+            FaultKind::Poison { service, team, .. } => {
                 names.require_service(place, service)?;
-                names.require_tenant(place, tenant)
+                names.require_team(place, team)
             }
-            FaultKind::KeyRevoked { tenant } => names.require_tenant(place, tenant),
+            FaultKind::KeyRevoked { team } => names.require_team(place, team),
             FaultKind::Rollout { service, to, .. } => {
                 names.require_service(place, service)?;
                 names.require_version(place, service, to)
@@ -142,9 +142,9 @@
         require_known(place, "version", name, known, "declare it with its instances")
     }
 
-    fn require_tenant(&self, place: &str, name: &str) -> Result<(), Problem> {
-        let known = self.declarations.tenants.iter().any(|it| it.name == name);
-        require_known(place, "tenant", name, known, "use a tenant of the deployment")
+    fn require_team(&self, place: &str, name: &str) -> Result<(), Problem> {
+        let known = self.declarations.teams.iter().any(|it| it.name == name);
+        require_known(place, "tenant", name, known, "use a team of the deployment")
     }
 
     fn require_zone(&self, place: &str, name: &str) -> Result<(), Problem> {
--- a/crates/scenario/src/fault.rs
+++ b/crates/scenario/src/fault.rs
@@ -95,8 +95,9 @@
     Poison {
         /// Name of the service.
         service: String,
-        /// Name of the caller's tenant.
-        tenant: String,
+        /// Name of the caller's team.
+        #[serde(rename = "tenant")]
+        team: String,
         /// HTTP method of the poison request.
         #[serde(default = "default_method")]
         method: String,
@@ -110,10 +111,11 @@
         #[serde(default = "default_restart_s")]
         restart_s: f64,
     },
-    /// Revocation of the first key of a tenant, which its callers continue to use.
+    /// Revocation of the first key of a team, which its callers continue to use.
     KeyRevoked {
-        /// Name of the tenant.
-        tenant: String,
+        /// Name of the team.
+        #[serde(rename = "tenant")]
+        team: String,
     },
     /// Start of a rollout.
     Rollout {
--- a/crates/scenario/src/scenario.rs
+++ b/crates/scenario/src/scenario.rs
@@ -54,26 +54,28 @@
     pub bounds: Vec<Bound>,
 }
 
-/// Offered requests of tenants to one service over time.
+/// Offered requests of teams to one service over time.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Demand {
     /// Name of the requested service.
     pub service: String,
-    /// Names of the tenants, each of which offers the whole rate; all tenants when empty.
+    /// Names of the teams, each of which offers the whole rate; all teams when empty.
     #[serde(default)]
-    pub tenants: Vec<String>,
+    #[serde(rename = "tenants")]
+    pub teams: Vec<String>,
     /// HTTP method of the requests, `GET` by default.
     #[serde(default = "default_method")]
     pub method: String,
     /// Request path after the service segment; callers append a random number.
     #[serde(default = "default_path")]
     pub path: String,
-    /// Rate of each tenant over time, linear between the points and constant outside them.
+    /// Rate of each team over time, linear between the points and constant outside them.
     pub rate: Vec<RatePoint>,
-    /// Whether `rate` is a multiple of each tenant's declared rate rather than requests per second.
+    /// Whether `rate` is a multiple of each team's declared rate rather than requests per second.
     #[serde(default)]
-    pub of_tenant_rate: bool,
+    #[serde(rename = "of_tenant_rate")]
+    pub of_team_rate: bool,
     /// Distribution of the callers over zones; equal weights of all zones when empty.
     #[serde(default)]
     pub zones: Vec<ZoneWeight>,
@@ -88,7 +90,7 @@
 pub struct RatePoint {
     /// Time since the start of the measured period.
     pub at_s: f64,
-    /// Requests per second of each tenant, or multiple of its declared rate.
+    /// Requests per second of each team, or multiple of its declared rate.
     pub per_s: f64,
 }
 
--- a/crates/scenario/src/summary.rs
+++ b/crates/scenario/src/summary.rs
@@ -15,12 +15,14 @@
     ShiftCap,
     /// No region holds more requests of a service than it has slots.
     RegionOverload,
-    /// A request runs only for the tenant of its key.
-    TenantIsolation,
+    /// A request runs only for the team of its key.
+    #[strum(serialize = "tenant_isolation")]
+    TeamIsolation,
     /// A revoked key is refused within seconds.
     RevokedKey,
-    /// No tenant exceeds its rate and burst.
-    TenantRate,
+    /// No team exceeds its rate and burst.
+    #[strum(serialize = "tenant_rate")]
+    TeamRate,
     /// A faulty version gets a small fraction of the traffic, and none soon after its fault
     /// appears.
     BadVersion,
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    history::{CallerRequest, History, LIMITED_TENANT, RequestOutcome},
+    history::{CallerRequest, History, LIMITED_TEAM, RequestOutcome},
     manifest::{REVOCABLE_KEYS, ROUTE_HOST},
 };
 
@@ -119,9 +119,9 @@
             7..9 => (Method::POST, format!("/order/{affinity_key}"), 200),
             _ => (Method::POST, format!("/order/up/{affinity_key}"), UPLOAD_BYTES),
         };
-        let (tenant, key) = match self.rng.random_range(0..20) {
+        let (team, key) = match self.rng.random_range(0..20) {
             0..12 => ("steady", "key-steady"),
-            12..17 => (LIMITED_TENANT, "key-limited"),
+            12..17 => (LIMITED_TEAM, "key-limited"),
             _ => ("revoked", *REVOCABLE_KEYS.choose(&mut self.rng).unwrap_or(&"")),
         };
         let is_idempotent = method == Method::GET;
@@ -146,7 +146,7 @@
             body_bytes,
             is_idempotent,
             key,
-            tenant,
+            team,
             host,
             sent_at,
             ended_at,
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -19,7 +19,7 @@
 /// not checked.
 pub(crate) const STABILIZATION_TIME: Duration = Duration::from_secs(4);
 
-/// Window over which the executions of the rate-limited tenant are counted.
+/// Window over which the executions of the rate-limited team are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(5);
 
 /// Executions permitted in one window: a rate of 20 per second and a burst of 20, plus an overage
@@ -33,8 +33,8 @@
 /// requests, added up.
 const WRONG_REFUSAL_TOLERANCE: (f64, f64) = (5.0, 0.002);
 
-/// Name of the tenant whose request rate is limited.
-pub const LIMITED_TENANT: &str = "limited";
+/// Name of the team whose request rate is limited.
+pub const LIMITED_TEAM: &str = "limited";
 
 /// What callers and instances observed during a run, with the events that affect the checks.
 #[derive(Default)]
@@ -62,8 +62,8 @@
     pub instance: String,
     /// Service of the instance.
     pub service: String,
-    /// Tenant that the host named in its request to the instance.
-    pub tenant: String,
+    /// Team that the host named in its request to the instance.
+    pub team: String,
     /// Whether the caller's API key reached the instance.
     pub has_key: bool,
     /// Path that the instance received.
@@ -87,8 +87,8 @@
     pub is_idempotent: bool,
     /// API key that the caller sent.
     pub key: String,
-    /// Tenant that holds the key.
-    pub tenant: &'static str,
+    /// Team that holds the key.
+    pub team: &'static str,
     /// Index of the host that the caller connected to.
     pub host: usize,
     /// When the caller began to send.
@@ -235,9 +235,9 @@
         if execution.has_key {
             return Some(("key-hidden", "the instance received the API key".to_owned()));
         }
-        if execution.tenant != request.tenant {
+        if execution.team != request.team {
             let observed =
-                format!("received tenant `{}`, sent by `{}`", execution.tenant, request.tenant);
+                format!("received team `{}`, sent by `{}`", execution.team, request.team);
             return Some(("tenant", observed));
         }
         if execution.path != request.path || execution.body_bytes != request.body_bytes {
@@ -321,7 +321,7 @@
     None
 }
 
-/// Checks that the rate-limited tenant stays within its rate. An execution counts towards a window
+/// Checks that the rate-limited team stays within its rate. An execution counts towards a window
 /// only if its request was both sent and started within it.
 fn check_rate(
     executions: &[Execution],
@@ -329,7 +329,7 @@
 ) -> Option<String> {
     let mut spans: Vec<(Instant, Instant)> = executions
         .iter()
-        .filter(|it| it.tenant == LIMITED_TENANT)
+        .filter(|it| it.team == LIMITED_TEAM)
         .filter_map(|it| Some((requests_by_id.get(it.request_id.as_str())?.sent_at, it.started_at)))
         .collect();
     spans.sort();
@@ -344,7 +344,7 @@
 fn check_wrong_refusals(requests: &[CallerRequest]) -> Option<String> {
     let is_wrong_refusal = |it: &&CallerRequest| {
         let RequestOutcome::Answered { status, .. } = it.outcome else { return false };
-        (300..500).contains(&status) && ![408, 421, 429].contains(&status) && it.tenant != "revoked"
+        (300..500).contains(&status) && ![408, 421, 429].contains(&status) && it.team != "revoked"
     };
     let refused: Vec<&CallerRequest> = requests.iter().filter(is_wrong_refusal).collect();
     let tolerated = WRONG_REFUSAL_TOLERANCE.0 + WRONG_REFUSAL_TOLERANCE.1 * requests.len() as f64;
@@ -354,11 +354,10 @@
     })
 }
 
-/// Checks that the requests of the tenant without a rate limit succeed after `settled_at`. No such
+/// Checks that the requests of the team without a rate limit succeed after `settled_at`. No such
 /// request at all counts as a failure.
 fn check_recovery(requests: &[CallerRequest], settled_at: Instant) -> Option<String> {
-    let after_faults =
-        requests.iter().filter(|it| it.sent_at > settled_at && it.tenant == "steady");
+    let after_faults = requests.iter().filter(|it| it.sent_at > settled_at && it.team == "steady");
     let (mut total, mut succeeded) = (0u32, 0u32);
     for it in after_faults {
         total += 1;
--- a/crates/soak/src/instance.rs
+++ b/crates/soak/src/instance.rs
@@ -131,7 +131,7 @@
             request_id: request_id.clone(),
             instance: self.instance_id.clone(),
             service: self.service.clone(),
-            tenant: text(&names.tenant),
+            team: text(&names.team),
             has_key: headers.contains_key(&names.api_key),
             path: request.uri().path().to_owned(),
             body_bytes: body.len(),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use crate::{
     fault::{Fault, ScheduledFault},
-    history::{CallerRequest, Execution, History, LIMITED_TENANT, RequestOutcome, Violation},
+    history::{CallerRequest, Execution, History, LIMITED_TEAM, RequestOutcome, Violation},
     instance::{InstanceFault, response_body},
     proxy::LinkFault,
     run::{RunConfig, RunReport, remove_run_dir, run_seed, time_limit},
--- a/crates/soak/src/manifest.rs
+++ b/crates/soak/src/manifest.rs
@@ -10,7 +10,7 @@
 /// Host name of all routes in the manifest.
 pub(crate) const ROUTE_HOST: &str = "soak.example";
 
-/// API keys of the tenant `revoked`, which are revoked one by one while callers use them.
+/// API keys of the team `revoked`, which are revoked one by one while callers use them.
 pub(crate) const REVOCABLE_KEYS: [&str; 3] = ["key-one", "key-two", "key-three"];
 
 /// A version of the manifest; `issued_keys` are the [`REVOCABLE_KEYS`] that are still valid.
--- a/crates/soak/tests/history.rs
+++ b/crates/soak/tests/history.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kingcupford_soak::{
-    CallerRequest, Execution, History, LIMITED_TENANT, RequestOutcome, response_body,
+    CallerRequest, Execution, History, LIMITED_TEAM, RequestOutcome, response_body,
 };
 use tokio::time::{Instant, advance};
 
@@ -16,7 +16,7 @@
         body_bytes: 0,
         is_idempotent: path.starts_with("/read/"),
         key: "key".to_owned(),
-        tenant: "steady",
+        team: "steady",
         host: 0,
         sent_at: now,
         ended_at: now,
@@ -34,7 +34,7 @@
         request_id: request.id.clone(),
         instance: "i-1".to_owned(),
         service: if request.is_idempotent { "catalogue" } else { "orders" }.to_owned(),
-        tenant: request.tenant.to_owned(),
+        team: request.team.to_owned(),
         has_key: false,
         path: request.path.clone(),
         body_bytes: request.body_bytes,
@@ -70,7 +70,7 @@
         ("not-run", |it, _| it.outcome = sealed_response(503, "")),
         ("own-answer", |it, _| it.outcome = sealed_response(200, "of another request")),
         ("key-hidden", |_, executions| executions[0].has_key = true),
-        ("tenant", |_, executions| executions[0].tenant = "other".to_owned()),
+        ("tenant", |_, executions| executions[0].team = "other".to_owned()),
         ("unchanged", |_, executions| executions[0].body_bytes = 7),
         ("unchanged", |_, executions| executions[0].path = "/order/2".to_owned()),
         ("route", |_, executions| executions[0].service = "catalogue".to_owned()),
@@ -140,14 +140,14 @@
     }
 }
 
-/// Guards against checks over all requests that never report anything: a tenant over its rate,
+/// Guards against checks over all requests that never report anything: a team over its rate,
 /// valid requests that are refused, and a deployment that does not recover.
 #[tokio::test(start_paused = true)]
 async fn aggregate_violations_are_reported() {
     let history = History::default();
     for index in 0..153 {
         let mut it = successful_request(&format!("r{index}"), "/read/1");
-        it.tenant = LIMITED_TENANT;
+        it.team = LIMITED_TEAM;
         history.record_execution(execution_of(&it));
         history.record_request(it);
         advance(Duration::from_millis(32)).await;
--- a/crates/standin/src/upstream/execution.rs
+++ b/crates/standin/src/upstream/execution.rs
@@ -39,7 +39,7 @@
         let record = ExecutionRecord {
             sequence: 0,
             tag: header("x-request-tag"),
-            tenant: header("kingcupford-tenant"),
+            team: header("kingcupford-tenant"),
             method: request.method().to_string(),
             path: request.uri().to_string(),
             state: ExecutionState::Running,
--- a/crates/standin/src/upstream/execution_log.rs
+++ b/crates/standin/src/upstream/execution_log.rs
@@ -15,8 +15,9 @@
     pub sequence: u64,
     /// Value of the header `x-request-tag`.
     pub tag: Option<String>,
-    /// Value of the header `kingcupford-tenant`.
-    pub tenant: Option<String>,
+    /// Value of the header `kingcupford-team`.
+    #[serde(rename = "tenant")]
+    pub team: Option<String>,
     /// HTTP method.
     pub method: String,
     /// URI of the request, with its query.
--- a/crates/steer/src/heartbeat.rs
+++ b/crates/steer/src/heartbeat.rs
@@ -49,8 +49,8 @@
     /// Time since the platform itself last answered the sender; `None` if another host reads the
     /// platform for the sender.
     pub platform_age_ms: Option<u32>,
-    /// Demand of the rate-limited tenants at the sender, sorted by tenant hash.
-    pub tenant_demand: Vec<TenantDemand>,
+    /// Demand of the rate-limited teams at the sender, sorted by team hash.
+    pub team_demand: Vec<TeamDemand>,
     /// Load of the services in the sender's region.
     pub service_loads: Vec<ServiceLoad>,
     /// Exchanges that the sender counted in its rollouts.
@@ -82,13 +82,13 @@
     Draining,
 }
 
-/// Requests of one tenant at one host.
+/// Requests of one team at one host.
 #[derive(Debug, Clone, Copy, PartialEq, Encode, Decode)]
-pub struct TenantDemand {
-    /// Hash of the tenant's name, see [`name_hash`].
-    pub tenant_hash: u32,
+pub struct TeamDemand {
+    /// Hash of the team's name, see [`name_hash`].
+    pub team_hash: u32,
     /// Rate of the callers' requests, including refused ones, for which the host claims a share of
-    /// the tenant's rate.
+    /// the team's rate.
     pub requests_per_s: f32,
     /// Requests admitted within the last window of the rate limit.
     pub admitted: u32,
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -31,17 +31,17 @@
     health::ExchangeFailure,
     heartbeat::{
         HEARTBEAT_INTERVAL, Heartbeat, HeartbeatAck, HostState, PROTOCOL_VERSION, RolloutTally,
-        ServiceLoad, TenantDemand, name_hash, remote_heartbeat_interval,
+        ServiceLoad, TeamDemand, name_hash, remote_heartbeat_interval,
     },
     instance::{InstanceKey, InstanceRegistration, LoadReport, ServingState},
     instance_registry::{Instance, InstanceRegistry, Lapse, RegistrationChange},
     load::LoadEstimate,
     locality::{Locality, RegionKey, ZoneKey, ZoneMap},
     manifest::{
-        CallerLimits, KeyDigest, Manifest, RepeatPolicy, Route, RouteTarget, Service, Tenant,
+        CallerLimits, KeyDigest, Manifest, RepeatPolicy, Route, RouteTarget, Service, Team,
     },
     members::{Member, MemberChange, Members, StoreSource},
-    rate_limit::{RateLimitSettings, RateRefusal, TenantRateLimiter},
+    rate_limit::{RateLimitSettings, RateRefusal, TeamRateLimiter},
     request::{
         Attempts, ExchangeOutcome, ExchangeReport, Refusal, RequestHead, RequestPlan,
         RetryAssessment,
--- a/crates/steer/src/manifest.rs
+++ b/crates/steer/src/manifest.rs
@@ -1,4 +1,4 @@
-//! The manifest: one version of the configuration with its routes, services, tenants and keys.
+//! The manifest: one version of the configuration with its routes, services, teams and keys.
 
 use std::{sync::Arc, time::Duration};
 
@@ -77,12 +77,12 @@
     pub cold_rate_per_s: f64,
 }
 
-/// A tenant with its keys and limits.
+/// A team with its keys and limits.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Tenant {
+pub struct Team {
     /// Name, for logs, metrics and upstreams.
     pub name: String,
-    /// Digests of the keys that identify the tenant.
+    /// Digests of the keys that identify the team.
     pub keys: Vec<KeyDigest>,
     /// Priority that replaces the one of the route.
     pub priority: Option<u32>,
@@ -90,7 +90,7 @@
     pub rate_per_s: f64,
     /// Requests that may arrive at once on top of the rate.
     pub burst: f64,
-    /// Names of the only regions that may serve the tenant; empty for all regions.
+    /// Names of the only regions that may serve the team; empty for all regions.
     pub home_regions: Vec<String>,
 }
 
@@ -113,9 +113,9 @@
     routes: Vec<Arc<Route>>,
     /// Services sorted by name.
     services: Vec<Service>,
-    /// Tenants sorted by name.
-    tenants: Vec<Arc<Tenant>>,
-    /// Digests of all keys with the index of their tenant, sorted.
+    /// Teams sorted by name.
+    teams: Vec<Arc<Team>>,
+    /// Digests of all keys with the index of their team, sorted.
     keys: Vec<(KeyDigest, usize)>,
     limits: CallerLimits,
 }
@@ -126,7 +126,7 @@
         version: u64,
         mut routes: Vec<Route>,
         mut services: Vec<Service>,
-        mut tenants: Vec<Tenant>,
+        mut teams: Vec<Team>,
         limits: CallerLimits,
     ) -> anyhow::Result<Self> {
         services.sort_by(|a, b| a.name.cmp(&b.name));
@@ -136,28 +136,28 @@
         routes.sort_by(|a, b| {
             a.host.cmp(&b.host).then_with(|| b.path_prefix.len().cmp(&a.path_prefix.len()))
         });
-        tenants.sort_by(|a, b| a.name.cmp(&b.name));
+        teams.sort_by(|a, b| a.name.cmp(&b.name));
         let mut keys = Vec::new();
-        for (at, tenant) in tenants.iter().enumerate() {
-            let name = &tenant.name;
+        for (at, team) in teams.iter().enumerate() {
+            let name = &team.name;
             ensure!(
-                tenant.rate_per_s.is_finite() && tenant.rate_per_s >= 0.0,
+                team.rate_per_s.is_finite() && team.rate_per_s >= 0.0,
                 "tenant `{name}`: rate_per_s must be finite and at least 0"
             );
-            keys.extend(tenant.keys.iter().map(|it| (*it, at)));
+            keys.extend(team.keys.iter().map(|it| (*it, at)));
         }
         keys.sort();
         for neighbors in keys.windows(2) {
             ensure!(
                 neighbors[0].0 != neighbors[1].0,
                 "tenants `{}` and `{}` hold the same key",
-                tenants[neighbors[0].1].name,
-                tenants[neighbors[1].1].name
+                teams[neighbors[0].1].name,
+                teams[neighbors[1].1].name
             );
         }
         let routes = routes.into_iter().map(Arc::new).collect();
-        let tenants = tenants.into_iter().map(Arc::new).collect();
-        Ok(Self { version, routes, services, tenants, keys, limits })
+        let teams = teams.into_iter().map(Arc::new).collect();
+        Ok(Self { version, routes, services, teams, keys, limits })
     }
 
     /// Version number of the manifest.
@@ -172,21 +172,21 @@
         of_host.find(|it| path.starts_with(&it.path_prefix))
     }
 
-    /// Tenant that holds a key.
-    pub fn tenant_for_key(&self, key: &[u8]) -> Option<&Arc<Tenant>> {
+    /// Team that holds a key.
+    pub fn team_for_key(&self, key: &[u8]) -> Option<&Arc<Team>> {
         let digest = KeyDigest::of(key);
         let at = self.keys.binary_search_by(|it| it.0.cmp(&digest)).ok()?;
-        Some(&self.tenants[self.keys[at].1])
+        Some(&self.teams[self.keys[at].1])
     }
 
-    /// Whether tenants are declared; without any, callers need no keys.
-    pub fn has_tenants(&self) -> bool {
-        !self.tenants.is_empty()
+    /// Whether teams are declared; without any, callers need no keys.
+    pub fn has_teams(&self) -> bool {
+        !self.teams.is_empty()
     }
 
-    /// Tenants, sorted by name.
-    pub fn tenants(&self) -> &[Arc<Tenant>] {
-        &self.tenants
+    /// Teams, sorted by name.
+    pub fn teams(&self) -> &[Arc<Team>] {
+        &self.teams
     }
 
     /// Service with a name.
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -10,7 +10,7 @@
     cache_affinity::mix,
     heartbeat::{
         HEARTBEAT_INTERVAL, Heartbeat, HeartbeatAck, HostState, PROTOCOL_VERSION, RolloutTally,
-        ServiceLoad, TenantDemand, remote_heartbeat_interval,
+        ServiceLoad, TeamDemand, remote_heartbeat_interval,
     },
     locality::Locality,
 };
@@ -76,7 +76,7 @@
     /// Peers sorted by name.
     peers: Vec<Peer>,
     /// Last reports of processes that ended, with the times of the reports.
-    ended_processes: Vec<(Vec<TenantDemand>, Instant)>,
+    ended_processes: Vec<(Vec<TeamDemand>, Instant)>,
 }
 
 #[derive(Debug)]
@@ -376,24 +376,24 @@
         self.peers.iter().filter(|it| sender_score(&it.member) > own_score).count()
     }
 
-    /// Demand of a tenant at the other hosts in requests per second. `default_per_s` is assumed for
+    /// Demand of a team at the other hosts in requests per second. `default_per_s` is assumed for
     /// hosts that have not sent a heartbeat yet.
-    pub fn tenant_demand(&self, tenant_hash: u32, default_per_s: f64, now: Instant) -> f64 {
-        self.peers.iter().map(|it| it.demand(tenant_hash, default_per_s, now)).sum()
+    pub fn team_demand(&self, team_hash: u32, default_per_s: f64, now: Instant) -> f64 {
+        self.peers.iter().map(|it| it.demand(team_hash, default_per_s, now)).sum()
     }
 
-    /// Requests of a tenant that the other hosts admitted within the last `window`, as far as they
+    /// Requests of a team that the other hosts admitted within the last `window`, as far as they
     /// were reported. Includes processes that have ended since.
-    pub fn tenant_admitted(&self, tenant_hash: u32, window: Duration, now: Instant) -> u32 {
+    pub fn team_admitted(&self, team_hash: u32, window: Duration, now: Instant) -> u32 {
         let running = self
             .peers
             .iter()
-            .filter_map(|it| Some((&it.heartbeat.as_ref()?.tenant_demand, it.received_at?)));
+            .filter_map(|it| Some((&it.heartbeat.as_ref()?.team_demand, it.received_at?)));
         let ended = self.ended_processes.iter().map(|it| (&it.0, it.1));
         running
             .chain(ended)
             .filter(|it| now.saturating_duration_since(it.1) < window)
-            .filter_map(|it| demand_entry(it.0, tenant_hash))
+            .filter_map(|it| demand_entry(it.0, team_hash))
             .map(|it| it.admitted)
             .sum()
     }
@@ -463,7 +463,7 @@
         now: Instant,
     ) {
         self.ended_processes.retain(|it| now.saturating_duration_since(it.1) < DEMAND_RETENTION);
-        let report = heartbeat.map(|it| it.tenant_demand).zip(received_at);
+        let report = heartbeat.map(|it| it.team_demand).zip(received_at);
         self.ended_processes.extend(report);
     }
 
@@ -550,18 +550,18 @@
         now.saturating_duration_since(since) > DEMAND_RETENTION
     }
 
-    fn demand(&self, tenant_hash: u32, default_per_s: f64, now: Instant) -> f64 {
+    fn demand(&self, team_hash: u32, default_per_s: f64, now: Instant) -> f64 {
         if self.is_presumed_down(now) {
             return 0.0;
         }
         let Some(heartbeat) = &self.heartbeat else { return default_per_s };
-        demand_entry(&heartbeat.tenant_demand, tenant_hash)
+        demand_entry(&heartbeat.team_demand, team_hash)
             .map_or(0.0, |it| f64::from(it.requests_per_s.max(0.0)))
     }
 }
 
-fn demand_entry(entries: &[TenantDemand], tenant_hash: u32) -> Option<&TenantDemand> {
-    let at = entries.binary_search_by_key(&tenant_hash, |it| it.tenant_hash).ok()?;
+fn demand_entry(entries: &[TeamDemand], team_hash: u32) -> Option<&TeamDemand> {
+    let at = entries.binary_search_by_key(&team_hash, |it| it.team_hash).ok()?;
     Some(&entries[at])
 }
 
--- a/crates/steer/src/rate_limit.rs
+++ b/crates/steer/src/rate_limit.rs
@@ -1,6 +1,6 @@
-//! Rate limits of tenants over all hosts, divided among the hosts by demand.
+//! Rate limits of teams over all hosts, divided among the hosts by demand.
 //!
-//! Every host claims a part of a tenant's rate, in proportion to the demand that it reports. It uses
+//! Every host claims a part of a team's rate, in proportion to the demand that it reports. It uses
 //! a higher claim only after all hosts have acknowledged the report, and a lower one at once, so no
 //! host ever counts less for another one than that one uses. The shares of all hosts therefore never
 //! add up to more than the rate, however late heartbeats arrive and wherever the network is
@@ -11,8 +11,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    heartbeat::{TenantDemand, name_hash},
-    manifest::{Manifest, Tenant},
+    heartbeat::{TeamDemand, name_hash},
+    manifest::{Manifest, Team},
     members::Members,
     window::WindowCount,
 };
@@ -21,7 +21,7 @@
 const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(1);
 
 /// Time constant of the claimed demand while it falls: long compared to the gaps between requests
-/// of small tenants, since a claim that was given up takes a round of heartbeats to return.
+/// of small teams, since a claim that was given up takes a round of heartbeats to return.
 const CLAIM_TIME_CONSTANT: Duration = Duration::from_secs(5);
 
 /// Part of an even share that a process uses before all hosts have acknowledged its first claim.
@@ -49,7 +49,7 @@
 /// Lower bound for the retry-after time of a refused request.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Tolerated excess over the tenants' rates.
+/// Tolerated excess over the teams' rates.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RateLimitSettings {
     /// Length of the window in which requests are counted.
@@ -66,24 +66,24 @@
     }
 }
 
-/// Refusal of a request that exceeds its tenant's rate at this host.
+/// Refusal of a request that exceeds its team's rate at this host.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RateRefusal {
     /// Time after which the caller should retry.
     pub retry_after: Duration,
-    /// Rate limit of the tenant over all hosts.
+    /// Rate limit of the team over all hosts.
     pub rate_per_s: f64,
     /// Share of the rate that this host may use, 0 to 1.
     pub share: f64,
-    /// Rate of the tenant's requests at this host.
+    /// Rate of the team's requests at this host.
     pub demand_per_s: f64,
 }
 
-/// Token buckets of the tenants at this host.
+/// Token buckets of the teams at this host.
 #[derive(Debug)]
-pub struct TenantRateLimiter {
+pub struct TeamRateLimiter {
     settings: RateLimitSettings,
-    /// Buckets sorted by tenant.
+    /// Buckets sorted by team.
     buckets: Vec<Bucket>,
     /// Time at which this process began to admit requests. Requests that an earlier process
     /// admitted are unknown.
@@ -98,8 +98,8 @@
 
 #[derive(Debug)]
 struct Bucket {
-    tenant: String,
-    tenant_hash: u32,
+    team: String,
+    team_hash: u32,
     /// Rate over all hosts, 0 for no limit.
     rate_per_s: f64,
     /// Burst over all hosts.
@@ -126,8 +126,8 @@
     refill_per_s: f64,
 }
 
-impl TenantRateLimiter {
-    /// Rate limiter without tenants, which admits every request.
+impl TeamRateLimiter {
+    /// Rate limiter without teams, which admits every request.
     pub fn new(settings: RateLimitSettings) -> Self {
         Self {
             settings,
@@ -139,19 +139,19 @@
         }
     }
 
-    /// Applies the tenants of a manifest. Known tenants keep their tokens. New tenants start with
+    /// Applies the teams of a manifest. Known teams keep their tokens. New teams start with
     /// the tolerated excess but without a burst, since an earlier process may just have spent that.
     pub fn apply_manifest(&mut self, manifest: &Manifest, members: &Members, now: Instant) {
         self.started_at.get_or_insert(now);
         let window = self.settings.window();
         let mut old = std::mem::take(&mut self.buckets);
         let mut is_new_flags = Vec::new();
-        for tenant in manifest.tenants() {
-            let known = old.iter().position(|it| it.tenant == tenant.name);
+        for team in manifest.teams() {
+            let known = old.iter().position(|it| it.team == team.name);
             let is_new = known.is_none();
             let bucket = match known {
-                Some(at) => old.swap_remove(at).with_limits_of(tenant),
-                None => Bucket::new(tenant, window, now),
+                Some(at) => old.swap_remove(at).with_limits_of(team),
+                None => Bucket::new(team, window, now),
             };
             self.buckets.push(bucket);
             is_new_flags.push(is_new);
@@ -168,7 +168,7 @@
         self.settings = settings;
     }
 
-    /// Recomputes this host's share of every tenant's rate from the demand at all hosts.
+    /// Recomputes this host's share of every team's rate from the demand at all hosts.
     pub fn update_shares(&mut self, members: &Members, now: Instant) {
         let hosts = members.known_count() as f64;
         let window = self.settings.window();
@@ -186,14 +186,14 @@
         };
         for it in &mut self.buckets {
             it.refill(now);
-            it.admitted_elsewhere = members.tenant_admitted(it.tenant_hash, window, now);
+            it.admitted_elsewhere = members.team_admitted(it.team_hash, window, now);
             let burst_per_s =
                 if knows_all_admitted { it.burst / self.settings.window_s } else { 0.0 };
             it.refill_per_s = it.rate_per_s + burst_per_s;
             let even_share_per_s = it.rate_per_s / hosts;
             let min_demand_per_s = even_share_per_s * MIN_DEMAND_FRACTION;
             let usable_claim_per_s = f64::from(it.usable_claim_per_s) + min_demand_per_s;
-            let other_demand_per_s = members.tenant_demand(it.tenant_hash, even_share_per_s, now)
+            let other_demand_per_s = members.team_demand(it.team_hash, even_share_per_s, now)
                 + min_demand_per_s * (hosts - 1.0);
             let share_of = |demand_per_s: f64| {
                 let total_per_s = demand_per_s + other_demand_per_s;
@@ -212,10 +212,10 @@
         }
     }
 
-    /// Admits a request, or refuses it with the time after which to retry. Unknown tenants and
-    /// tenants without a limit are always admitted.
-    pub fn admit(&mut self, tenant: &str, now: Instant) -> Result<(), RateRefusal> {
-        let at = self.buckets.binary_search_by(|it| it.tenant.as_str().cmp(tenant));
+    /// Admits a request, or refuses it with the time after which to retry. Unknown teams and
+    /// teams without a limit are always admitted.
+    pub fn admit(&mut self, team: &str, now: Instant) -> Result<(), RateRefusal> {
+        let at = self.buckets.binary_search_by(|it| it.team.as_str().cmp(team));
         let Ok(at) = at else { return Ok(()) };
         let bucket = &mut self.buckets[at];
         bucket.count_demand(now);
@@ -250,14 +250,14 @@
     }
 
     /// Refunds the token of a request that was refused before it was sent to an instance.
-    pub fn refund(&mut self, tenant: &str) {
-        if let Ok(at) = self.buckets.binary_search_by(|it| it.tenant.as_str().cmp(tenant)) {
+    pub fn refund(&mut self, team: &str) {
+        if let Ok(at) = self.buckets.binary_search_by(|it| it.team.as_str().cmp(team)) {
             self.buckets[at].tokens += 1.0;
             self.buckets[at].admitted.uncount();
         }
     }
 
-    /// Demand of all limited tenants for the heartbeat with a sequence number, sorted by tenant hash.
+    /// Demand of all limited teams for the heartbeat with a sequence number, sorted by team hash.
     ///
     /// `acknowledged` is the newest heartbeat that all other hosts have received. Once that includes
     /// the current claims, this host uses them and reports new ones.
@@ -266,33 +266,33 @@
         acknowledged: Option<u64>,
         sequence: u64,
         now: Instant,
-    ) -> Vec<TenantDemand> {
+    ) -> Vec<TeamDemand> {
         if self.claimed_sequence.is_none_or(|it| acknowledged >= Some(it)) {
             self.has_acknowledged_claim = self.claimed_sequence.is_some();
             self.claimed_sequence = Some(sequence);
             self.buckets.iter_mut().for_each(|it| it.renew_claim(now));
         }
         let entries = self.buckets.iter_mut().filter(|it| it.rate_per_s > 0.0);
-        let mut res: Vec<TenantDemand> = entries
-            .map(|it| TenantDemand {
-                tenant_hash: it.tenant_hash,
+        let mut res: Vec<TeamDemand> = entries
+            .map(|it| TeamDemand {
+                team_hash: it.team_hash,
                 requests_per_s: it.claim_per_s,
                 admitted: it.admitted.total(now),
             })
             .filter(|it| it.requests_per_s > 0.0 || it.admitted > 0)
             .collect();
-        res.sort_by_key(|it| it.tenant_hash);
+        res.sort_by_key(|it| it.team_hash);
         res
     }
 }
 
 impl Bucket {
-    fn new(tenant: &Tenant, window: Duration, now: Instant) -> Self {
+    fn new(team: &Team, window: Duration, now: Instant) -> Self {
         Self {
-            tenant: tenant.name.clone(),
-            tenant_hash: name_hash(&tenant.name),
-            rate_per_s: tenant.rate_per_s,
-            burst: tenant.burst,
+            team: team.name.clone(),
+            team_hash: name_hash(&team.name),
+            rate_per_s: team.rate_per_s,
+            burst: team.burst,
             share: 0.0,
             slack: 0.0,
             tokens: 0.0,
@@ -308,9 +308,9 @@
         }
     }
 
-    fn with_limits_of(mut self, tenant: &Tenant) -> Self {
-        self.rate_per_s = tenant.rate_per_s;
-        self.burst = tenant.burst;
+    fn with_limits_of(mut self, team: &Team) -> Self {
+        self.rate_per_s = team.rate_per_s;
+        self.burst = team.burst;
         self
     }
 
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -7,7 +7,7 @@
 use crate::{
     instance::LoadReport,
     locality::RegionKey,
-    manifest::{Route, Tenant},
+    manifest::{Route, Team},
     rate_limit::RateRefusal,
     versions::Side,
 };
@@ -39,12 +39,12 @@
     StaleView,
     /// No route matches.
     UnknownRoute,
-    /// The request carries no key, or one that no tenant holds.
+    /// The request carries no key, or one that no team holds.
     UnknownKey,
-    /// The tenant exceeds its rate.
+    /// The team exceeds its rate.
     OverRate {
-        /// Tenant whose rate is exceeded.
-        tenant: Arc<Tenant>,
+        /// Team whose rate is exceeded.
+        team: Arc<Team>,
         /// Details from the rate limiter of this host.
         refusal: RateRefusal,
     },
@@ -57,9 +57,9 @@
 pub struct RequestPlan {
     /// Route that matched.
     pub route: Arc<Route>,
-    /// Tenant that holds the request's key; `None` if the route needs no key or no tenant is
+    /// Team that holds the request's key; `None` if the route needs no key or no team is
     /// declared.
-    pub tenant: Option<Arc<Tenant>>,
+    pub team: Option<Arc<Team>>,
     /// Name of the service that receives the request.
     pub service: String,
     /// Hash of the affinity key, or of the path if there is none.
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -19,9 +19,9 @@
     instance::InstanceKey,
     instance_registry::InstanceRegistry,
     locality::{RegionKey, ZoneMap},
-    manifest::{Manifest, RepeatPolicy, Route, Tenant},
+    manifest::{Manifest, RepeatPolicy, Route, Team},
     members::{Member, MemberChange, Members, StoreSource},
-    rate_limit::{RateLimitSettings, TenantRateLimiter},
+    rate_limit::{RateLimitSettings, TeamRateLimiter},
     request::{
         Attempts, ExchangeOutcome, ExchangeReport, Refusal, RequestHead, RequestPlan,
         RetryAssessment,
@@ -75,7 +75,7 @@
     pub retry_ratio: f64,
     /// Retries allowed in addition in each window, over all hosts.
     pub retry_slack: f64,
-    /// Tolerated excess over the tenants' rates.
+    /// Tolerated excess over the teams' rates.
     pub rate_limit: RateLimitSettings,
     /// Limits for the exposure of rollouts.
     pub canary: CanarySettings,
@@ -126,8 +126,8 @@
     pub versions: ServiceVersions,
     /// Membership of the other hosts.
     pub members: Members,
-    /// Rate limits of the tenants.
-    pub rate_limiter: TenantRateLimiter,
+    /// Rate limits of the teams.
+    pub rate_limiter: TeamRateLimiter,
     /// Age of this host's view of the platform.
     pub freshness: ViewFreshness,
     /// Fingerprints of requests that crash instances.
@@ -155,7 +155,7 @@
             selector: InstanceSelector::new(settings.seed),
             versions: ServiceVersions::default(),
             members: Members::default(),
-            rate_limiter: TenantRateLimiter::new(settings.rate_limit),
+            rate_limiter: TeamRateLimiter::new(settings.rate_limit),
             freshness: ViewFreshness::new(suspended),
             quarantine: Quarantine::new(),
             splits: RouteSplits::default(),
@@ -210,18 +210,18 @@
             |refusal| if may_refuse_unknown { refusal } else { Refusal::StaleView };
         let route = manifest.route(head.host, head.path);
         let route = route.ok_or_else(|| refuse_unknown(Refusal::UnknownRoute))?;
-        let tenant = if route.open || !manifest.has_tenants() {
+        let team = if route.open || !manifest.has_teams() {
             None
         } else {
             if !self.has_fresh_view(now) {
                 return Err(Refusal::StaleView);
             }
-            let tenant = head.key.and_then(|it| manifest.tenant_for_key(it));
-            Some(Arc::clone(tenant.ok_or_else(|| refuse_unknown(Refusal::UnknownKey))?))
+            let team = head.key.and_then(|it| manifest.team_for_key(it));
+            Some(Arc::clone(team.ok_or_else(|| refuse_unknown(Refusal::UnknownKey))?))
         };
-        let tenant_name = tenant.as_ref().map_or("", |it| it.name.as_str());
+        let team_name = team.as_ref().map_or("", |it| it.name.as_str());
         let fingerprint = Quarantine::fingerprint(
-            tenant_name,
+            team_name,
             head.method,
             head.path,
             head.content_length,
@@ -230,21 +230,21 @@
         if let QuarantineStatus::Quarantined { .. } = self.quarantine.status(fingerprint, now) {
             return Err(Refusal::Quarantined);
         }
-        if let Some(tenant) = &tenant
-            && let Err(refusal) = self.rate_limiter.admit(&tenant.name, now)
+        if let Some(team) = &team
+            && let Err(refusal) = self.rate_limiter.admit(&team.name, now)
         {
-            return Err(Refusal::OverRate { tenant: Arc::clone(tenant), refusal });
+            return Err(Refusal::OverRate { team: Arc::clone(team), refusal });
         }
         let affinity_key_hash = head.affinity_key.map(xxh3_64);
         let service = self.splits.pick_service(route, affinity_key_hash).to_owned();
         let affinity_hash = affinity_key_hash.unwrap_or_else(|| xxh3_64(head.path.as_bytes()));
         let side = self.versions.pick_side(&service, affinity_hash, now);
-        let home_regions = self.home_regions(route, tenant.as_deref());
+        let home_regions = self.home_regions(route, team.as_deref());
         self.retry_budget(&service, now).record_request(now);
         Ok(RequestPlan {
             route: Arc::clone(route),
-            priority: tenant.as_ref().and_then(|it| it.priority).unwrap_or(route.priority),
-            tenant,
+            priority: team.as_ref().and_then(|it| it.priority).unwrap_or(route.priority),
+            team,
             service,
             affinity_hash,
             has_affinity: affinity_key_hash.is_some() && route.affinity,
@@ -258,8 +258,8 @@
 
     /// Refunds the rate limit token of a request that was not sent to an instance.
     pub fn refund(&mut self, plan: &RequestPlan) {
-        if let Some(tenant) = &plan.tenant {
-            self.rate_limiter.refund(&tenant.name);
+        if let Some(team) = &plan.team {
+            self.rate_limiter.refund(&team.name);
         }
     }
 
@@ -469,7 +469,7 @@
         self.quarantine_updates.retain(|it| it.1 > 0);
         let age = self.freshness.age(now);
         let acknowledged = self.members.acknowledged_by_all(self.settings.incarnation, now);
-        let tenant_demand = self.rate_limiter.claim_demand(acknowledged, self.last_sequence, now);
+        let team_demand = self.rate_limiter.claim_demand(acknowledged, self.last_sequence, now);
         Heartbeat {
             protocol_version: PROTOCOL_VERSION,
             sender: self.settings.own_host.name.clone(),
@@ -483,7 +483,7 @@
             platform_age_ms: self
                 .platform_answered_at
                 .map(|it| whole_ms(now.saturating_duration_since(it))),
-            tenant_demand,
+            team_demand,
             service_loads: self.selector.service_loads(),
             rollout_tallies: self.versions.rollouts().flat_map(Canary::tallies).collect(),
             quarantine_updates,
@@ -603,17 +603,17 @@
     }
 
     /// The only regions that may serve a request; `None` for all regions.
-    fn home_regions(&self, route: &Route, tenant: Option<&Tenant>) -> Option<Vec<RegionKey>> {
-        let tenant_regions = tenant.map_or(&[][..], |it| &it.home_regions);
-        if route.home_regions.is_empty() && tenant_regions.is_empty() {
+    fn home_regions(&self, route: &Route, team: Option<&Team>) -> Option<Vec<RegionKey>> {
+        let team_regions = team.map_or(&[][..], |it| &it.home_regions);
+        if route.home_regions.is_empty() && team_regions.is_empty() {
             return None;
         }
         let permits = |home_regions: &[String], region: &String| {
             home_regions.is_empty() || home_regions.contains(region)
         };
-        let all_regions = route.home_regions.iter().chain(tenant_regions);
+        let all_regions = route.home_regions.iter().chain(team_regions);
         let mut res: Vec<RegionKey> = all_regions
-            .filter(|it| permits(&route.home_regions, it) && permits(tenant_regions, it))
+            .filter(|it| permits(&route.home_regions, it) && permits(team_regions, it))
             .filter_map(|it| self.settings.zone_map.region_key(it))
             .collect();
         res.sort();
--- a/crates/steer/tests/it/common.rs
+++ b/crates/steer/tests/it/common.rs
@@ -5,7 +5,7 @@
 use kingcupford_steer::{
     CallerLimits, CanarySettings, Heartbeat, HostState, InstanceRegistration, KeyDigest, Manifest,
     Member, PROTOCOL_VERSION, RateLimitSettings, RepeatPolicy, Route, RouteTarget, Service,
-    ServingState, Steering, SteeringSettings, Tenant, ZoneMap,
+    ServingState, Steering, SteeringSettings, Team, ZoneMap,
 };
 use tokio::time::Instant;
 
@@ -79,9 +79,9 @@
     }
 }
 
-/// Tenant with one key, `key-NAME`.
-pub(crate) fn tenant(name: &str, rate_per_s: f64) -> Tenant {
-    Tenant {
+/// Team with one key, `key-NAME`.
+pub(crate) fn team(name: &str, rate_per_s: f64) -> Team {
+    Team {
         name: name.to_owned(),
         keys: vec![KeyDigest::of(format!("key-{name}").as_bytes())],
         priority: None,
@@ -103,10 +103,10 @@
     }
 }
 
-/// Manifest with the route, the service, the limited tenant `one` and the unlimited tenant `two`.
+/// Manifest with the route, the service, the limited team `one` and the unlimited team `two`.
 pub(crate) fn manifest(version: u64) -> Manifest {
-    let tenants = vec![tenant("one", 100.0), tenant("two", 0.0)];
-    Manifest::new(version, vec![route()], vec![service("svc")], tenants, limits()).unwrap()
+    let teams = vec![team("one", 100.0), team("two", 0.0)];
+    Manifest::new(version, vec![route()], vec![service("svc")], teams, limits()).unwrap()
 }
 
 /// Ready instance with four slots.
@@ -137,7 +137,7 @@
         manifest_version: 1,
         view_age_ms: Some(0),
         platform_age_ms: None,
-        tenant_demand: Vec::new(),
+        team_demand: Vec::new(),
         service_loads: Vec::new(),
         rollout_tallies: Vec::new(),
         quarantine_updates: Vec::new(),
--- a/crates/steer/tests/it/manifest.rs
+++ b/crates/steer/tests/it/manifest.rs
@@ -3,7 +3,7 @@
 use kingcupford_steer::Manifest;
 use tokio::time::Instant;
 
-use crate::common::{limits, manifest, route, service, steering, tenant};
+use crate::common::{limits, manifest, route, service, steering, team};
 
 /// Guards against a shorter prefix that takes requests of a longer one.
 #[test]
@@ -36,13 +36,13 @@
     assert!(error_of(|it| it.targets[0].weight = 0.0).contains("add up to 0"));
 }
 
-/// Guards against a key that belongs to two tenants.
+/// Guards against a key that belongs to two teams.
 #[test]
 fn new_duplicate_key() {
-    let mut second = tenant("two", 1.0);
-    second.keys = tenant("one", 1.0).keys;
-    let tenants = vec![tenant("one", 1.0), second];
-    let res = Manifest::new(1, vec![route()], vec![service("svc")], tenants, limits());
+    let mut second = team("two", 1.0);
+    second.keys = team("one", 1.0).keys;
+    let teams = vec![team("one", 1.0), second];
+    let res = Manifest::new(1, vec![route()], vec![service("svc")], teams, limits());
     assert!(res.unwrap_err().to_string().contains("hold the same key"));
 }
 
--- a/crates/steer/tests/it/rate_limit.rs
+++ b/crates/steer/tests/it/rate_limit.rs
@@ -1,15 +1,15 @@
-//! Rate limits of tenants over several hosts.
+//! Rate limits of teams over several hosts.
 
 use std::time::Duration;
 
 use kingcupford_steer::{
-    Manifest, Members, RateLimitSettings, Tenant, TenantDemand, TenantRateLimiter, name_hash,
+    Manifest, Members, RateLimitSettings, Team, TeamDemand, TeamRateLimiter, name_hash,
 };
 use proptest::prelude::*;
 use tokio::time::{Instant, advance};
 
 use crate::common::{
-    heartbeat, limits, manifest, member, route, service, steering, tenant, zone_map,
+    heartbeat, limits, manifest, member, route, service, steering, team, zone_map,
 };
 
 /// Settings of the deployments.
@@ -33,7 +33,7 @@
     side: Box<dyn Fn(usize, u64) -> usize>,
     /// Whether a host's process is replaced at a time.
     restarts: Box<dyn Fn(usize, u64) -> bool>,
-    /// Changes of the tenant's rate and burst, with their times in milliseconds.
+    /// Changes of the team's rate and burst, with their times in milliseconds.
     limits: Vec<(u64, f64)>,
 }
 
@@ -74,7 +74,7 @@
             (0..self.hosts).map(|it| self.members_of(it, start)).collect();
         let mut limiters = Vec::new();
         for members in &members {
-            let mut limiter = TenantRateLimiter::new(SETTINGS);
+            let mut limiter = TeamRateLimiter::new(SETTINGS);
             limiter.apply_manifest(&manifest(1), members, start);
             limiters.push(limiter);
         }
@@ -94,7 +94,7 @@
             for host in (0..self.hosts).filter(|it| (self.restarts)(*it, ms)) {
                 incarnations[host] += 1;
                 members[host] = self.members_of(host, now);
-                limiters[host] = TenantRateLimiter::new(SETTINGS);
+                limiters[host] = TeamRateLimiter::new(SETTINGS);
                 limiters[host].apply_manifest(&active, &members[host], now);
             }
             if ms % HEARTBEAT_INTERVAL_MS == 0 {
@@ -102,7 +102,7 @@
                     let acknowledged = members[from].acknowledged_by_all(incarnations[from], now);
                     let mut beat = heartbeat(&name(from), ms + 1);
                     beat.incarnation = incarnations[from];
-                    beat.tenant_demand = limiters[from].claim_demand(acknowledged, ms + 1, now);
+                    beat.team_demand = limiters[from].claim_demand(acknowledged, ms + 1, now);
                     let own = zone_map().own_locality();
                     for (address, ack) in members[from].begin_heartbeat(ms + 1, own, true, now) {
                         beat.ack = ack;
@@ -158,10 +158,10 @@
     (0..times.len()).map(in_window).max().unwrap_or(0)
 }
 
-/// Manifest whose tenant `one` has a rate and a burst of `rate_per_s`.
+/// Manifest whose team `one` has a rate and a burst of `rate_per_s`.
 fn limited_manifest(version: u64, rate_per_s: f64) -> Manifest {
-    let tenants: Vec<Tenant> = vec![tenant("one", rate_per_s), tenant("two", 0.0)];
-    Manifest::new(version, vec![route()], vec![service("svc")], tenants, limits()).unwrap()
+    let teams: Vec<Team> = vec![team("one", rate_per_s), team("two", 0.0)];
+    Manifest::new(version, vec![route()], vec![service("svc")], teams, limits()).unwrap()
 }
 
 fn name(at: usize) -> String {
@@ -172,7 +172,7 @@
     3000 + at as u16 * 10
 }
 
-/// Requests that the deployments allow within 5 s for a tenant with a rate of 100 per second and a
+/// Requests that the deployments allow within 5 s for a team with a rate of 100 per second and a
 /// burst of 100.
 const MAX_ADMITTED_PER_WINDOW: usize = 680;
 
@@ -195,7 +195,7 @@
 }
 
 /// Guards against two sides of a partition that each divide the rate by the demand that they see,
-/// while the tenant begins to ask for many times its rate.
+/// while the team begins to ask for many times its rate.
 #[test]
 fn admit_over_rate_in_partition() {
     for first_side in [1, 2, 4] {
@@ -223,22 +223,22 @@
 
 /// Guards against requests of an ended process that count no more once the host has deregistered.
 #[test]
-fn tenant_admitted_after_deregistration() {
+fn team_admitted_after_deregistration() {
     let now = Instant::now();
     let own = zone_map().own_locality();
     let peer = member(&name(1), "a1", port(1));
     let mut members = Members::default();
     members.register(peer.clone(), own, now);
     let mut beat = heartbeat(&name(1), 1);
-    beat.tenant_demand =
-        vec![TenantDemand { tenant_hash: name_hash("one"), requests_per_s: 10.0, admitted: 40 }];
+    beat.team_demand =
+        vec![TeamDemand { team_hash: name_hash("one"), requests_per_s: 10.0, admitted: 40 }];
     members.receive(beat, peer.peer_address, now);
     members.deregister(&name(1), now + Duration::from_secs(1));
     members.register(peer, own, now + Duration::from_secs(2));
     let window = Duration::from_secs(5);
     let admitted = |after_s| {
         let at = now + Duration::from_secs(after_s);
-        members.tenant_admitted(name_hash("one"), window, at)
+        members.team_admitted(name_hash("one"), window, at)
     };
     assert_eq!(admitted(3), 40);
     assert_eq!(admitted(6), 0);
@@ -260,12 +260,12 @@
     assert_eq!(acknowledged(11), Some(u64::MAX));
 }
 
-/// Guards against refusals although the tenant stays within its rate.
+/// Guards against refusals although the team stays within its rate.
 #[tokio::test(start_paused = true)]
 async fn admit_within_rate() {
     let start = Instant::now();
     let mut members = Fleet::new(&[0.0; 2]).members_of(0, start);
-    let mut rate_limiter = TenantRateLimiter::new(SETTINGS);
+    let mut rate_limiter = TeamRateLimiter::new(SETTINGS);
     rate_limiter.apply_manifest(&manifest(1), &members, start);
     let address = member(&name(1), "a1", port(1)).peer_address;
     for step in 0..1000u64 {
@@ -273,8 +273,8 @@
         let now = Instant::now();
         if step % 10 == 0 {
             let mut heartbeat = heartbeat(&name(1), step + 1);
-            heartbeat.tenant_demand = vec![TenantDemand {
-                tenant_hash: name_hash("one"),
+            heartbeat.team_demand = vec![TeamDemand {
+                team_hash: name_hash("one"),
                 requests_per_s: 12.0,
                 admitted: 60,
             }];
@@ -286,17 +286,17 @@
     }
 }
 
-/// Guards against a limit on tenants that have none.
+/// Guards against a limit on teams that have none.
 #[tokio::test(start_paused = true)]
 async fn admit_unlimited() {
     let now = Instant::now();
     let members = Members::default();
-    let mut rate_limiter = TenantRateLimiter::new(SETTINGS);
+    let mut rate_limiter = TeamRateLimiter::new(SETTINGS);
     rate_limiter.apply_manifest(&manifest(1), &members, now);
     assert!((0..10_000).all(|_| rate_limiter.admit("two", now).is_ok()));
 }
 
-/// Guards against refusals although every window of the tenant stays within its rate and burst.
+/// Guards against refusals although every window of the team stays within its rate and burst.
 #[test]
 fn admit_burst_of_each_window() {
     let admitted = Fleet::new(&[50.0, 30.0, 25.0, 10.0]).admitted();
--- a/crates/steer/tests/it/rollout_faults.rs
+++ b/crates/steer/tests/it/rollout_faults.rs
@@ -9,7 +9,7 @@
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use tokio::time::Instant;
 
-use crate::common::{instance, limits, route, service, settings, tenant};
+use crate::common::{instance, limits, route, service, settings, team};
 
 /// Mean time that an instance works on a request for an uncached key.
 const WORK_MS: f64 = 880.0;
@@ -199,9 +199,9 @@
     let target_latency = Duration::from_millis(target_ms);
     let first = Route { target_latency, timeout: Some(ROUTE_TIMEOUT), ..route() };
     let second = Route { name: "q".to_owned(), path_prefix: "/q/".to_owned(), ..first.clone() };
-    let tenants = vec![tenant("two", 0.0)];
+    let teams = vec![team("two", 0.0)];
     let manifest =
-        Manifest::new(1, vec![first, second], vec![service("svc")], tenants, limits()).unwrap();
+        Manifest::new(1, vec![first, second], vec![service("svc")], teams, limits()).unwrap();
     let mut res = Steering::new(settings(), Duration::ZERO, now);
     res.apply_manifest(manifest, now);
     res
--- a/crates/steer/tests/it/shift.rs
+++ b/crates/steer/tests/it/shift.rs
@@ -106,7 +106,7 @@
         2,
         vec![manifest_route],
         vec![crate::common::service("svc")],
-        vec![crate::common::tenant("two", 0.0)],
+        vec![crate::common::team("two", 0.0)],
         crate::common::limits(),
     );
     steering.apply_manifest(manifest.unwrap(), now);
@@ -185,10 +185,10 @@
     let mut steering = two_regions(1, 8, now);
     let mut route = crate::common::route();
     route.repeat = kingcupford_steer::RepeatPolicy::Upload;
-    let tenants = vec![crate::common::tenant("two", 0.0)];
+    let teams = vec![crate::common::team("two", 0.0)];
     let services = vec![crate::common::service("svc")];
     let limits = crate::common::limits();
-    let manifest = Manifest::new(2, vec![route], services, tenants, limits).unwrap();
+    let manifest = Manifest::new(2, vec![route], services, teams, limits).unwrap();
     steering.apply_manifest(manifest, now);
     let head = RequestHead {
         host: "host.example",
--- a/crates/steer/tests/it/steering.rs
+++ b/crates/steer/tests/it/steering.rs
@@ -8,7 +8,7 @@
 };
 use tokio::time::Instant;
 
-use crate::common::{instance, limits, route, service, steering, tenant};
+use crate::common::{instance, limits, route, service, steering, team};
 
 const HEAD: RequestHead<'static> = RequestHead {
     host: "host.example",
@@ -24,8 +24,8 @@
     let mut steering = steering(now);
     let mut route = route();
     route.repeat = repeat;
-    let tenants = vec![tenant("two", 0.0)];
-    let manifest = Manifest::new(2, vec![route], vec![service("svc")], tenants, limits());
+    let teams = vec![team("two", 0.0)];
+    let manifest = Manifest::new(2, vec![route], vec![service("svc")], teams, limits());
     steering.apply_manifest(manifest.unwrap(), now);
     for id in ["i1", "i2", "i3"] {
         steering.instances.register(instance(id, "a1"), now);
