--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -10,6 +10,6 @@
     event::Event,
     line_limit::report_suppressed_lines,
     logs::{LogSettings, init_logs, init_stdout_logs},
-    metrics::{CallLabels, Metrics, OutcomeLabels, RefusalLabels, TenantLabels, TrafficLabels},
+    metrics::{CallLabels, Metrics, OutcomeLabels, RefusalLabels, TeamLabels, TrafficLabels},
 };
 pub use prometheus_client::metrics::{counter::Counter, family::Family};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -11,10 +11,10 @@
     registry::{Registry, Unit},
 };
 
-/// Labels of answered requests by tenant and service.
+/// Labels of answered requests by team and service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct TenantLabels {
-    /// Name of the tenant; `open` for requests without one.
+pub struct TeamLabels {
+    /// Name of the team; the field is the name of the label.
     pub tenant: String,
     /// Name of the service.
     pub service: String,
@@ -23,7 +23,7 @@
 /// Labels of finished requests by outcome.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OutcomeLabels {
-    /// Name of the tenant; `open` for requests without one.
+    /// Name of the team; the field is the name of the label.
     pub tenant: String,
     /// Name of the service.
     pub service: String,
@@ -34,7 +34,7 @@
 /// Labels of refused requests.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RefusalLabels {
-    /// Name of the tenant; `open` for requests without one.
+    /// Name of the team; the field is the name of the label.
     pub tenant: String,
     /// Reason of the refusal, as in the response body.
     pub reason: String,
@@ -67,7 +67,7 @@
     /// Refused requests by reason.
     pub refusals: Family<RefusalLabels, Counter>,
     /// Time to the first byte of the response, in seconds.
-    pub latency: Family<TenantLabels, Histogram>,
+    pub latency: Family<TeamLabels, Histogram>,
     /// Answered lookups.
     pub lookups: Counter,
     /// Requests in progress.
