Send heartbeats at intervals that grow with the number of hosts

Cause: heartbeats were a full mesh at five a second within a region; at 195 hosts they were nearly all bytes between zones.

Change: intervals follow the number of hosts, with news sent at once; silence follows the intervals. Demand is encoded in 16ths of a request. Below half of a team's limit shares follow the current demand again.

--- a/crates/gateway/src/heartbeats.rs
+++ b/crates/gateway/src/heartbeats.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bincode::config::{Configuration, standard};
-use kingcupford_steer::{HEARTBEAT_INTERVAL, Heartbeat, remote_heartbeat_interval};
+use kingcupford_steer::{HEARTBEAT_INTERVAL, Heartbeat, HeartbeatScope, HeartbeatTiming};
 use kingcupford_telemetry::{Event, TrafficLabels};
 use tokio::{
     net::UdpSocket,
@@ -23,25 +23,32 @@
 
 /// Sends heartbeats to all known hosts until the future is dropped.
 pub(crate) async fn send(socket: Rc<UdpSocket>, state: Rc<State>) {
-    let mut other_regions_due_at = Instant::now();
+    let mut local_sent_at: Option<Instant> = None;
+    let mut remote_sent_at: Option<Instant> = None;
+    let mut last_state = None;
     loop {
         let now = Instant::now();
         {
-            let includes_other_regions = now >= other_regions_due_at;
             let host_state = state.host_state(now);
             let mut steering = state.steering.borrow_mut();
+            let has_news = steering.has_news() || last_state != Some(host_state);
+            last_state = Some(host_state);
+            let is_reader = steering.is_reader(now);
+            let (local, remote) = steering.members.heartbeat_timing();
+            let is_due = |sent_at: Option<Instant>, timing: HeartbeatTiming, is_local| {
+                let interval =
+                    if is_reader { timing.reader_interval(is_local) } else { timing.interval };
+                let tolerated = interval.saturating_sub(HEARTBEAT_INTERVAL / 2);
+                has_news || sent_at.is_none_or(|it| now >= it + tolerated)
+            };
+            let scope = HeartbeatScope {
+                local: is_due(local_sent_at, local, true),
+                remote: is_due(remote_sent_at, remote, false),
+            };
+            local_sent_at = if scope.local { Some(now) } else { local_sent_at };
+            remote_sent_at = if scope.remote { Some(now) } else { remote_sent_at };
             let mut heartbeat = steering.next_heartbeat(host_state, now);
-            let own_locality = steering.settings().own_host.locality;
-            let receivers = steering.members.begin_heartbeat(
-                heartbeat.sequence,
-                own_locality,
-                includes_other_regions,
-                now,
-            );
-            if includes_other_regions {
-                other_regions_due_at =
-                    now + remote_heartbeat_interval(steering.members.known_count());
-            }
+            let receivers = steering.members.begin_heartbeat(heartbeat.sequence, scope, now);
             drop(steering);
             for (address, ack) in receivers {
                 heartbeat.ack = ack;
--- a/crates/steer/src/heartbeat.rs
+++ b/crates/steer/src/heartbeat.rs
@@ -10,18 +10,78 @@
 /// Version of the heartbeat format. Heartbeats of other versions are ignored.
 pub const PROTOCOL_VERSION: u16 = 3;
 
-/// Interval between heartbeats within a region, and the minimum between regions. Several heartbeats
-/// fit into the time after which a host counts as silent, so that some may be lost.
+/// Minimum interval between heartbeats, and the interval at which hosts with news send them. Several
+/// heartbeats fit into the time after which a host counts as silent, so that some may be lost.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval between heartbeats within a region per host of the region, which bounds the heartbeats
+/// that a host sends and receives per second.
+const LOCAL_INTERVAL_PER_HOST: Duration = Duration::from_millis(12);
+
 /// Interval between heartbeats to other regions per known host, which bounds the heartbeats per
 /// second between regions.
-const HEARTBEAT_INTERVAL_PER_HOST: Duration = Duration::from_millis(8);
+const REMOTE_INTERVAL_PER_HOST: Duration = Duration::from_millis(16);
+
+/// Interval between heartbeats of a host that reads the platform to other regions, whose hosts
+/// follow it while their own region has no reader.
+const READER_REMOTE_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Multiple of the interval after which a host of the own region counts as silent.
+const LOCAL_SILENCE_INTERVALS: u32 = 3;
+
+/// Multiple of the interval after which a host of another region counts as silent.
+const REMOTE_SILENCE_INTERVALS: f64 = 2.5;
+
+/// Minimum time without a heartbeat after which a host of another region counts as silent.
+const MIN_REMOTE_SILENCE: Duration = Duration::from_millis(2500);
+
+/// Minimum time without a heartbeat after which a host of the own region counts as silent.
+const MIN_LOCAL_SILENCE: Duration = Duration::from_millis(1200);
+
+/// Number of intervals after which a report is outdated. Covers two lost heartbeats.
+const MAX_REPORT_INTERVALS: u32 = 4;
+
+/// Intervals and timeouts of heartbeats between two hosts, which follow from the numbers of hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeartbeatTiming {
+    /// Interval between heartbeats without news.
+    pub interval: Duration,
+    /// Time without a heartbeat after which the sender counts as silent. Short enough that lookups
+    /// stop naming a dead host of the region within the deployments' bound of 7 s.
+    pub silence_timeout: Duration,
+}
+
+impl HeartbeatTiming {
+    /// Timing within a region of `region_hosts` hosts.
+    pub fn local(region_hosts: usize) -> Self {
+        let interval = LOCAL_INTERVAL_PER_HOST.saturating_mul(host_count(region_hosts));
+        let interval = interval.max(HEARTBEAT_INTERVAL);
+        let silence_timeout = MIN_LOCAL_SILENCE.max(interval * LOCAL_SILENCE_INTERVALS);
+        Self { interval, silence_timeout }
+    }
+
+    /// Timing between regions of a deployment of `known_hosts` hosts.
+    pub fn remote(known_hosts: usize) -> Self {
+        let interval = REMOTE_INTERVAL_PER_HOST.saturating_mul(host_count(known_hosts));
+        let interval = interval.max(HEARTBEAT_INTERVAL);
+        let silence_timeout = MIN_REMOTE_SILENCE.max(interval.mul_f64(REMOTE_SILENCE_INTERVALS));
+        Self { interval, silence_timeout }
+    }
+
+    /// Interval between heartbeats of a host that reads the platform.
+    pub fn reader_interval(&self, is_local: bool) -> Duration {
+        let longest = if is_local { HEARTBEAT_INTERVAL } else { READER_REMOTE_INTERVAL };
+        self.interval.min(longest)
+    }
+
+    /// Largest age of a report that counts as recent.
+    pub fn max_report_age(&self) -> Duration {
+        (self.interval * MAX_REPORT_INTERVALS).min(self.silence_timeout)
+    }
+}
 
-/// Interval between heartbeats to hosts of other regions, in a deployment of `known_hosts`.
-pub fn remote_heartbeat_interval(known_hosts: usize) -> Duration {
-    let hosts = u32::try_from(known_hosts).unwrap_or(u32::MAX);
-    HEARTBEAT_INTERVAL.max(HEARTBEAT_INTERVAL_PER_HOST.saturating_mul(hosts))
+fn host_count(hosts: usize) -> u32 {
+    u32::try_from(hosts).unwrap_or(u32::MAX)
 }
 
 /// State that one host reports to another.
@@ -87,9 +147,10 @@
 pub struct TeamDemand {
     /// Hash of the team's name, see [`name_hash`].
     pub team_hash: u32,
-    /// Rate of the callers' requests, including refused ones, for which the host claims a share of
-    /// the team's rate.
-    pub requests_per_s: f32,
+    /// Rate of the callers' requests, including refused ones. The unit keeps the encoding short.
+    pub requests_per_16_s: u32,
+    /// Rate for which the host claims a share of the team's rate.
+    pub claimed_per_16_s: u32,
     /// Requests admitted within the last window of the rate limit.
     pub admitted: u32,
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -30,8 +30,8 @@
     freshness::ViewFreshness,
     health::ExchangeFailure,
     heartbeat::{
-        HEARTBEAT_INTERVAL, Heartbeat, HeartbeatAck, HostState, PROTOCOL_VERSION, RolloutTally,
-        ServiceLoad, TeamDemand, name_hash, remote_heartbeat_interval,
+        HEARTBEAT_INTERVAL, Heartbeat, HeartbeatAck, HeartbeatTiming, HostState, PROTOCOL_VERSION,
+        RolloutTally, ServiceLoad, TeamDemand, name_hash,
     },
     instance::{InstanceKey, InstanceRegistration, LoadReport, ServingState},
     instance_registry::{Instance, InstanceRegistry, Lapse, RegistrationChange},
@@ -40,7 +40,7 @@
     manifest::{
         CallerLimits, KeyDigest, Manifest, RepeatPolicy, Route, RouteTarget, Service, Team,
     },
-    members::{Member, MemberChange, Members, StoreSource},
+    members::{HeartbeatScope, Member, MemberChange, Members, OtherDemand, StoreSource},
     rate_limit::{RateLimitSettings, RateRefusal, TeamRateLimiter},
     request::{
         Attempts, ExchangeOutcome, ExchangeReport, Refusal, RequestHead, RequestPlan,
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -9,23 +9,15 @@
 use crate::{
     cache_affinity::mix,
     heartbeat::{
-        HEARTBEAT_INTERVAL, Heartbeat, HeartbeatAck, HostState, PROTOCOL_VERSION, RolloutTally,
-        ServiceLoad, TeamDemand, remote_heartbeat_interval,
+        Heartbeat, HeartbeatAck, HeartbeatTiming, HostState, PROTOCOL_VERSION, RolloutTally,
+        ServiceLoad, TeamDemand,
     },
     locality::Locality,
 };
 
-/// Time without a heartbeat after which a host counts as down. Covers several heartbeats, and is
-/// short enough that lookups stop naming a dead host within the deployments' bound of 7 s.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(2500);
-
-/// Time without a heartbeat after which a host of the own region counts as down. Hosts of a region
-/// exchange heartbeats more often.
-const LOCAL_SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
-
 /// Time without a response from the platform after which a reader is replaced. Watches of the
 /// manifest end every second.
-const READER_TIMEOUT: Duration = Duration::from_millis(1900);
+pub(crate) const READER_TIMEOUT: Duration = Duration::from_millis(1900);
 
 /// Time after which the turn to try the platform passes to the next host of a region without a
 /// reader.
@@ -47,9 +39,6 @@
 /// deployment must serve again.
 const UNHEARD_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Number of heartbeat intervals after which a report is outdated. Covers two lost heartbeats.
-const MAX_REPORT_INTERVALS: u32 = 4;
-
 /// Number of sent heartbeats that are retained per peer, to look up when an acknowledged one was
 /// sent.
 const MAX_SENT_HEARTBEATS: usize = 32;
@@ -70,11 +59,24 @@
     pub caller_address: SocketAddr,
 }
 
+/// Hosts that get a heartbeat, besides those that wait for a first one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeartbeatScope {
+    /// Whether hosts of the own region are included.
+    pub local: bool,
+    /// Whether hosts of other regions are included.
+    pub remote: bool,
+}
+
 /// All hosts but this one, with what they reported.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Members {
     /// Peers sorted by name.
     peers: Vec<Peer>,
+    /// Timing of heartbeats within the region.
+    local_timing: HeartbeatTiming,
+    /// Timing of heartbeats to and from other regions.
+    remote_timing: HeartbeatTiming,
     /// Last reports of processes that ended, with the times of the reports.
     ended_processes: Vec<(Vec<TeamDemand>, Instant)>,
 }
@@ -88,6 +90,10 @@
     registered_at: Instant,
     /// Whether the peer is in the region of this host.
     is_local: bool,
+    /// Timing of heartbeats from the peer.
+    timing: HeartbeatTiming,
+    /// Whether the peer's process has not got a heartbeat of this one.
+    awaits_heartbeat: bool,
     /// Liveness at the last call of [`Members::liveness_changes`].
     was_live: bool,
     /// Sequence numbers and times of the heartbeats sent to the peer.
@@ -110,6 +116,15 @@
     },
 }
 
+/// Demand of a team at the other hosts, in requests per second.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct OtherDemand {
+    /// Rates for which the hosts claim shares of the team's rate.
+    pub claimed_per_s: f64,
+    /// Rates of the callers' requests.
+    pub current_per_s: f64,
+}
+
 /// Change of a host's liveness.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MemberChange {
@@ -119,6 +134,17 @@
     Silent(String),
 }
 
+impl Default for Members {
+    fn default() -> Self {
+        Self {
+            peers: Vec::new(),
+            local_timing: HeartbeatTiming::local(1),
+            remote_timing: HeartbeatTiming::remote(1),
+            ended_processes: Vec::new(),
+        }
+    }
+}
+
 impl Members {
     /// Adds or updates a host; `own` is the locality of this host. What a host reported is dropped
     /// if its registration changes, except for the requests that it admitted.
@@ -132,6 +158,7 @@
             }
             Err(at) => self.peers.insert(at, Peer::new(member, is_local, now)),
         }
+        self.update_timing();
     }
 
     /// Removes a host. The requests that it admitted still count.
@@ -139,9 +166,15 @@
         if let Ok(at) = self.position(name) {
             let old = self.peers.remove(at);
             self.record_ended_process(old.heartbeat, old.received_at, now);
+            self.update_timing();
         }
     }
 
+    /// Timing of heartbeats within the region and between regions.
+    pub fn heartbeat_timing(&self) -> (HeartbeatTiming, HeartbeatTiming) {
+        (self.local_timing, self.remote_timing)
+    }
+
     /// Records a heartbeat and returns it. Returns `None` and records nothing if the sender is
     /// unknown, if the format has another version, if `from` is not the registered address, or if
     /// the heartbeat is not newer than the last one.
@@ -163,6 +196,7 @@
             return None;
         }
         let previous = peer.heartbeat.take_if(|it| it.incarnation != heartbeat.incarnation);
+        peer.awaits_heartbeat |= previous.is_some();
         let previous_received_at = peer.received_at.replace(now);
         self.record_ended_process(previous, previous_received_at, now);
         Some(self.peers[at].heartbeat.insert(heartbeat))
@@ -187,19 +221,22 @@
     }
 
     /// Returns the addresses that get the next heartbeat, with the acknowledgement for each, and
-    /// records the time of sending. Hosts of other regions are left out unless `include_remote` is
-    /// set.
+    /// records the time of sending. Processes that have not got a heartbeat of this one get it in
+    /// any case, so that a new process need not wait for an interval.
     pub fn begin_heartbeat(
         &mut self,
         sequence: u64,
-        own: Locality,
-        include_remote: bool,
+        scope: HeartbeatScope,
         now: Instant,
     ) -> Vec<(SocketAddr, Option<HeartbeatAck>)> {
         self.peers
             .iter_mut()
-            .filter(|it| include_remote || it.member.locality.region == own.region)
+            .filter(|it| {
+                let is_included = if it.is_local { scope.local } else { scope.remote };
+                is_included || it.awaits_heartbeat
+            })
             .map(|it| {
+                it.awaits_heartbeat = false;
                 if it.sent_heartbeats.len() == MAX_SENT_HEARTBEATS {
                     it.sent_heartbeats.pop_front();
                 }
@@ -376,10 +413,22 @@
         self.peers.iter().filter(|it| sender_score(&it.member) > own_score).count()
     }
 
-    /// Demand of a team at the other hosts in requests per second. `default_per_s` is assumed for
-    /// hosts that have not sent a heartbeat yet.
-    pub fn team_demand(&self, team_hash: u32, default_per_s: f64, now: Instant) -> f64 {
-        self.peers.iter().map(|it| it.demand(team_hash, default_per_s, now)).sum()
+    /// Demand of a team at the other hosts. `default_per_s` is assumed for hosts that have not sent a
+    /// heartbeat yet.
+    pub fn team_demand(&self, team_hash: u32, default_per_s: f64, now: Instant) -> OtherDemand {
+        let mut res = OtherDemand::default();
+        for it in self.peers.iter().filter(|it| !it.is_presumed_down(now)) {
+            let Some(heartbeat) = &it.heartbeat else {
+                res.claimed_per_s += default_per_s;
+                res.current_per_s += default_per_s;
+                continue;
+            };
+            if let Some(it) = demand_entry(&heartbeat.team_demand, team_hash) {
+                res.claimed_per_s += f64::from(it.claimed_per_16_s) / 16.0;
+                res.current_per_s += f64::from(it.requests_per_16_s) / 16.0;
+            }
+        }
+        res
     }
 
     /// Requests of a team that the other hosts admitted within the last `window`, as far as they
@@ -401,18 +450,15 @@
     /// Whether all hosts that may be serving reported recently, so that no host admits requests
     /// unnoticed.
     pub fn all_hosts_reporting(&self, now: Instant) -> bool {
-        let max_age = self.max_report_age();
-        let max_local_age = HEARTBEAT_INTERVAL * MAX_REPORT_INTERVALS;
         self.peers.iter().all(|it| {
-            let max_age = if it.is_local { max_local_age } else { max_age };
-            it.report_age(now).is_some_and(|it| it < max_age) || it.is_presumed_down(now)
+            it.report_age(now).is_some_and(|age| age < it.timing.max_report_age())
+                || it.is_presumed_down(now)
         })
     }
 
     /// Largest age of a report that counts as recent; a partition is noticed within this time.
     pub fn max_report_age(&self) -> Duration {
-        let interval = remote_heartbeat_interval(self.known_count());
-        (interval * MAX_REPORT_INTERVALS).min(SILENCE_TIMEOUT)
+        self.local_timing.max_report_age().max(self.remote_timing.max_report_age())
     }
 
     /// Sequence number up to which every other host that may be serving has received the heartbeats
@@ -455,6 +501,16 @@
         heartbeat.map_or(&[], |it| &it.quarantine_updates)
     }
 
+    /// Adapts the timing of heartbeats to the number of hosts.
+    fn update_timing(&mut self) {
+        let local_count = self.peers.iter().filter(|it| it.is_local).count() + 1;
+        self.local_timing = HeartbeatTiming::local(local_count);
+        self.remote_timing = HeartbeatTiming::remote(self.known_count());
+        for it in &mut self.peers {
+            it.timing = if it.is_local { self.local_timing } else { self.remote_timing };
+        }
+    }
+
     /// Keeps the last report of a process that has ended for as long as it may count.
     fn record_ended_process(
         &mut self,
@@ -476,6 +532,8 @@
     fn new(member: Member, is_local: bool, now: Instant) -> Self {
         Self {
             is_local,
+            timing: HeartbeatTiming::local(1),
+            awaits_heartbeat: true,
             member,
             heartbeat: None,
             received_at: None,
@@ -486,11 +544,7 @@
     }
 
     fn is_live(&self, now: Instant) -> bool {
-        self.report_age(now).is_some_and(|it| it < self.silence_timeout())
-    }
-
-    fn silence_timeout(&self) -> Duration {
-        if self.is_local { LOCAL_SILENCE_TIMEOUT } else { SILENCE_TIMEOUT }
+        self.report_age(now).is_some_and(|it| it < self.timing.silence_timeout)
     }
 
     /// Time since the newest heartbeat; `None` before the first one.
@@ -549,15 +603,6 @@
         let since = self.received_at.unwrap_or(self.registered_at);
         now.saturating_duration_since(since) > DEMAND_RETENTION
     }
-
-    fn demand(&self, team_hash: u32, default_per_s: f64, now: Instant) -> f64 {
-        if self.is_presumed_down(now) {
-            return 0.0;
-        }
-        let Some(heartbeat) = &self.heartbeat else { return default_per_s };
-        demand_entry(&heartbeat.team_demand, team_hash)
-            .map_or(0.0, |it| f64::from(it.requests_per_s.max(0.0)))
-    }
 }
 
 fn demand_entry(entries: &[TeamDemand], team_hash: u32) -> Option<&TeamDemand> {
--- a/crates/steer/src/rate_limit.rs
+++ b/crates/steer/src/rate_limit.rs
@@ -4,7 +4,8 @@
 //! a higher claim only after all hosts have acknowledged the report, and a lower one at once, so no
 //! host ever counts less for another one than that one uses. The shares of all hosts therefore never
 //! add up to more than the rate, however late heartbeats arrive and wherever the network is
-//! partitioned.
+//! partitioned. Only while a team's requests are well below its limit, and all hosts report, shares
+//! follow the demand without a claim.
 
 use std::time::Duration;
 
@@ -22,7 +23,7 @@
 
 /// Time constant of the claimed demand while it falls: long compared to the gaps between requests
 /// of small teams, since a claim that was given up takes a round of heartbeats to return.
-const CLAIM_TIME_CONSTANT: Duration = Duration::from_secs(5);
+const CLAIM_TIME_CONSTANT: Duration = Duration::from_secs(3);
 
 /// Part of an even share that a process uses before all hosts have acknowledged its first claim.
 /// The process that it replaces has claimed about an even share.
@@ -32,16 +33,27 @@
 /// [`LEAD_EXCESS_FRACTION`].
 const LOCAL_SLACK_FRACTION: f64 = 0.7;
 
+/// Value of [`LOCAL_SLACK_FRACTION`] for a process that does not know what earlier processes admitted
+/// in the present window.
+const NEW_PROCESS_SLACK_FRACTION: f64 = 0.4;
+
 /// Requests that all hosts together may admit ahead of acknowledged claims before they notice a
 /// partition, as a fraction of those allowed in a window.
 const LEAD_EXCESS_FRACTION: f64 = 0.03;
 
+/// Fraction of a window's limit up to which shares follow the current demand at once. Most teams
+/// stay below it, and their few requests arrive unevenly at many hosts.
+const SCARCE_FRACTION: f64 = 0.5;
+
+/// Fraction of a window up to which reports of other hosts may be old for their counts to be used.
+const MAX_REPORT_AGE_FRACTION: f64 = 0.5;
+
 /// Minimum demand assumed for each host, as a fraction of an even share, so that a host without
 /// requests can admit the first ones.
 const MIN_DEMAND_FRACTION: f64 = 0.05;
 
 /// Demand up to which nothing is claimed.
-const MIN_REPORTED_DEMAND_PER_S: f32 = 0.01;
+const MIN_CLAIMED_DEMAND_PER_S: f64 = 0.1;
 
 /// Upper bound for the retry-after time of a refused request.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -92,8 +104,9 @@
     claimed_sequence: Option<u64>,
     /// Whether all hosts have acknowledged a claim of this process.
     has_acknowledged_claim: bool,
-    /// Whether all hosts reported recently, so that their admitted requests are known.
-    knows_all_admitted: bool,
+    /// Whether all hosts reported recently and report often, so that their admitted requests are
+    /// known.
+    counts_are_recent: bool,
 }
 
 #[derive(Debug)]
@@ -115,15 +128,18 @@
     /// Demand that falls with [`CLAIM_TIME_CONSTANT`].
     sustained_demand_per_s: f64,
     /// Demand that this host reports to the others.
-    claim_per_s: f32,
+    claim_per_16_s: u32,
     /// Demand by which this host computes its own share; at most what any other host counts for it.
-    usable_claim_per_s: f32,
+    usable_claim_per_16_s: u32,
     /// Requests that this host admitted within the last window.
     admitted: WindowCount,
     /// Requests that the other hosts admitted within the last window.
     admitted_elsewhere: u32,
     /// Tokens per second over all hosts.
     refill_per_s: f64,
+    /// Whether the requests of all hosts may reach the limit, so that shares must not add up to
+    /// more than the whole.
+    is_scarce: bool,
 }
 
 impl TeamRateLimiter {
@@ -135,7 +151,7 @@
             started_at: None,
             claimed_sequence: None,
             has_acknowledged_claim: false,
-            knows_all_admitted: false,
+            counts_are_recent: false,
         }
     }
 
@@ -175,11 +191,16 @@
         let age = self.started_at.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
         // A burst may follow the previous one after one window, provided that all admitted requests
         // are known.
-        let knows_all_admitted = age >= window && members.all_hosts_reporting(now);
-        self.knows_all_admitted = knows_all_admitted;
+        let all_hosts_reporting = members.all_hosts_reporting(now);
+        let knows_all_admitted = age >= window && all_hosts_reporting;
+        let max_report_age = members.max_report_age();
+        self.counts_are_recent =
+            knows_all_admitted && max_report_age <= window.mul_f64(MAX_REPORT_AGE_FRACTION);
+        let slack_fraction =
+            if age >= window { LOCAL_SLACK_FRACTION } else { NEW_PROCESS_SLACK_FRACTION };
         // Until a partition is noticed, this much more than the whole rate is spent.
         let lead = if knows_all_admitted {
-            let unnoticed_s = members.max_report_age().as_secs_f64();
+            let unnoticed_s = max_report_age.as_secs_f64();
             LEAD_EXCESS_FRACTION * self.settings.window_s / unnoticed_s / hosts
         } else {
             0.0
@@ -192,23 +213,34 @@
             it.refill_per_s = it.rate_per_s + burst_per_s;
             let even_share_per_s = it.rate_per_s / hosts;
             let min_demand_per_s = even_share_per_s * MIN_DEMAND_FRACTION;
-            let usable_claim_per_s = f64::from(it.usable_claim_per_s) + min_demand_per_s;
-            let other_demand_per_s = members.team_demand(it.team_hash, even_share_per_s, now)
-                + min_demand_per_s * (hosts - 1.0);
-            let share_of = |demand_per_s: f64| {
+            let usable_claim_per_s = f64::from(it.usable_claim_per_16_s) / 16.0 + min_demand_per_s;
+            let others = members.team_demand(it.team_hash, even_share_per_s, now);
+            let other_minimum_per_s = min_demand_per_s * (hosts - 1.0);
+            let other_claims_per_s = others.claimed_per_s + other_minimum_per_s;
+            let other_demand_per_s = others.current_per_s + other_minimum_per_s;
+            let share_of = |demand_per_s: f64, other_demand_per_s: f64| {
                 let total_per_s = demand_per_s + other_demand_per_s;
                 if total_per_s > 0.0 { demand_per_s / total_per_s } else { 1.0 / hosts }
             };
-            it.share = if self.has_acknowledged_claim {
-                let share = share_of(usable_claim_per_s);
-                share_of(it.demand_per_s_at(now) + min_demand_per_s).clamp(share, share + lead)
+            let secure_share = if self.has_acknowledged_claim {
+                share_of(usable_claim_per_s, other_claims_per_s)
             } else {
                 UNACKNOWLEDGED_SHARE_FRACTION / hosts
             };
+            let current_share =
+                share_of(it.demand_per_s_at(now) + min_demand_per_s, other_demand_per_s);
+            let window_limit = it.rate_per_s * self.settings.window_s + it.burst;
+            let admitted = f64::from(it.admitted.total(now) + it.admitted_elsewhere);
+            it.is_scarce = admitted >= window_limit * SCARCE_FRACTION || !all_hosts_reporting;
+            it.share = if it.is_scarce {
+                current_share.clamp(secure_share, secure_share + lead)
+            } else {
+                current_share.max(secure_share)
+            };
             let tolerated_excess = self.settings.overage_fraction
                 * (it.rate_per_s * self.settings.window_s + it.burst)
                 + self.settings.slack_requests;
-            it.slack = tolerated_excess * LOCAL_SLACK_FRACTION / hosts;
+            it.slack = tolerated_excess * slack_fraction / hosts;
         }
     }
 
@@ -226,8 +258,10 @@
         let window_limit = bucket.rate_per_s * self.settings.window_s + bucket.burst;
         let own_admitted = bucket.admitted.total(now);
         let admitted = f64::from(own_admitted + bucket.admitted_elsewhere);
-        // Requests of hosts that do not report are unknown, so that each host keeps to its own part.
-        let exceeds_own_part = !self.knows_all_admitted
+        // Requests of hosts that do not report often are unknown, so that each host keeps to its own
+        // part.
+        let exceeds_own_part = bucket.is_scarce
+            && !self.counts_are_recent
             && f64::from(own_admitted) >= window_limit * bucket.share + bucket.slack;
         if admitted >= window_limit || exceeds_own_part {
             // Saved tokens must not be spent by all hosts at once when the window moves on.
@@ -276,10 +310,11 @@
         let mut res: Vec<TeamDemand> = entries
             .map(|it| TeamDemand {
                 team_hash: it.team_hash,
-                requests_per_s: it.claim_per_s,
+                requests_per_16_s: (it.demand_per_s_at(now) * 16.0).round() as u32,
+                claimed_per_16_s: it.claim_per_16_s,
                 admitted: it.admitted.total(now),
             })
-            .filter(|it| it.requests_per_s > 0.0 || it.admitted > 0)
+            .filter(|it| it.claimed_per_16_s > 0 || it.admitted > 0)
             .collect();
         res.sort_by_key(|it| it.team_hash);
         res
@@ -300,11 +335,12 @@
             demand_per_s: 0.0,
             demand_updated_at: now,
             sustained_demand_per_s: 0.0,
-            claim_per_s: 0.0,
-            usable_claim_per_s: 0.0,
+            claim_per_16_s: 0,
+            usable_claim_per_16_s: 0,
             admitted: WindowCount::new(window, now),
             admitted_elsewhere: 0,
             refill_per_s: 0.0,
+            is_scarce: true,
         }
     }
 
@@ -342,11 +378,11 @@
     /// Uses the acknowledged claim, and claims the present demand.
     fn renew_claim(&mut self, now: Instant) {
         self.decay_demand(now);
-        self.usable_claim_per_s = self.claim_per_s;
-        let demand_per_s = self.sustained_demand_per_s as f32;
-        self.claim_per_s =
-            if demand_per_s > MIN_REPORTED_DEMAND_PER_S { demand_per_s } else { 0.0 };
-        self.usable_claim_per_s = self.usable_claim_per_s.min(self.claim_per_s);
+        self.usable_claim_per_16_s = self.claim_per_16_s;
+        let demand_per_s = self.sustained_demand_per_s;
+        let is_claimed = demand_per_s > MIN_CLAIMED_DEMAND_PER_S;
+        self.claim_per_16_s = if is_claimed { (demand_per_s * 16.0).round() as u32 } else { 0 };
+        self.usable_claim_per_16_s = self.usable_claim_per_16_s.min(self.claim_per_16_s);
     }
 }
 
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -20,7 +20,7 @@
     instance_registry::InstanceRegistry,
     locality::{RegionKey, ZoneMap},
     manifest::{Manifest, RepeatPolicy, Route, Team},
-    members::{Member, MemberChange, Members, StoreSource},
+    members::{Member, MemberChange, Members, READER_TIMEOUT, StoreSource},
     rate_limit::{RateLimitSettings, TeamRateLimiter},
     request::{
         Attempts, ExchangeOutcome, ExchangeReport, Refusal, RequestHead, RequestPlan,
@@ -138,6 +138,8 @@
     /// Updates for the next heartbeats, with the number of times still to be sent.
     quarantine_updates: Vec<(QuarantineUpdate, u32)>,
     last_sequence: u64,
+    /// Number of faulty rollouts at the last heartbeat.
+    reported_fault_count: usize,
     /// Time at which the platform last responded to this host; `None` while another host reads the
     /// platform for this one.
     platform_answered_at: Option<Instant>,
@@ -162,6 +164,7 @@
             retry_budgets: Vec::new(),
             quarantine_updates: Vec::new(),
             last_sequence: 0,
+            reported_fault_count: 0,
             platform_answered_at: None,
             reader_seen_at: now,
             settings,
@@ -459,11 +462,26 @@
         )
     }
 
+    /// Whether the next heartbeat should not wait for its interval, since it tells other hosts what
+    /// they must act on.
+    pub fn has_news(&mut self) -> bool {
+        let new_updates = self.quarantine.take_updates();
+        self.quarantine_updates.extend(new_updates.into_iter().map(|it| (it, UPDATE_REPETITIONS)));
+        let fault_count = self.versions.rollouts().filter(|it| it.fault().is_some()).count();
+        let has_new_fault = fault_count > self.reported_fault_count;
+        self.reported_fault_count = fault_count;
+        has_new_fault || !self.quarantine_updates.is_empty()
+    }
+
+    /// Whether the platform responds to this host, so that others may follow it.
+    pub fn is_reader(&self, now: Instant) -> bool {
+        let answered_at = self.platform_answered_at;
+        answered_at.is_some_and(|it| now.saturating_duration_since(it) < READER_TIMEOUT)
+    }
+
     /// Builds the next heartbeat, without the acknowledgement for its receiver.
     pub fn next_heartbeat(&mut self, state: HostState, now: Instant) -> Heartbeat {
         self.last_sequence += 1;
-        let new_updates = self.quarantine.take_updates();
-        self.quarantine_updates.extend(new_updates.into_iter().map(|it| (it, UPDATE_REPETITIONS)));
         let quarantine_updates = self.quarantine_updates.iter().map(|it| it.0.clone()).collect();
         self.quarantine_updates.iter_mut().for_each(|it| it.1 -= 1);
         self.quarantine_updates.retain(|it| it.1 > 0);
--- a/crates/steer/tests/it/members.rs
+++ b/crates/steer/tests/it/members.rs
@@ -2,11 +2,50 @@
 
 use std::time::Duration;
 
-use kingcupford_steer::{HeartbeatAck, HostState, Members, StoreSource};
+use kingcupford_steer::{
+    HeartbeatAck, HeartbeatScope, HeartbeatTiming, HostState, Members, StoreSource,
+};
 use tokio::time::{Instant, advance};
 
 use crate::common::{INCARNATION, address, heartbeat, member, zone_map};
 
+const ALL_HOSTS: HeartbeatScope = HeartbeatScope { local: true, remote: true };
+
+const NO_HOSTS: HeartbeatScope = HeartbeatScope { local: false, remote: false };
+
+/// Guards against heartbeats whose number per host grows with the number of hosts.
+#[test]
+fn heartbeats_per_host_are_bounded() {
+    for hosts in [30, 100, 195, 300, 550] {
+        let (local, remote) = (HeartbeatTiming::local(hosts / 3), HeartbeatTiming::remote(hosts));
+        let local_hosts = (hosts / 3 - 1) as f64;
+        let remote_hosts = (hosts - hosts / 3) as f64;
+        let sent_per_s = local_hosts / local.interval.as_secs_f64()
+            + remote_hosts / remote.interval.as_secs_f64();
+        assert!(sent_per_s <= 130.0, "{hosts} hosts: {sent_per_s}");
+        // Lookups must not name a dead host of the region for more than 7 s.
+        assert!(local.silence_timeout <= Duration::from_secs(7), "{hosts} hosts: {local:?}");
+    }
+}
+
+/// Guards against a new process that hears of the others only after their intervals.
+#[tokio::test(start_paused = true)]
+async fn begin_heartbeat_to_new_process() {
+    let own = zone_map().own_locality();
+    let mut members = Members::default();
+    let now = Instant::now();
+    members.register(member("peer", "b1", 1100), own, now);
+    assert_eq!(members.begin_heartbeat(1, NO_HOSTS, now).len(), 1);
+    assert!(members.begin_heartbeat(2, NO_HOSTS, now).is_empty());
+    members.receive(heartbeat("peer", 1), address(1100), now);
+    assert!(members.begin_heartbeat(3, NO_HOSTS, now).is_empty());
+    let mut restarted = heartbeat("peer", 1);
+    restarted.incarnation = 2;
+    members.receive(restarted, address(1100), now);
+    assert_eq!(members.begin_heartbeat(4, NO_HOSTS, now).len(), 1);
+    assert_eq!(members.begin_heartbeat(5, ALL_HOSTS, now).len(), 1);
+}
+
 /// Guards against lookups that name dead hosts, hosts of other zones although the requested zone
 /// has one, or no host at all.
 #[tokio::test(start_paused = true)]
@@ -72,7 +111,7 @@
     let mut members = Members::default();
     members.register(member("peer", "a1", 1100), own, Instant::now());
     let sent_at = Instant::now();
-    members.begin_heartbeat(3, own, true, sent_at);
+    members.begin_heartbeat(3, ALL_HOSTS, sent_at);
     advance(Duration::from_secs(10)).await;
     let mut delayed = heartbeat("peer", 1);
     delayed.ack = Some(HeartbeatAck { incarnation: INCARNATION, sequence: 3, ack_delay_ms: 40 });
--- a/crates/steer/tests/it/rate_limit.rs
+++ b/crates/steer/tests/it/rate_limit.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use kingcupford_steer::{
-    Manifest, Members, RateLimitSettings, Team, TeamDemand, TeamRateLimiter, name_hash,
+    HeartbeatScope, Manifest, Members, RateLimitSettings, Team, TeamDemand, TeamRateLimiter,
+    name_hash,
 };
 use proptest::prelude::*;
 use tokio::time::{Instant, advance};
@@ -103,8 +104,8 @@
                     let mut beat = heartbeat(&name(from), ms + 1);
                     beat.incarnation = incarnations[from];
                     beat.team_demand = limiters[from].claim_demand(acknowledged, ms + 1, now);
-                    let own = zone_map().own_locality();
-                    for (address, ack) in members[from].begin_heartbeat(ms + 1, own, true, now) {
+                    let scope = HeartbeatScope { local: true, remote: true };
+                    for (address, ack) in members[from].begin_heartbeat(ms + 1, scope, now) {
                         beat.ack = ack;
                         let to = usize::from((address.port() - port(0)) / 10);
                         if (self.side)(from, ms) == (self.side)(to, ms) {
@@ -230,8 +231,12 @@
     let mut members = Members::default();
     members.register(peer.clone(), own, now);
     let mut beat = heartbeat(&name(1), 1);
-    beat.team_demand =
-        vec![TeamDemand { team_hash: name_hash("one"), requests_per_s: 10.0, admitted: 40 }];
+    beat.team_demand = vec![TeamDemand {
+        team_hash: name_hash("one"),
+        requests_per_16_s: 160,
+        claimed_per_16_s: 160,
+        admitted: 40,
+    }];
     members.receive(beat, peer.peer_address, now);
     members.deregister(&name(1), now + Duration::from_secs(1));
     members.register(peer, own, now + Duration::from_secs(2));
@@ -275,7 +280,8 @@
             let mut heartbeat = heartbeat(&name(1), step + 1);
             heartbeat.team_demand = vec![TeamDemand {
                 team_hash: name_hash("one"),
-                requests_per_s: 12.0,
+                requests_per_16_s: 192,
+                claimed_per_16_s: 192,
                 admitted: 60,
             }];
             members.receive(heartbeat, address, now);
@@ -296,6 +302,18 @@
     assert!((0..10_000).all(|_| rate_limiter.admit("two", now).is_ok()));
 }
 
+/// Guards against refusals of a small team whose few requests arrive unevenly at many hosts.
+#[test]
+fn admit_small_team_at_many_hosts() {
+    // Every host gets two requests within 200 ms every 1.6 s, which together is half of the rate.
+    let bursts = |host: usize, ms: u64| {
+        if (ms + host as u64 * 370) % 1600 < 200 { 10.0 } else { 0.0 }
+    };
+    let admitted = Fleet::new(&[0.0; 40]).with_load(bursts).admitted();
+    let late = admitted.iter().filter(|it| **it >= 8000).count();
+    assert!(late >= 588, "{late} of 600 requests in the last 12 s");
+}
+
 /// Guards against refusals although every window of the team stays within its rate and burst.
 #[test]
 fn admit_burst_of_each_window() {
