Bound what a datagram or a response without end can allocate

Cause: the decoders of heartbeats and relayed responses had no limit, so a datagram of 14 bytes that declares a length of 2^62 aborted the process. Responses of the store and of peers were collected until their timeout.

Change: decoders have the size of a datagram or of the longest response as limit; the store client drops responses above 8 MiB. Tests for instances that send bytes without end in seven places, and for a late second response.

Measured: heartbeat_with_impossible_length aborted before (memory allocation of bytes failed) and passes now; the instances' endless bytes did no harm before either.

--- a/crates/gateway/src/heartbeats.rs
+++ b/crates/gateway/src/heartbeats.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use bincode::config::{Configuration, standard};
+use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
 use kingcupford_steer::{HEARTBEAT_INTERVAL, Heartbeat, HeartbeatScope, HeartbeatTiming};
 use kingcupford_telemetry::{Event, TrafficLabels};
 use tokio::{
@@ -14,7 +14,9 @@
 
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
-const BINCODE_CONFIG: Configuration = standard();
+/// Without the limit, a declared length could make the decoder allocate any amount of memory.
+const BINCODE_CONFIG: Configuration<LittleEndian, Varint, Limit<MAX_DATAGRAM_BYTES>> =
+    standard().with_limit::<MAX_DATAGRAM_BYTES>();
 
 /// Binds the socket for heartbeats.
 pub(crate) async fn bind(address: SocketAddr) -> io::Result<Rc<UdpSocket>> {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use bincode::config::{Configuration, standard};
+use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -49,7 +49,13 @@
 /// was followed before.
 const MAX_READER_CLIENTS: usize = 4;
 
-const BINCODE_CONFIG: Configuration = standard();
+/// Maximum size of a relayed response: several times a list of all registrations of the largest
+/// deployments.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
+
+/// Without the limit, a declared length could make the decoder allocate any amount of memory.
+const BINCODE_CONFIG: Configuration<LittleEndian, Varint, Limit<MAX_RESPONSE_BYTES>> =
+    standard().with_limit::<MAX_RESPONSE_BYTES>();
 
 /// The platform's object store, with lists and watches relayed by another host of the region while
 /// there is a reader.
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     harness::{wait_for, with_process},
-    upstream::{Behaviour, Upstream, header},
+    upstream::{Behaviour, EndlessPart, Upstream, header},
 };
 
 /// Guards against a request that is changed on the way, or that reveals the caller's API key to an
@@ -116,6 +116,54 @@
     .await;
 }
 
+/// Guards against an instance whose bytes without end are read for ever, are kept in memory, or
+/// reach the caller as a response. The route's timeout is 800 ms.
+#[tokio::test]
+async fn response_without_end() {
+    let parts = [
+        EndlessPart::Noise,
+        EndlessPart::Head,
+        EndlessPart::Informational,
+        EndlessPart::UnsealedBody,
+        EndlessPart::ChunkExtension,
+        EndlessPart::Trailers,
+    ];
+    for part in parts {
+        let upstream = Upstream::start("i1", Behaviour::Endless(part)).await;
+        with_process(&[&upstream], async |harness| {
+            let sent_at = Instant::now();
+            let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+            assert!([502, 504].contains(&response.status().as_u16()), "{part:?}: {response:?}");
+            assert_eq!(response.headers()["kingcupford-outcome"], "unknown", "{part:?}");
+            assert!(sent_at.elapsed() < Duration::from_millis(1050), "{part:?}");
+            wait_for(async || upstream.cancelled.load(Ordering::SeqCst) == 1).await;
+            // The process serves on.
+            upstream.set_behaviour(Behaviour::Echo);
+            harness.wait_for_status("/read/1", 200).await;
+        })
+        .await;
+    }
+}
+
+/// Guards against a body without end that is collected in memory, or that goes on after the caller
+/// has left.
+#[tokio::test]
+async fn body_without_end() {
+    let upstream = Upstream::start("i1", Behaviour::Endless(EndlessPart::Body)).await;
+    with_process(&[&upstream], async |harness| {
+        let mut response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+        assert_eq!(response.status(), 200);
+        let mut received = 0;
+        while received < 4 << 20 {
+            received += response.chunk().await.unwrap().unwrap().len();
+        }
+        assert_eq!(upstream.cancelled.load(Ordering::SeqCst), 0);
+        drop(response);
+        wait_for(async || upstream.cancelled.load(Ordering::SeqCst) == 1).await;
+    })
+    .await;
+}
+
 /// Guards against a second response on a connection that is taken for the response to the next
 /// request.
 #[tokio::test]
@@ -133,6 +181,29 @@
     .await;
 }
 
+/// Guards against a second copy of an earlier response that arrives after the next request was sent
+/// on the connection, and reaches the next caller.
+#[tokio::test]
+async fn response_duplicated_late() {
+    let upstream = Upstream::start("i1", Behaviour::LateDuplicate).await;
+    with_process(&[&upstream], async |harness| {
+        let mut answered = 0;
+        for at in 0..30 {
+            let body = format!("body-{at}");
+            let request = harness.request("GET", "/read/1", &format!("id-{at}"));
+            let response = request.body(body.clone()).send().await.unwrap();
+            if response.status() != 200 {
+                continue;
+            }
+            assert_eq!(response.headers()["x-id"], format!("id-{at}"));
+            assert_eq!(response.text().await.unwrap(), body);
+            answered += 1;
+        }
+        assert!(answered > 0);
+    })
+    .await;
+}
+
 /// Guards against a response without a declared length that is lost or truncated.
 #[tokio::test]
 async fn response_close_delimited() {
--- a/crates/gateway/tests/it/lookups.rs
+++ b/crates/gateway/tests/it/lookups.rs
@@ -2,8 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use kingcupford_steer::PROTOCOL_VERSION;
 use reqwest::Client;
-use tokio::{task::LocalSet, time::sleep};
+use tokio::{net::UdpSocket, task::LocalSet, time::sleep};
 
 use crate::{
     harness::{Harness, MemoryStore, listen_addresses, spawn_process, wait_for, with_process},
@@ -87,3 +88,37 @@
     })
     .await;
 }
+
+/// Guards against a datagram that declares a length which no datagram can have, and ends the
+/// process or its reception of heartbeats.
+#[tokio::test]
+async fn heartbeat_with_impossible_length() {
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let client = Client::builder().no_proxy().build().unwrap();
+            let listen = listen_addresses();
+            spawn_process("n1", listen, &store);
+            let harness = Harness { store: Arc::clone(&store), listen, client: client.clone() };
+            harness.wait_until_ready().await;
+            let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+            // The version, then the marker of an 8-byte length of the sender's name.
+            for length in [1u64 << 34, 1 << 62, u64::MAX] {
+                let mut datagram = vec![PROTOCOL_VERSION as u8, 253];
+                datagram.extend_from_slice(&length.to_le_bytes());
+                datagram.extend_from_slice(b"name");
+                socket.send_to(&datagram, listen.peers).await.unwrap();
+            }
+            sleep(Duration::from_millis(100)).await;
+            let other = listen_addresses();
+            spawn_process("n2", other, &store);
+            let url = format!("http://{}/v1/lookup?zone=z1", listen.lookup);
+            wait_for(async || {
+                let Ok(response) = client.get(&url).send().await else { return false };
+                response.text().await.unwrap_or_default().contains(&other.callers.to_string())
+            })
+            .await;
+        })
+        .await;
+}
--- a/crates/gateway/tests/it/upstream.rs
+++ b/crates/gateway/tests/it/upstream.rs
@@ -41,6 +41,9 @@
     InvalidResponse,
     /// Sends a second response after the first one.
     DuplicateResponse,
+    /// Sends its previous response on the connection a second time once it has read the next
+    /// request, in front of the next response.
+    LateDuplicate,
     /// Responds without a declared length and closes the connection gracefully.
     CloseDelimited,
     /// Responds without a declared length and resets the connection.
@@ -49,6 +52,44 @@
     EarlyResponse,
     /// Never responds.
     Silent,
+    /// Responds with bytes without end.
+    Endless(EndlessPart),
+}
+
+/// Part of a response that has no end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EndlessPart {
+    /// Bytes that are no HTTP, without a line break.
+    Noise,
+    /// Headers.
+    Head,
+    /// Responses with status 100 before the final one.
+    Informational,
+    /// A body without a length, of a response without a seal.
+    UnsealedBody,
+    /// A body without a length, of a response with a seal.
+    Body,
+    /// The extension of a chunk.
+    ChunkExtension,
+    /// Headers after the last chunk.
+    Trailers,
+}
+
+impl EndlessPart {
+    /// Bytes before the part, and the bytes that are repeated.
+    fn bytes(self, id: &str) -> (String, &'static str) {
+        let sealed = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\n");
+        let chunked = format!("{sealed}transfer-encoding: chunked\r\n\r\n");
+        match self {
+            Self::Noise => (String::new(), "no response "),
+            Self::Head => (sealed, "x-more: of this\r\n"),
+            Self::Informational => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+            Self::UnsealedBody => (format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\n\r\n"), "body "),
+            Self::Body => (format!("{sealed}\r\n"), "body "),
+            Self::ChunkExtension => (format!("{chunked}2;"), "extension"),
+            Self::Trailers => (format!("{chunked}2\r\nok\r\n0\r\n"), "x-more: of this\r\n"),
+        }
+    }
 }
 
 /// A request as an instance read it.
@@ -127,6 +168,7 @@
     cancelled: &AtomicUsize,
 ) {
     let mut buffer = Vec::new();
+    let mut previous: Vec<u8> = Vec::new();
     while let Some((head, length)) = read_head(&mut stream, &mut buffer).await {
         let id = header(&head, "x-id").unwrap_or_default();
         let behaviour = *behaviour.lock();
@@ -197,6 +239,11 @@
                 res.extend(ok("", b"second"));
                 res
             }
+            Behaviour::LateDuplicate => {
+                let next = ok("", &body);
+                let duplicate = std::mem::replace(&mut previous, next.clone());
+                [duplicate, next].concat()
+            }
             Behaviour::CloseDelimited | Behaviour::CloseDelimitedReset => {
                 let text = format!(
                     "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\nconnection: close\r\n\r\nall of it"
@@ -209,6 +256,16 @@
                 return;
             }
             Behaviour::EarlyResponse => continue,
+            Behaviour::Endless(part) => {
+                let (start, repeated) = part.bytes(&id);
+                let repeated = repeated.repeat(500);
+                let mut next = start.as_bytes();
+                while stream.write_all(next).await.is_ok() {
+                    next = repeated.as_bytes();
+                }
+                cancelled.fetch_add(1, Ordering::SeqCst);
+                return;
+            }
         };
         if stream.write_all(&response).await.is_err() {
             return;
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, ensure};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::StatusCode;
-use reqwest::{Client, Url};
+use reqwest::{Client, Response, Url};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -19,6 +19,10 @@
 /// Maximum number of pages of one list, so that the list ends even if the platform repeats a page.
 const MAX_LIST_PAGES: usize = 200;
 
+/// Maximum size of a response. Objects have at most 1 MB; a page of a list of 1 MB, and a relayed
+/// list of all registrations, are longer by their encoding.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
+
 /// URL and timeouts of an [`HttpObjectStore`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HttpStoreSettings {
@@ -128,8 +132,8 @@
             }
         };
         let (status, headers) = (response.status(), response.headers().clone());
-        let body = timeout_at(deadline, response.bytes()).await;
-        Ok(ApiResponse { status, headers, body: body.ok().and_then(Result::ok) })
+        let body = timeout_at(deadline, read_body(response)).await;
+        Ok(ApiResponse { status, headers, body: body.ok().flatten() })
     }
 
     /// Sends a request that can be repeated without harm.
@@ -278,3 +282,24 @@
         })
     }
 }
+
+/// Reads the body of a response; `None` if it breaks off or is longer than any valid one.
+async fn read_body(mut response: Response) -> Option<Bytes> {
+    let mut res = BytesMut::new();
+    loop {
+        match response.chunk().await {
+            Ok(Some(it)) if res.len() + it.len() <= MAX_RESPONSE_BYTES => {
+                res.extend_from_slice(&it)
+            }
+            Ok(Some(_)) => {
+                log::warn!("response is longer than {MAX_RESPONSE_BYTES} bytes and is dropped");
+                return None;
+            }
+            Ok(None) => return Some(res.freeze()),
+            Err(error) => {
+                log::debug!("response broke off: {error:#}");
+                return None;
+            }
+        }
+    }
+}
--- a/crates/platform/tests/http_store.rs
+++ b/crates/platform/tests/http_store.rs
@@ -7,9 +7,14 @@
 use bytes::Bytes;
 use common::{object_store, object_store_with_timeout, start_platform, start_platform_with};
 use kingcupford_platform::{
-    CallOutcome, Condition, HostEntry, ListedHostState, ObjectStore, WatchResponse, WriteOutcome,
+    CallOutcome, Condition, HostEntry, HttpObjectStore, HttpStoreSettings, ListedHostState,
+    ObjectStore, WatchResponse, WriteOutcome,
 };
 use kingcupford_standin::{OutageMode, PlatformFaults, PlatformLimits, PlatformSettings};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+};
 
 const VALUE: Bytes = Bytes::from_static(b"value");
 
@@ -210,3 +215,29 @@
     tokio::time::sleep(Duration::from_millis(700)).await;
     assert_eq!(store.list_hosts().await, CallOutcome::Value(Vec::new()));
 }
+
+/// Guards against a response without end that is collected in memory until the timeout.
+#[tokio::test]
+async fn read_without_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 4096];
+        let _ = stream.read(&mut request).await.unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await.unwrap();
+        let chunk = vec![b' '; 1 << 16];
+        let mut sent = 0u64;
+        while stream.write_all(&chunk).await.is_ok() {
+            sent += chunk.len() as u64;
+        }
+        sent
+    });
+    let settings = HttpStoreSettings::new(&format!("http://{address}"));
+    let settings = HttpStoreSettings { read_timeout_ms: 60_000, ..settings };
+    let store = HttpObjectStore::new(settings).unwrap();
+    assert_eq!(store.read("chunk/a").await, CallOutcome::Unavailable);
+    // What fits into the buffers of both sockets was sent but not read.
+    let sent = serving.await.unwrap();
+    assert!(sent < 32 << 20, "{sent}");
+}
