--- a/crates/steer/src/canary.rs
+++ b/crates/steer/src/canary.rs
@@ -189,8 +189,11 @@
     }
 
     /// Exchanges that this process counted, for the heartbeats; one tally if there are none, so that
-    /// a fault is reported.
+    /// a fault is reported. None after the completion, which the platform reports.
     pub fn tallies(&self) -> Vec<RolloutTally> {
+        if self.state == Some(RolloutState::Completed) {
+            return Vec::new();
+        }
         let faulty = self.fault.is_some();
         let counted = self.own_tallies.iter().map(|it| RolloutTally { faulty, ..it.clone() });
         let mut res: Vec<RolloutTally> = counted.collect();
@@ -296,6 +299,9 @@
     /// Passes the exchanges that all hosts counted since the last call to the tests. Returns
     /// whether the new version has just been found faulty.
     pub fn evaluate(&mut self, members: &Members, now: Instant) -> bool {
+        if matches!(self.state, Some(RolloutState::Completed | RolloutState::RolledBack)) {
+            return false;
+        }
         let was_faulty = self.fault.is_some();
         let mut deltas = Vec::new();
         for tally in &self.own_tallies {
--- a/crates/steer/tests/it/canary.rs
+++ b/crates/steer/tests/it/canary.rs
@@ -138,6 +138,21 @@
     assert_eq!(canary.new_version_share(now), 0.0);
 }
 
+/// Guards against a completed version that is reported as faulty, when there is no old version left
+/// to compare it with.
+#[tokio::test(start_paused = true)]
+async fn evaluate_completed() {
+    let now = Instant::now();
+    let mut canary = canary(now);
+    canary.set_state(RolloutState::Completed);
+    for _ in 0..100 {
+        canary.record_sample(Side::New, name_hash("r"), VersionSample::Failed);
+    }
+    assert!(!canary.evaluate(&Members::default(), now));
+    assert_eq!(canary.fault(), None);
+    assert!(canary.tallies().is_empty());
+}
+
 /// Guards against a final state that changes again.
 #[tokio::test(start_paused = true)]
 async fn set_state_final() {
