Compute the limit of a window in one place

Cause: three places of the rate limiter added rate times window and burst.

Change: Bucket::window_limit; no change of behaviour.

Measured: the 63 tests of steer pass.

--- a/crates/steer/src/rate_limit.rs
+++ b/crates/steer/src/rate_limit.rs
@@ -229,7 +229,7 @@
             };
             let current_share =
                 share_of(it.demand_per_s_at(now) + min_demand_per_s, other_demand_per_s);
-            let window_limit = it.rate_per_s * self.settings.window_s + it.burst;
+            let window_limit = it.window_limit(self.settings.window_s);
             let admitted = f64::from(it.admitted.total(now) + it.admitted_elsewhere);
             it.is_scarce = admitted >= window_limit * SCARCE_FRACTION || !all_hosts_reporting;
             it.share = if it.is_scarce {
@@ -237,9 +237,8 @@
             } else {
                 current_share.max(secure_share)
             };
-            let tolerated_excess = self.settings.overage_fraction
-                * (it.rate_per_s * self.settings.window_s + it.burst)
-                + self.settings.slack_requests;
+            let tolerated_excess =
+                self.settings.overage_fraction * window_limit + self.settings.slack_requests;
             it.slack = tolerated_excess * slack_fraction / hosts;
         }
     }
@@ -255,7 +254,7 @@
             return Ok(());
         }
         bucket.refill(now);
-        let window_limit = bucket.rate_per_s * self.settings.window_s + bucket.burst;
+        let window_limit = bucket.window_limit(self.settings.window_s);
         let own_admitted = bucket.admitted.total(now);
         let admitted = f64::from(own_admitted + bucket.admitted_elsewhere);
         // Requests of hosts that do not report often are unknown, so that each host keeps to its own
@@ -350,6 +349,11 @@
         self
     }
 
+    /// Requests that all hosts together may admit in a window, without the tolerated excess.
+    fn window_limit(&self, window_s: f64) -> f64 {
+        self.rate_per_s * window_s + self.burst
+    }
+
     fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
