Log how much of a timed-out response was received, and how long a manifest took

Calls to the platform and to readers that timed out left no line, so that a silent connection, a response that is longer than the link carries in time, and slow decoding could not be told apart.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -481,6 +481,7 @@
             Event::ConfigRejected.log(format_args!("object={name} reason=\"it was deleted\""));
             return;
         };
+        let received_at = Instant::now();
         let manifest = match self.codec.decode_manifest(&object.bytes) {
             Ok(it) => it,
             Err(error) => {
@@ -495,8 +496,11 @@
         let mut steering = self.state.steering.borrow_mut();
         let active_version = steering.manifest().map_or(0, |it| it.version());
         if steering.apply_manifest(manifest, Instant::now()) {
-            Event::ConfigActive
-                .log(format_args!("version={version} before={active_version} routes={routes}"));
+            let (bytes, took_ms) = (object.bytes.len(), received_at.elapsed().as_millis());
+            Event::ConfigActive.log(format_args!(
+                "version={version} before={active_version} routes={routes} bytes={bytes} \
+                 took_ms={took_ms}"
+            ));
         } else if version < active_version {
             Event::ConfigOlderIgnored
                 .log(format_args!("version={version} in_force={active_version}"));
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -101,6 +101,7 @@
         timeout: Duration,
     ) -> Result<ApiResponse, RequestError> {
         let deadline = Instant::now() + timeout;
+        let path = request.path.join("/");
         let mut url = self.base_url.clone();
         if let Ok(mut path) = url.path_segments_mut() {
             path.pop_if_empty().extend(&request.path);
@@ -132,8 +133,19 @@
             }
         };
         let (status, headers) = (response.status(), response.headers().clone());
-        let body = timeout_at(deadline, read_body(response)).await;
-        Ok(ApiResponse { status, headers, body: body.ok().flatten() })
+        let mut received = BytesMut::new();
+        let is_complete = match timeout_at(deadline, read_body(response, &mut received)).await {
+            Ok(it) => it,
+            Err(_) => {
+                log::warn!(
+                    "response to {path} timed out after {} ms: {} bytes received",
+                    timeout.as_millis(),
+                    received.len()
+                );
+                false
+            }
+        };
+        Ok(ApiResponse { status, headers, body: is_complete.then(|| received.freeze()) })
     }
 
     /// Sends a request that can be repeated without harm.
@@ -283,22 +295,22 @@
     }
 }
 
-/// Reads the body of a response; `None` if it breaks off or is longer than any valid one.
-async fn read_body(mut response: Response) -> Option<Bytes> {
-    let mut res = BytesMut::new();
+/// Appends the body of a response to `received`; returns whether it is complete and not longer than
+/// any valid one.
+async fn read_body(mut response: Response, received: &mut BytesMut) -> bool {
     loop {
         match response.chunk().await {
-            Ok(Some(it)) if res.len() + it.len() <= MAX_RESPONSE_BYTES => {
-                res.extend_from_slice(&it)
+            Ok(Some(it)) if received.len() + it.len() <= MAX_RESPONSE_BYTES => {
+                received.extend_from_slice(&it)
             }
             Ok(Some(_)) => {
                 log::warn!("response is longer than {MAX_RESPONSE_BYTES} bytes and is dropped");
-                return None;
+                return false;
             }
-            Ok(None) => return Some(res.freeze()),
+            Ok(None) => return true,
             Err(error) => {
                 log::debug!("response broke off: {error:#}");
-                return None;
+                return false;
             }
         }
     }
