--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     harness::{
-        Harness, MemoryStore, listen_addresses, spawn_process, spawn_process_in, wait_for,
-        with_process,
+        Harness, MAX_CONFIG_DELAY, MemoryStore, listen_addresses, spawn_process, spawn_process_in,
+        wait_for, with_process,
     },
     upstream::{Behaviour, Upstream},
 };
@@ -147,31 +147,7 @@
 async fn manifest_watch_hangs() {
     LocalSet::new()
         .run_until(async {
-            let client = Client::builder().no_proxy().build().unwrap();
-            let hosts: Vec<Harness> = [("n1", "z1"), ("n2", "z2")]
-                .into_iter()
-                .map(|(name, zone)| {
-                    let store = Arc::new(MemoryStore::default());
-                    store.put("config/main", "1 good");
-                    let listen = listen_addresses();
-                    spawn_process_in(zone, name, listen, &store);
-                    Harness { store, listen, client: client.clone() }
-                })
-                .collect();
-            // Each host registers in its own store only, so the other host's registration is added
-            // by hand.
-            for (own, other, name, zone) in [(0, 1, "n2", "z2"), (1, 0, "n1", "z1")] {
-                let peer = hosts[other].listen;
-                let entry = serde_json::json!({
-                    "name": name, "zone": zone, "peer_address": peer.peers,
-                    "public_addresses": [peer.callers], "state": "live",
-                });
-                hosts[own].store.put(&format!("hosts/{name}"), &entry.to_string());
-            }
-            for host in &hosts {
-                host.wait_until_ready().await;
-            }
-            sleep(Duration::from_millis(500)).await;
+            let hosts = two_hosts_with_own_stores().await;
             *hosts[1].store.watches_hang.lock() = true;
             *hosts[1].store.list_delay.lock() = Duration::from_millis(200);
             // The pending watch still ends once.
@@ -186,3 +162,71 @@
         })
         .await;
 }
+
+/// Guards against a list of the manifest that takes longer than a hung watch is tolerated, and is
+/// given up again and again.
+#[tokio::test]
+async fn manifest_list_slower_than_hang_timeout() {
+    LocalSet::new()
+        .run_until(async {
+            let hosts = two_hosts_with_own_stores().await;
+            *hosts[1].store.watches_hang.lock() = true;
+            *hosts[1].store.list_delay.lock() = Duration::from_millis(1200);
+            // The pending watch still ends once.
+            sleep(Duration::from_millis(1200)).await;
+            for host in &hosts {
+                host.store.put("config/main", "2 other");
+            }
+            hosts[1].wait_for_status("/read/1", 401).await;
+        })
+        .await;
+}
+
+/// Guards against a host that serves requests without keys by an outdated manifest although its
+/// peers have a newer one.
+#[tokio::test]
+async fn outdated_manifest_open_route() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            let hosts = two_hosts_with_own_stores().await;
+            hosts[1].register(&upstream);
+            hosts[1].wait_for_status("/open/1", 200).await;
+            *hosts[1].store.watches_hang.lock() = true;
+            *hosts[1].store.list_delay.lock() = Duration::from_secs(60);
+            hosts[0].store.put("config/main", "2 good");
+            sleep(MAX_CONFIG_DELAY).await;
+            let response = hosts[1].request("GET", "/open/1", "id").send().await.unwrap();
+            assert_eq!(response.status(), 503);
+        })
+        .await;
+}
+
+/// Starts two hosts in different regions, each with a store of its own. Each host registers in its
+/// own store only, so the other host's registration is added here.
+async fn two_hosts_with_own_stores() -> Vec<Harness> {
+    let client = Client::builder().no_proxy().build().unwrap();
+    let hosts: Vec<Harness> = [("n1", "z1"), ("n2", "z2")]
+        .into_iter()
+        .map(|(name, zone)| {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let listen = listen_addresses();
+            spawn_process_in(zone, name, listen, &store);
+            Harness { store, listen, client: client.clone() }
+        })
+        .collect();
+    for (own, other, name, zone) in [(0, 1, "n2", "z2"), (1, 0, "n1", "z1")] {
+        let peer = hosts[other].listen;
+        let entry = serde_json::json!({
+            "name": name, "zone": zone, "peer_address": peer.peers,
+            "public_addresses": [peer.callers], "state": "live",
+        });
+        hosts[own].store.put(&format!("hosts/{name}"), &entry.to_string());
+    }
+    for host in &hosts {
+        host.wait_until_ready().await;
+    }
+    sleep(Duration::from_millis(500)).await;
+    hosts
+}
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -39,6 +39,9 @@
 /// Time within which a revoked key must be refused.
 pub(crate) const MAX_REVOCATION_DELAY: Duration = Duration::from_millis(1500);
 
+/// Time within which no host may act by an earlier manifest any more.
+pub(crate) const MAX_CONFIG_DELAY: Duration = Duration::from_millis(2500);
+
 /// Version and value; the value is `None` for a deleted object.
 type StoredValue = (u64, Option<Bytes>);
 
@@ -193,6 +196,7 @@
             home_regions: Vec::new(),
         };
         let routes = vec![
+            Route { open: true, ..route("open", RepeatPolicy::Idempotent) },
             route("read", RepeatPolicy::Idempotent),
             route("order", RepeatPolicy::Once),
             route("photo", RepeatPolicy::Upload),
--- a/crates/platform/tests/http_store.rs
+++ b/crates/platform/tests/http_store.rs
@@ -8,12 +8,13 @@
 use common::{object_store, object_store_with_timeout, start_platform, start_platform_with};
 use kingcupford_platform::{
     CallOutcome, Condition, HostEntry, HttpObjectStore, HttpStoreSettings, ListedHostState,
-    ObjectStore, WatchResponse, WriteOutcome,
+    Listing, ObjectStore, WatchResponse, WriteOutcome,
 };
 use kingcupford_standin::{OutageMode, PlatformFaults, PlatformLimits, PlatformSettings};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpListener,
+    time::sleep,
 };
 
 const VALUE: Bytes = Bytes::from_static(b"value");
@@ -241,3 +242,31 @@
     let sent = serving.await.unwrap();
     assert!(sent < 32 << 20, "{sent}");
 }
+
+/// Guards against a long list that never arrives over a slow link, since it takes longer than a
+/// response may be waited for.
+#[tokio::test]
+async fn list_slow_link() {
+    const CHUNKS: usize = 10;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let base_url = format!("http://{}", listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 4096];
+        let _ = stream.read(&mut request).await.unwrap();
+        let padding = " ".repeat(1000);
+        let end = "{\"revision\":7,\"objects\":[]}";
+        let length = CHUNKS * padding.len() + end.len();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        for _ in 0..CHUNKS {
+            sleep(Duration::from_millis(100)).await;
+            stream.write_all(padding.as_bytes()).await.unwrap();
+        }
+        stream.write_all(end.as_bytes()).await.unwrap();
+    });
+    let settings = HttpStoreSettings { read_timeout_ms: 300, ..HttpStoreSettings::new(&base_url) };
+    let store = HttpObjectStore::new(settings).unwrap();
+    let listing = Listing { revision: 7, objects: Vec::new(), staleness: Duration::ZERO };
+    assert_eq!(store.list("config/").await, CallOutcome::Value(listing));
+}
