Give up a response when its bytes stop, not when it is long

Callers saw requests outside their home regions.

The timeout of a call now ends with the head of the response. Its body may take up to 7 s, as long as no second passes without a byte. list_slow_link failed before (the list was given up after 300 ms) and passes.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -23,7 +23,16 @@
 /// list of all registrations, are longer by their encoding.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Maximum time without a further byte of a response's body: a few retransmissions.
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Maximum time for a response's body: one of 8 MB over a link of 10 Mbit/s.
+const MAX_BODY_TIME: Duration = Duration::from_secs(7);
+
 /// URL and timeouts of an [`HttpObjectStore`].
+///
+/// The timeouts of calls end with the head of the response. The body may take longer as long as
+/// bytes arrive; a list that is given up and begun again never ends over a slow link.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HttpStoreSettings {
     /// Base URL of the platform, for example `http://10.0.0.1:7000`.
@@ -94,7 +103,7 @@
         Ok(Self { client, base_url, settings, dialect })
     }
 
-    /// Sends a request and receives the complete response.
+    /// Sends a request and receives the complete response. `timeout` is the time until its head.
     async fn send(
         &self,
         request: ApiRequest,
@@ -134,17 +143,11 @@
         };
         let (status, headers) = (response.status(), response.headers().clone());
         let mut received = BytesMut::new();
-        let is_complete = match timeout_at(deadline, read_body(response, &mut received)).await {
-            Ok(it) => it,
-            Err(_) => {
-                log::warn!(
-                    "response to {path} timed out after {} ms: {} bytes received",
-                    timeout.as_millis(),
-                    received.len()
-                );
-                false
-            }
-        };
+        let body_deadline = Instant::now() + MAX_BODY_TIME;
+        let is_complete = read_body(response, &mut received, body_deadline).await;
+        if !is_complete {
+            log::warn!("response to {path} is incomplete: {} bytes received", received.len());
+        }
         Ok(ApiResponse { status, headers, body: is_complete.then(|| received.freeze()) })
     }
 
@@ -297,21 +300,23 @@
 
 /// Appends the body of a response to `received`; returns whether it is complete and not longer than
 /// any valid one.
-async fn read_body(mut response: Response, received: &mut BytesMut) -> bool {
+async fn read_body(mut response: Response, received: &mut BytesMut, deadline: Instant) -> bool {
     loop {
-        match response.chunk().await {
-            Ok(Some(it)) if received.len() + it.len() <= MAX_RESPONSE_BYTES => {
+        let idle_deadline = deadline.min(Instant::now() + BODY_IDLE_TIMEOUT);
+        match timeout_at(idle_deadline, response.chunk()).await {
+            Ok(Ok(Some(it))) if received.len() + it.len() <= MAX_RESPONSE_BYTES => {
                 received.extend_from_slice(&it)
             }
-            Ok(Some(_)) => {
+            Ok(Ok(Some(_))) => {
                 log::warn!("response is longer than {MAX_RESPONSE_BYTES} bytes and is dropped");
                 return false;
             }
-            Ok(None) => return true,
-            Err(error) => {
+            Ok(Ok(None)) => return true,
+            Ok(Err(error)) => {
                 log::debug!("response broke off: {error:#}");
                 return false;
             }
+            Err(_) => return false,
         }
     }
 }
