List the manifest beside a watch that may hang, instead of restarting the watcher

Callers saw requests outside their home regions.

The watcher now lists beside the pending watch when asked to, takes whichever responds first, and ignores further requests during a list. manifest_list_slower_than_hang_timeout failed before (no manifest within 10 s) and passes, as does manifest_watch_hangs.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -2,6 +2,7 @@
 //! host.
 
 use std::{
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -241,13 +242,7 @@
         let sync = self.clone();
         tokio::task::spawn_local(async move {
             sync.wait_for_reader().await;
-            loop {
-                tokio::select! {
-                    () = sync.follow_prefix(names.manifest_prefix, MANIFEST_WATCH_WAIT_MS) => {}
-                    // The new watcher begins with a list, which replaces the hung watch.
-                    () = sync.manifest_watch_hung() => {}
-                }
-            }
+            sync.follow_prefix(names.manifest_prefix, MANIFEST_WATCH_WAIT_MS).await;
         });
         let sync = self.clone();
         tokio::task::spawn_local(async move { sync.maintain_registration().await });
@@ -319,7 +314,6 @@
 
     /// Waits until a peer has had a newer manifest for so long that this host's watch must be hung.
     async fn manifest_watch_hung(&self) {
-        // A new watcher begins with a list, which takes a round trip and must not be interrupted.
         sleep(WATCH_HANG_TIMEOUT).await;
         while self.state.manifest_lag(Instant::now()).is_none_or(|it| it < WATCH_HANG_TIMEOUT) {
             sleep(MANIFEST_LAG_POLL_INTERVAL).await;
@@ -398,6 +392,7 @@
         };
         let seed = self.state.settings().steering.seed;
         let mut watcher = Watcher::start(Arc::clone(&self.store), settings, seed);
+        let mut hung = pin!(self.manifest_watch_hung());
         loop {
             tokio::select! {
                 biased;
@@ -413,6 +408,10 @@
                         self.record_progress(prefix, wait_ms, it);
                     }
                 }
+                () = &mut hung, if is_manifest => {
+                    watcher.check_for_changes();
+                    hung.set(self.manifest_watch_hung());
+                }
                 Ok(()) = watcher.reachability.changed() => {
                     let reachability = *watcher.reachability.borrow_and_update();
                     match reachability {
--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -1,17 +1,17 @@
 //! Follows the objects of the platform with a single pending watch.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use tokio::{
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
     task::JoinHandle,
     time::{Instant, sleep_until},
 };
 
 use crate::{
     backoff::{Backoff, MAX_BACKOFF_MS},
-    object::{CallOutcome, Object, ObjectStore, WatchResponse},
+    object::{CallOutcome, Listing, Object, ObjectStore, WatchResponse},
 };
 
 /// Maximum number of events that wait for the receiver.
@@ -99,6 +99,8 @@
     pub reachability: watch::Receiver<Reachability>,
     /// State up to which all changes are reported, `None` before the first list is reported.
     pub progress: watch::Receiver<Option<WatchProgress>>,
+    /// Notified when a list should be compared beside the pending watch.
+    check: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -110,6 +112,7 @@
         let (event_sender, events) = mpsc::channel(EVENT_CHANNEL_CAPACITY);
         let (reachability_sender, reachability) = watch::channel(Reachability::Unknown);
         let (progress_sender, progress) = watch::channel(None);
+        let check = Arc::new(Notify::new());
         let backoff = Backoff::unlimited(settings.max_backoff_ms, seed);
         let watch_task = WatchTask {
             store,
@@ -117,6 +120,7 @@
             events: event_sender,
             reachability: reachability_sender,
             progress: progress_sender,
+            check: Arc::clone(&check),
             last_success_at: Instant::now(),
             is_failing: false,
             last_outage: None,
@@ -127,7 +131,13 @@
             // Returns when the receiver of the events is dropped.
             watch_task.run().await;
         });
-        Self { events, reachability, progress, task }
+        Self { events, reachability, progress, check, task }
+    }
+
+    /// Lists the objects beside the pending watch, which may hang. Has no effect during a list, so
+    /// that repeated calls cannot keep a slow one from ending.
+    pub fn check_for_changes(&self) {
+        self.check.notify_waiters();
     }
 }
 
@@ -145,6 +155,13 @@
     ReceiverDropped,
 }
 
+/// Response that a [`WatchTask`] acts on next.
+enum NextResponse {
+    Watch(CallOutcome<WatchResponse>),
+    /// A list that was requested beside the watch, and the time at which it was sent.
+    List(Listing, Instant),
+}
+
 /// State of a watcher's task.
 struct WatchTask<S> {
     store: Arc<S>,
@@ -152,6 +169,7 @@
     events: mpsc::Sender<WatchEvent>,
     reachability: watch::Sender<Reachability>,
     progress: watch::Sender<Option<WatchProgress>>,
+    check: Arc<Notify>,
     /// Time at which the newest successful call ended; initially the start of the task.
     last_success_at: Instant,
     /// Whether the newest call failed.
@@ -182,22 +200,24 @@
         }
     }
 
-    /// Reports all objects whose state differs from the reported one; returns the store revision
-    /// from which to watch.
+    /// Lists the objects and reports those whose state differs from the reported one; returns the
+    /// store revision from which to watch.
     async fn list_and_report(&mut self) -> Result<u64, Interruption> {
         let sent_at = Instant::now();
-        let mut first_revision = None;
-        let mut staleness = Duration::ZERO;
-        let mut listed = Vec::new();
-        for prefix in self.settings.prefixes.clone() {
-            let outcome = self.store.list(&prefix).await;
-            let listing = self.record_outcome(outcome)?;
-            // Later lists may already contain changes that the watch returns again.
-            first_revision.get_or_insert(listing.revision);
-            staleness = staleness.max(listing.staleness);
-            listed.extend(listing.objects);
-        }
-        listed.sort_by(|a, b| a.name.cmp(&b.name));
+        let outcome = list_all(Arc::clone(&self.store), self.settings.prefixes.clone()).await;
+        let listing = self.record_outcome(outcome)?;
+        self.report_listing(listing, sent_at).await
+    }
+
+    /// Reports all objects whose state differs from the reported one; returns the store revision
+    /// from which to watch.
+    async fn report_listing(
+        &mut self,
+        mut listing: Listing,
+        sent_at: Instant,
+    ) -> Result<u64, Interruption> {
+        listing.objects.sort_by(|a, b| a.name.cmp(&b.name));
+        let listed = listing.objects;
         let reported_names: Vec<String> = self.reported_versions.keys().cloned().collect();
         for name in reported_names {
             if listed.binary_search_by(|it| it.name.cmp(&name)).is_err() {
@@ -207,9 +227,8 @@
         for it in listed {
             self.report_if_changed(it.name, Some(it.version), it.value).await?;
         }
-        let revision = first_revision.unwrap_or(0);
-        self.record_progress(sent_at, staleness, revision);
-        Ok(revision)
+        self.record_progress(sent_at, listing.staleness, listing.revision);
+        Ok(listing.revision)
     }
 
     /// Watches for changes after the store revision `after` and reports them, until a call fails
@@ -226,7 +245,18 @@
                 _ => String::new(),
             };
             let wait = Duration::from_millis(*wait_ms);
-            match self.store.watch(&prefix, after, wait).await {
+            let response = match self.next_response(&prefix, after, wait).await {
+                NextResponse::Watch(it) => it,
+                NextResponse::List(listing, sent_at) => {
+                    self.record_success();
+                    match self.report_listing(listing, sent_at).await {
+                        Ok(it) => after = it,
+                        Err(it) => return it,
+                    }
+                    continue;
+                }
+            };
+            match response {
                 CallOutcome::Value(WatchResponse::Changes { revision, changes, staleness }) => {
                     self.record_success();
                     *wait_ms = self.settings.wait_ms;
@@ -263,6 +293,26 @@
         }
     }
 
+    /// Watches, and lists beside it when a check is requested. The watch goes on during the list
+    /// and after one that failed.
+    async fn next_response(&self, prefix: &str, after: u64, wait: Duration) -> NextResponse {
+        let watch = pin!(self.store.watch(prefix, after, wait));
+        let list = pin!(async {
+            loop {
+                self.check.notified().await;
+                let sent_at = Instant::now();
+                let prefixes = self.settings.prefixes.clone();
+                if let Some(it) = list_all(Arc::clone(&self.store), prefixes).await.value() {
+                    return NextResponse::List(it, sent_at);
+                }
+            }
+        });
+        tokio::select! {
+            it = watch => NextResponse::Watch(it),
+            it = list => it,
+        }
+    }
+
     fn is_followed(&self, name: &str) -> bool {
         self.settings.prefixes.iter().any(|it| name.starts_with(it))
     }
@@ -363,3 +413,23 @@
         });
     }
 }
+
+/// Lists the objects with any of the prefixes. The revision is that of the first list, since later
+/// ones may already contain changes that a watch from there returns again.
+async fn list_all<S: ObjectStore>(store: Arc<S>, prefixes: Vec<String>) -> CallOutcome<Listing> {
+    let mut res: Option<Listing> = None;
+    for prefix in prefixes {
+        let listing = match store.list(&prefix).await {
+            CallOutcome::Value(it) => it,
+            other => return other,
+        };
+        match &mut res {
+            Some(it) => {
+                it.staleness = it.staleness.max(listing.staleness);
+                it.objects.extend(listing.objects);
+            }
+            None => res = Some(listing),
+        }
+    }
+    res.map_or(CallOutcome::Unavailable, CallOutcome::Value)
+}
