Refuse requests while the own manifest is outdated

Callers saw requests outside their home regions: a host that knew from its peers that version 15 was active went on serving open routes by version 12, for any time. Keys were refused by the age of the view, but routes without keys were not.

A host now refuses all requests, and is not ready, once a live peer has had a newer manifest for config_apply_ms less 0.7 s. The lag is derived from the heartbeats of live members, so that a datagram of an unknown sender no longer sets it, and a new version is reported at once instead of with the next heartbeat that is due.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -504,9 +504,10 @@
 ) -> Response<ResponseBody> {
     let reason: &'static str = (&refusal).into();
     let (status, retry_after) = match &refusal {
-        Refusal::NoManifest | Refusal::StaleView | Refusal::Quarantined => {
-            (StatusCode::SERVICE_UNAVAILABLE, Some(DEFAULT_RETRY_AFTER))
-        }
+        Refusal::NoManifest
+        | Refusal::StaleView
+        | Refusal::OutdatedManifest
+        | Refusal::Quarantined => (StatusCode::SERVICE_UNAVAILABLE, Some(DEFAULT_RETRY_AFTER)),
         Refusal::UnknownRoute => (StatusCode::NOT_FOUND, None),
         Refusal::UnknownKey => (StatusCode::UNAUTHORIZED, None),
         Refusal::OverRate { refusal: rate_refusal, .. } => {
--- a/crates/gateway/src/heartbeats.rs
+++ b/crates/gateway/src/heartbeats.rs
@@ -86,7 +86,6 @@
                 }
             };
         let now = Instant::now();
-        state.record_peer_manifest(heartbeat.manifest_version, now);
         state.steering.borrow_mut().receive_heartbeat(heartbeat, from, now);
     }
 }
--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -315,10 +315,11 @@
     /// Waits until a peer has had a newer manifest for so long that this host's watch must be hung.
     async fn manifest_watch_hung(&self) {
         sleep(WATCH_HANG_TIMEOUT).await;
-        while self.state.manifest_lag(Instant::now()).is_none_or(|it| it < WATCH_HANG_TIMEOUT) {
+        let lag = || *self.state.steering.borrow().manifest_lag();
+        while lag().duration(Instant::now()).is_none_or(|it| it < WATCH_HANG_TIMEOUT) {
             sleep(MANIFEST_LAG_POLL_INTERVAL).await;
         }
-        let newer_version = self.state.newer_peer_manifest.get().map_or(0, |it| it.0);
+        let newer_version = lag().newer_version().unwrap_or_default();
         log::warn!("watch of the manifest hangs: a peer has version {newer_version}");
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,6 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
-    time::Duration,
 };
 
 use kingcupford_steer::{HostState, Steering};
@@ -22,9 +21,6 @@
     pub(crate) phase: Cell<Phase>,
     /// Number of running requests.
     pub(crate) in_flight: Cell<usize>,
-    /// Manifest version that a peer reported and this process lacks, with the time of the first
-    /// report.
-    pub(crate) newer_peer_manifest: Cell<Option<(u64, Instant)>>,
     /// Copy of the followed objects for other hosts.
     pub(crate) mirror: Mirror,
     /// Versions of the rollout objects by service, for conditional writes.
@@ -57,7 +53,6 @@
             metrics: Metrics::new(),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
-            newer_peer_manifest: Cell::new(None),
             mirror: Mirror::default(),
             rollout_object_versions: RefCell::default(),
             rollout_starts_unix_ms: RefCell::default(),
@@ -79,23 +74,6 @@
         }
     }
 
-    /// Records the manifest version that a peer reported.
-    pub(crate) fn record_peer_manifest(&self, version: u64, now: Instant) {
-        let known_version = self.steering.borrow().manifest().map_or(0, |it| it.version());
-        match self.newer_peer_manifest.get() {
-            Some((newer_version, _)) if newer_version > known_version => {}
-            _ => self.newer_peer_manifest.set((version > known_version).then_some((version, now))),
-        }
-    }
-
-    /// Time since a peer first reported a manifest that this process lacks; `None` if it lacks
-    /// none.
-    pub(crate) fn manifest_lag(&self, now: Instant) -> Option<Duration> {
-        let known_version = self.steering.borrow().manifest().map_or(0, |it| it.version());
-        let (newer_version, since) = self.newer_peer_manifest.get()?;
-        (newer_version > known_version).then(|| now.saturating_duration_since(since))
-    }
-
     /// State of this host as peers and lookups see it.
     pub(crate) fn host_state(&self, now: Instant) -> HostState {
         match self.phase.get() {
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -311,6 +311,7 @@
             zone_map,
             link_mbps: 100,
             max_revocation_delay: Some(MAX_REVOCATION_DELAY),
+            max_config_delay: MAX_CONFIG_DELAY,
             retry_ratio: 0.5,
             retry_slack: 100.0,
             rate_limit: RateLimitSettings {
--- a/crates/steer/src/freshness.rs
+++ b/crates/steer/src/freshness.rs
@@ -1,4 +1,4 @@
-//! Age of this process's view of the platform.
+//! Age of this process's view of the platform, and its lag behind other hosts.
 
 use std::time::Duration;
 
@@ -61,3 +61,47 @@
         self.confirmed_at.map(|it| now.saturating_duration_since(it))
     }
 }
+
+/// Tracks for how long other hosts have had a newer manifest than this one.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ManifestLag {
+    /// `None` while no other host has a newer manifest.
+    current: Option<Lag>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Lag {
+    own_version: u64,
+    newest_version: u64,
+    /// Time at which another host first reported the newest version.
+    newest_since: Instant,
+    /// Time since which the own version has been outdated.
+    began_at: Instant,
+}
+
+impl ManifestLag {
+    /// Updates the own version and the newest one at other hosts.
+    pub fn update(&mut self, own_version: u64, peer_version: Option<u64>, now: Instant) {
+        let previous = self.current;
+        let newer_version = peer_version.filter(|it| *it > own_version);
+        self.current = newer_version.map(|newest_version| {
+            let newest_since = previous
+                .filter(|it| it.newest_version == newest_version)
+                .map_or(now, |it| it.newest_since);
+            let began_at = previous
+                .filter(|it| it.own_version == own_version)
+                .map_or(newest_since, |it| it.began_at);
+            Lag { own_version, newest_version, newest_since, began_at }
+        });
+    }
+
+    /// Newest version at the other hosts, if it is newer than the own one.
+    pub fn newer_version(&self) -> Option<u64> {
+        self.current.map(|it| it.newest_version)
+    }
+
+    /// Time for which the own version has been outdated; `None` if it is not.
+    pub fn duration(&self, now: Instant) -> Option<Duration> {
+        self.current.map(|it| now.saturating_duration_since(it.began_at))
+    }
+}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use crate::{
     canary::{Canary, CanarySettings, RolloutOrder, RolloutState, StatusWrite},
-    freshness::ViewFreshness,
+    freshness::{ManifestLag, ViewFreshness},
     health::ExchangeFailure,
     heartbeat::{
         HEARTBEAT_INTERVAL, Heartbeat, HeartbeatAck, HeartbeatTiming, HostState, PROTOCOL_VERSION,
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -394,6 +394,12 @@
         local.into_iter().any(|it| it.is_live(now) && it.is_reader(now))
     }
 
+    /// Newest version of the manifest that is active at a live host; `None` if none reported one.
+    pub fn newest_manifest_version(&self, now: Instant) -> Option<u64> {
+        let live = self.peers.iter().filter(|it| it.is_live(now));
+        live.filter_map(|it| Some(it.heartbeat.as_ref()?.manifest_version)).max()
+    }
+
     /// Rank of this host among the live hosts for a duty, by rendezvous hashing; 0 is first.
     pub fn duty_rank(&self, own_name: &str, duty_hash: u64, now: Instant) -> usize {
         let duty_score = |name: &str| mix(duty_hash ^ xxh3_64(name.as_bytes()));
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -37,6 +37,9 @@
     NoManifest,
     /// The view of this host is too old for a decision.
     StaleView,
+    /// Other hosts have had a newer manifest for so long that the one of this host may not be acted
+    /// on any more.
+    OutdatedManifest,
     /// No route matches.
     UnknownRoute,
     /// The request carries no key, or one that no team holds.
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -13,7 +13,7 @@
 use crate::{
     canary::{Canary, CanarySettings, RolloutState},
     cold_pace::MAX_COLD_SENDERS,
-    freshness::ViewFreshness,
+    freshness::{ManifestLag, ViewFreshness},
     health::ExchangeFailure,
     heartbeat::{Heartbeat, HostState, PROTOCOL_VERSION, name_hash},
     instance::InstanceKey,
@@ -43,6 +43,10 @@
 /// Margin between the end of a view's validity and the bound for revoked keys.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time that may pass between the acknowledgement of a manifest to the operator and the first report
+/// of a host that has it: an interval of a reader's heartbeats between regions.
+const FIRST_REPORT_DELAY: Duration = Duration::from_millis(700);
+
 /// Number of heartbeats that carry a quarantine update, since heartbeats can get lost.
 const UPDATE_REPETITIONS: u32 = 5;
 
@@ -71,6 +75,8 @@
     /// Time within which every host must refuse a revoked key; `None` if hosts may continue with an
     /// outdated view.
     pub max_revocation_delay: Option<Duration>,
+    /// Time after the acknowledgement of a manifest within which every host must act by it.
+    pub max_config_delay: Duration,
     /// Retries allowed per request of a service, over all hosts.
     pub retry_ratio: f64,
     /// Retries allowed in addition in each window, over all hosts.
@@ -130,6 +136,7 @@
     pub rate_limiter: TeamRateLimiter,
     /// Age of this host's view of the platform.
     pub freshness: ViewFreshness,
+    manifest_lag: ManifestLag,
     /// Fingerprints of requests that crash instances.
     quarantine: Quarantine,
     splits: RouteSplits,
@@ -138,6 +145,8 @@
     /// Updates for the next heartbeats, with the number of times still to be sent.
     quarantine_updates: Vec<(QuarantineUpdate, u32)>,
     last_sequence: u64,
+    /// Version of the manifest at the last heartbeat.
+    reported_manifest_version: u64,
     /// Number of faulty rollouts at the last heartbeat.
     reported_fault_count: usize,
     /// Time at which the platform last responded to this host; `None` while another host reads the
@@ -159,11 +168,13 @@
             members: Members::default(),
             rate_limiter: TeamRateLimiter::new(settings.rate_limit),
             freshness: ViewFreshness::new(suspended),
+            manifest_lag: ManifestLag::default(),
             quarantine: Quarantine::new(),
             splits: RouteSplits::default(),
             retry_budgets: Vec::new(),
             quarantine_updates: Vec::new(),
             last_sequence: 0,
+            reported_manifest_version: 0,
             reported_fault_count: 0,
             platform_answered_at: None,
             reader_seen_at: now,
@@ -190,23 +201,37 @@
 
     /// Activates a manifest if it is newer than the active one; returns whether it was activated.
     pub fn apply_manifest(&mut self, manifest: Manifest, now: Instant) -> bool {
-        let active_version = self.manifest.as_ref().map_or(0, |it| it.version());
-        if self.manifest.is_some() && manifest.version() <= active_version {
+        if self.manifest.is_some() && manifest.version() <= self.manifest_version() {
             return false;
         }
         self.rate_limiter.apply_manifest(&manifest, &self.members, now);
         self.manifest = Some(Arc::new(manifest));
+        self.update_manifest_lag(now);
         true
     }
 
-    /// Whether this host may decide on requests with keys: it has a manifest and a fresh view.
+    /// Version of the active manifest, 0 without one.
+    pub fn manifest_version(&self) -> u64 {
+        self.manifest.as_ref().map_or(0, |it| it.version())
+    }
+
+    /// For how long other hosts have had a newer manifest.
+    pub fn manifest_lag(&self) -> &ManifestLag {
+        &self.manifest_lag
+    }
+
+    /// Whether this host may decide on requests with keys: it has a manifest that is not outdated
+    /// and a fresh view.
     pub fn has_confirmed_view(&self, now: Instant) -> bool {
-        self.manifest.is_some() && self.has_fresh_view(now)
+        self.manifest.is_some() && self.has_fresh_view(now) && !self.is_manifest_outdated(now)
     }
 
     /// Admits a request and selects its service and side, or refuses it.
     pub fn admit(&mut self, head: &RequestHead<'_>, now: Instant) -> Result<RequestPlan, Refusal> {
         let manifest = Arc::clone(self.manifest.as_ref().ok_or(Refusal::NoManifest)?);
+        if self.is_manifest_outdated(now) {
+            return Err(Refusal::OutdatedManifest);
+        }
         let view_age = self.freshness.age(now);
         let may_refuse_unknown = view_age.is_some_and(|it| it <= MAX_UNKNOWN_REFUSAL_VIEW_AGE);
         let refuse_unknown =
@@ -427,7 +452,7 @@
             self.quarantine.apply_update(&update, now);
         }
         let confirmed = self.members.view_confirmed_at(&name, self.settings.incarnation);
-        let own_version = self.manifest.as_ref().map_or(0, |it| it.version());
+        let own_version = self.manifest_version();
         match confirmed {
             // A peer can confirm only the version that is active at the peer itself.
             Some((version, at)) if version == own_version => self.freshness.confirm(at),
@@ -470,7 +495,10 @@
         let fault_count = self.versions.rollouts().filter(|it| it.fault().is_some()).count();
         let has_new_fault = fault_count > self.reported_fault_count;
         self.reported_fault_count = fault_count;
-        has_new_fault || !self.quarantine_updates.is_empty()
+        let manifest_version = self.manifest_version();
+        let has_new_manifest = manifest_version > self.reported_manifest_version;
+        self.reported_manifest_version = manifest_version;
+        has_new_fault || has_new_manifest || !self.quarantine_updates.is_empty()
     }
 
     /// Whether the platform responds to this host, so that others may follow it.
@@ -496,7 +524,7 @@
             ack: None,
             state,
             link_mbps: self.settings.link_mbps,
-            manifest_version: self.manifest.as_ref().map_or(0, |it| it.version()),
+            manifest_version: self.manifest_version(),
             view_age_ms: age.map(whole_ms),
             platform_age_ms: self
                 .platform_answered_at
@@ -514,6 +542,7 @@
             self.members.liveness_changes(now).into_iter().map(SteeringEvent::Member).collect();
         let expired = self.instances.expire(now).into_iter();
         res.extend(expired.map(|it| SteeringEvent::InstanceExpired { id: it.registration.id }));
+        self.update_manifest_lag(now);
         self.rate_limiter.update_shares(&self.members, now);
         self.versions.update_active_versions(&self.instances);
         self.instances.update_load_baselines(now);
@@ -613,6 +642,18 @@
         Some(latency.saturating_sub(round_trip).div_f64(queue_factor))
     }
 
+    fn update_manifest_lag(&mut self, now: Instant) {
+        let newest = self.members.newest_manifest_version(now);
+        self.manifest_lag.update(self.manifest_version(), newest, now);
+    }
+
+    /// Whether a newer manifest has been active elsewhere for so long that this host must not act
+    /// by its own. What changed is unknown: it may be the regions that may serve a request.
+    fn is_manifest_outdated(&self, now: Instant) -> bool {
+        let max_lag = self.settings.max_config_delay.saturating_sub(FIRST_REPORT_DELAY);
+        self.manifest_lag.duration(now).is_some_and(|it| it >= max_lag)
+    }
+
     /// Whether the view is fresh enough to decide on keys.
     fn has_fresh_view(&self, now: Instant) -> bool {
         let Some(bound) = self.settings.max_revocation_delay else { return true };
--- a/crates/steer/tests/it/common.rs
+++ b/crates/steer/tests/it/common.rs
@@ -41,6 +41,7 @@
         zone_map: zone_map(),
         link_mbps: 100,
         max_revocation_delay: Some(Duration::from_secs(5)),
+        max_config_delay: Duration::from_millis(2500),
         retry_ratio: 0.2,
         retry_slack: 10.0,
         rate_limit: RateLimitSettings {
--- a/crates/steer/tests/it/freshness.rs
+++ b/crates/steer/tests/it/freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kingcupford_steer::ViewFreshness;
+use kingcupford_steer::{ManifestLag, ViewFreshness};
 use tokio::time::{Instant, advance};
 
 /// Guards against a view that counts as fresh after the machine was suspended: the runtime's clock
@@ -37,3 +37,23 @@
     assert!(!freshness.confirm(start));
     assert_eq!(freshness.age(now), Some(Duration::ZERO));
 }
+
+/// Guards against a lag that counts from an earlier version than the one that is missing, or that
+/// starts anew whenever a further version appears.
+#[tokio::test(start_paused = true)]
+async fn manifest_lag_versions() {
+    let start = Instant::now();
+    let after = |seconds| start + Duration::from_secs(seconds);
+    let mut lag = ManifestLag::default();
+    lag.update(3, Some(3), start);
+    assert_eq!(lag.duration(start), None);
+    lag.update(3, Some(4), after(1));
+    lag.update(3, Some(5), after(3));
+    assert_eq!(lag.duration(after(3)), Some(Duration::from_secs(2)));
+    lag.update(4, Some(5), after(4));
+    assert_eq!(lag.duration(after(4)), Some(Duration::from_secs(1)));
+    lag.update(5, Some(5), after(5));
+    assert_eq!((lag.duration(after(5)), lag.newer_version()), (None, None));
+    lag.update(5, None, after(6));
+    assert_eq!(lag.duration(after(6)), None);
+}
