Compress relayed lists and watches

Callers saw requests outside their home regions, since hosts got a manifest of 318 or 623 KB late: it fills a link of 10 Mbit/s for half a second, heartbeats on that link are lost, the reader seems silent, and the host turns to another one and begins again.

Responses between hosts are compressed with LZ4 for hosts that accept it; earlier versions get them as before.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,7 @@
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use kingcupford_platform::{
@@ -57,6 +57,12 @@
 const BINCODE_CONFIG: Configuration<LittleEndian, Varint, Limit<MAX_RESPONSE_BYTES>> =
     standard().with_limit::<MAX_RESPONSE_BYTES>();
 
+/// Name of the LZ4 block format with a prepended length, as content encoding between hosts.
+const LZ4_ENCODING: &str = "lz4";
+
+/// Shorter responses fit into one packet and are not compressed.
+const MIN_COMPRESSED_BYTES: usize = 1024;
+
 /// The platform's object store, with lists and watches relayed by another host of the region while
 /// there is a reader.
 pub(crate) struct RelayedStore<S> {
@@ -288,6 +294,14 @@
     fn decode_response(response: &ApiResponse) -> CallOutcome<RelayResponse> {
         let body = response.body.as_deref().filter(|_| response.status.is_success());
         let Some(body) = body else { return CallOutcome::Unavailable };
+        let decompressed;
+        let body = if names_lz4(&response.headers, header::CONTENT_ENCODING) {
+            let Some(it) = decompress(body) else { return CallOutcome::Unavailable };
+            decompressed = it;
+            decompressed.as_slice()
+        } else {
+            body
+        };
         match bincode::decode_from_slice::<RelayResponse, _>(body, BINCODE_CONFIG) {
             Ok((it, _)) => CallOutcome::Value(it),
             Err(error) => {
@@ -331,7 +345,9 @@
     }
 
     fn encode_list(&self, prefix: &str, _: Option<&str>) -> ApiRequest {
-        ApiRequest::new(Method::GET, ["list"]).with_query("prefix", prefix)
+        ApiRequest::new(Method::GET, ["list"])
+            .with_query("prefix", prefix)
+            .with_header(header::ACCEPT_ENCODING, LZ4_ENCODING)
     }
 
     fn decode_list(&self, _: &str, response: &ApiResponse) -> CallOutcome<ListPage> {
@@ -354,6 +370,7 @@
             .with_query("prefix", prefix)
             .with_query("after", after)
             .with_query("wait_ms", wait.as_millis())
+            .with_header(header::ACCEPT_ENCODING, LZ4_ENCODING)
     }
 
     fn decode_watch(&self, _: &str, response: &ApiResponse) -> CallOutcome<WatchResponse> {
@@ -414,7 +431,7 @@
     };
     match result {
         Ok(response) => match bincode::encode_to_vec(&response, BINCODE_CONFIG) {
-            Ok(it) => Response::new(Full::new(Bytes::from(it))),
+            Ok(it) => encoded_response(it, names_lz4(request.headers(), header::ACCEPT_ENCODING)),
             Err(error) => {
                 log::warn!("response to a host cannot be encoded: {error}");
                 status_response(StatusCode::INTERNAL_SERVER_ERROR)
@@ -427,6 +444,36 @@
     }
 }
 
+/// Response with an encoded list or watch. A manifest of thousands of routes fills a slow link for a
+/// second, in which the heartbeats to the host are lost; compressed it is several times shorter.
+fn encoded_response(encoded: Vec<u8>, accepts_lz4: bool) -> Response<Full<Bytes>> {
+    if !accepts_lz4 || encoded.len() < MIN_COMPRESSED_BYTES {
+        return Response::new(Full::new(Bytes::from(encoded)));
+    }
+    let compressed = lz4_flex::block::compress_prepend_size(&encoded);
+    let mut res = Response::new(Full::new(Bytes::from(compressed)));
+    res.headers_mut().insert(header::CONTENT_ENCODING, HeaderValue::from_static(LZ4_ENCODING));
+    res
+}
+
+fn names_lz4(headers: &HeaderMap, name: header::HeaderName) -> bool {
+    headers.get(name).is_some_and(|it| it == LZ4_ENCODING)
+}
+
+/// Decompresses a response; `None` if it is invalid or longer than any valid one.
+fn decompress(body: &[u8]) -> Option<Vec<u8>> {
+    let (length, block) = lz4_flex::block::uncompressed_size(body)
+        .inspect_err(|error| log::warn!("response of a reader cannot be decompressed: {error}"))
+        .ok()?;
+    if length > MAX_RESPONSE_BYTES {
+        log::warn!("response of a reader of {length} bytes is longer than {MAX_RESPONSE_BYTES}");
+        return None;
+    }
+    lz4_flex::block::decompress(block, length)
+        .inspect_err(|error| log::warn!("response of a reader cannot be decompressed: {error}"))
+        .ok()
+}
+
 fn status_response(status: StatusCode) -> Response<Full<Bytes>> {
     let mut res = Response::new(Full::default());
     *res.status_mut() = status;
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -202,6 +202,31 @@
         .await;
 }
 
+/// Guards against a relayed manifest that fills a slow link, and against a host of an earlier version
+/// that gets a response which it cannot decompress.
+#[tokio::test]
+async fn relayed_list_compressed() {
+    with_process(&[], async |harness| {
+        let keys: Vec<String> = (0..5000).map(|it| format!("key-of-a-caller-{it}")).collect();
+        let manifest = format!("2 good,{}", keys.join(","));
+        harness.store.put("config/main", &manifest);
+        let url = format!("http://{}/list?prefix=config/", harness.listen.peers);
+        let list = async |encoding: &str| {
+            let request = harness.client.get(&url).header("accept-encoding", encoding);
+            let response = request.send().await.unwrap();
+            let is_lz4 = response.headers().get("content-encoding").is_some_and(|it| it == "lz4");
+            (is_lz4, response.bytes().await.unwrap().len())
+        };
+        wait_for(async || list("identity").await.1 > manifest.len()).await;
+        let (is_lz4, plain_bytes) = list("identity").await;
+        assert!(!is_lz4);
+        let (is_lz4, compressed_bytes) = list("lz4").await;
+        assert!(is_lz4);
+        assert!(compressed_bytes * 3 < plain_bytes, "{compressed_bytes} of {plain_bytes} bytes");
+    })
+    .await;
+}
+
 /// Starts two hosts in different regions, each with a store of its own. Each host registers in its
 /// own store only, so the other host's registration is added here.
 async fn two_hosts_with_own_stores() -> Vec<Harness> {
