--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -331,7 +331,10 @@
         let Some(version) = version else { return self.report(name, None).await };
         if let Some(bytes) = value {
             // A delayed list may contain an older version than a watch has reported.
-            if self.reported_versions.get(&name).is_some_and(|it| *it > version) {
+            if let Some(reported) = self.reported_versions.get(&name).filter(|it| **it > version) {
+                log::warn!(
+                    "version {version} of {name} is ignored, since version {reported} is known"
+                );
                 return Ok(());
             }
             return self.report(name, Some(Object { version, bytes })).await;
