Follow a store that is restored from a copy

After a drill in which the store came back from a copy some seconds old, changes that the operator had acknowledged were not in force: the watcher compared versions and revisions with those of before, which the store gives out again.

A revision now has an era, from a header of the store. In a new era the watcher lists again and reports every object; objects that the copy lacks are reported as missing, and as deleted only when they are not written again within 2.5 s. Hosts whose registration is missing register at once; the others keep them meanwhile, as they keep rollouts and evacuations. Hosts relay the era, hold their followers back until their copy is complete in the new one, and ignore responses of a former one. A manifest older than the active one is not relayed. A conditional write of a rollout's status uses no version of a former era.

--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use kingcupford_platform::{
     CallOutcome, Condition, HostEntry, HttpObjectStore, Listing, Object, ObjectStore,
-    WatchResponse, WriteOutcome,
+    StoreRevision, WatchResponse, WriteOutcome,
 };
 
 #[derive(Debug)]
@@ -54,7 +54,12 @@
         self.store.list(prefix).await
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> CallOutcome<WatchResponse> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> CallOutcome<WatchResponse> {
         self.store.watch(prefix, after, wait).await
     }
 
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -1,10 +1,11 @@
 //! Copy of the followed platform objects, served to hosts that follow the platform through this
 //! one.
 
-use std::{cell::RefCell, collections::BTreeMap, time::Duration};
+use std::{cell::RefCell, cmp::Ordering, collections::BTreeMap, time::Duration};
 
 use bincode::{Decode, Encode};
 use bytes::Bytes;
+use kingcupford_platform::StoreRevision;
 use tokio::{
     sync::Notify,
     time::{Instant, timeout_at},
@@ -24,7 +25,9 @@
 /// Copy of the objects with one name prefix.
 #[derive(Default)]
 struct PrefixMirror {
-    /// Versions and values by name.
+    /// Era of the store to which revisions and versions belong.
+    era: u64,
+    /// Versions and values by name. The version is 0 for an object of a former era.
     objects: BTreeMap<String, (u64, Bytes)>,
     /// Names of deleted objects with the revision at which the deletion was confirmed, oldest
     /// first.
@@ -41,6 +44,13 @@
     stale_at: Option<Instant>,
 }
 
+/// Response to a list or watch, with the era of the store to which its revisions belong.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct EraResponse {
+    pub(crate) era: u64,
+    pub(crate) response: RelayResponse,
+}
+
 /// Response to a list or watch of a host that follows the platform through this one.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct RelayResponse {
@@ -59,15 +69,23 @@
     NotSynced,
     /// The copy was not confirmed within the time that a watch takes.
     Stale,
-    /// Deletions after the requested revision are no longer retained.
+    /// Deletions after the requested revision are no longer retained, or the revision is from before
+    /// a restoration of the platform.
     TooOld,
 }
 
 impl Mirror {
     /// Applies a change to the copy; `None` deletes the object.
-    pub(crate) fn apply_change(&self, prefix: &str, name: &str, object: Option<(u64, Bytes)>) {
+    pub(crate) fn apply_change(
+        &self,
+        prefix: &str,
+        name: &str,
+        object: Option<(u64, Bytes)>,
+        era: u64,
+    ) {
         let mut prefixes = self.prefixes.borrow_mut();
         let mirrored = prefixes.entry(prefix.to_owned()).or_default();
+        mirrored.begin_era(era);
         match object {
             Some(it) => {
                 mirrored.objects.insert(name.to_owned(), it);
@@ -85,12 +103,14 @@
     pub(crate) fn record_progress(
         &self,
         prefix: &str,
-        revision: u64,
+        revision: StoreRevision,
         at: Instant,
         stale_at: Instant,
     ) {
         let mut prefixes = self.prefixes.borrow_mut();
         let mirrored = prefixes.entry(prefix.to_owned()).or_default();
+        mirrored.begin_era(revision.era);
+        let revision = revision.number;
         let new_deletions = std::mem::take(&mut mirrored.new_deletions);
         mirrored.deletions.extend(new_deletions.into_iter().map(|it| (revision, it)));
         if mirrored.deletions.len() > MAX_RETAINED_DELETIONS {
@@ -109,28 +129,29 @@
     }
 
     /// Returns all objects with a prefix.
-    pub(crate) fn list(&self, prefix: &str, now: Instant) -> Result<RelayResponse, MirrorError> {
+    pub(crate) fn list(&self, prefix: &str, now: Instant) -> Result<EraResponse, MirrorError> {
         let prefixes = self.prefixes.borrow();
         let mirrored = prefixes.get(prefix).ok_or(MirrorError::NotSynced)?;
         let revision = mirrored.current_revision(now)?;
         let objects = mirrored.objects.iter();
         let objects = objects.map(|(name, it)| (name.clone(), Some(it.0), it.1.to_vec()));
-        Ok(RelayResponse { revision, age_ms: mirrored.age_ms(now), objects: objects.collect() })
+        let (age_ms, objects) = (mirrored.age_ms(now), objects.collect());
+        Ok(EraResponse { era: mirrored.era, response: RelayResponse { revision, age_ms, objects } })
     }
 
     /// Returns the changes after a revision as soon as there are any, or none after the wait.
     pub(crate) async fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: StoreRevision,
         wait: Duration,
-    ) -> Result<RelayResponse, MirrorError> {
+    ) -> Result<EraResponse, MirrorError> {
         let deadline = Instant::now() + wait;
         loop {
             let updated = self.updated.notified();
             let now = Instant::now();
             let response = self.changes(prefix, after, now)?;
-            if !response.objects.is_empty() || now >= deadline {
+            if !response.response.objects.is_empty() || now >= deadline {
                 return Ok(response);
             }
             // The wait ends at the deadline, with the next progress, or when the copy becomes
@@ -149,12 +170,21 @@
     fn changes(
         &self,
         prefix: &str,
-        after: u64,
+        after: StoreRevision,
         now: Instant,
-    ) -> Result<RelayResponse, MirrorError> {
+    ) -> Result<EraResponse, MirrorError> {
         let prefixes = self.prefixes.borrow();
         let mirrored = prefixes.get(prefix).ok_or(MirrorError::NotSynced)?;
         let revision = mirrored.current_revision(now)?;
+        let era = mirrored.era;
+        match after.era.cmp(&era) {
+            // Hosts of earlier versions name no era.
+            _ if after.era == 0 => {}
+            Ordering::Less => return Err(MirrorError::TooOld),
+            Ordering::Equal => {}
+            Ordering::Greater => return Err(MirrorError::Stale),
+        }
+        let after = after.number;
         if after < mirrored.deletions_complete_after {
             return Err(MirrorError::TooOld);
         }
@@ -165,11 +195,27 @@
         let objects = deleted.chain(changed).collect();
         // This copy may be behind the requesting host, whose revision must not go back.
         let revision = revision.max(after);
-        Ok(RelayResponse { revision, age_ms: mirrored.age_ms(now), objects })
+        let age_ms = mirrored.age_ms(now);
+        Ok(EraResponse { era, response: RelayResponse { revision, age_ms, objects } })
     }
 }
 
 impl PrefixMirror {
+    /// Forgets revisions and versions if they belong to a former era. The copy is not served until
+    /// it is complete in the new one.
+    fn begin_era(&mut self, era: u64) {
+        if era <= self.era {
+            return;
+        }
+        if self.era != 0 {
+            self.objects.values_mut().for_each(|it| it.0 = 0);
+            self.deletions.clear();
+            self.new_deletions.clear();
+            self.revision = None;
+        }
+        self.era = era;
+    }
+
     /// Revision of the copy; an error if the copy may not be served.
     fn current_revision(&self, now: Instant) -> Result<u64, MirrorError> {
         let revision = self.revision.ok_or(MirrorError::NotSynced)?;
--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use kingcupford_platform::{
     CallOutcome, Condition, HostEntry, ListedHostState, ObjectStore, Outage, Reachability,
-    WatchEvent, WatchProgress, Watcher, WatcherSettings, WriteOutcome,
+    Restoration, WatchEvent, WatchProgress, Watcher, WatcherSettings, WriteOutcome,
 };
 use kingcupford_steer::{
     Canary, InstanceRegistration, Lapse, Manifest, Member, RegistrationChange, RolloutOrder,
@@ -290,9 +290,12 @@
                  object_version={object_version} outcome=\"{outcome:?}\""
             ));
             if let WriteOutcome::Written { version } = outcome {
+                // An event may have reported a newer version meanwhile, or one of another era.
                 let mut versions = sync.state.rollout_object_versions.borrow_mut();
-                let known = versions.entry(service.clone()).or_insert(version);
-                *known = version.max(*known);
+                if let Some(known) = versions.get_mut(&service).filter(|it| **it == object_version)
+                {
+                    *known = version;
+                }
                 drop(versions);
                 let mut steering = sync.state.steering.borrow_mut();
                 if let Some(it) = steering.versions.rollout_mut(&service)
@@ -458,11 +461,19 @@
     /// Applies a change of an object.
     fn apply_change(&self, prefix: &str, event: WatchEvent) {
         let names = self.codec.object_names();
-        let object = event.object.as_ref().map(|it| (it.version, it.bytes.clone()));
-        self.state.mirror.apply_change(prefix, &event.name, object);
         let name = event.name.strip_prefix(prefix).unwrap_or(&event.name).to_owned();
+        if let Restoration::Missing(until) = event.restoration {
+            self.apply_missing(prefix, &name, &event, until);
+            return;
+        }
+        if prefix == names.manifest_prefix && !self.apply_manifest(&event) {
+            // Hosts that start must not get what this one rejects.
+            return;
+        }
+        let object = event.object.as_ref().map(|it| (it.version, it.bytes.clone()));
+        self.state.mirror.apply_change(prefix, &event.name, object, event.era);
         if prefix == names.manifest_prefix {
-            self.apply_manifest(&event);
+            // Applied above.
         } else if prefix == names.instance_prefix {
             self.apply_instance(&name, event);
         } else if prefix == names.rollout_prefix {
@@ -474,12 +485,32 @@
         }
     }
 
+    /// Handles that an object is missing in the copy from which the platform was restored. Its writer
+    /// may write it again until `until`, so that it is not treated as deleted before.
+    fn apply_missing(&self, prefix: &str, name: &str, event: &WatchEvent, until: Instant) {
+        let names = self.codec.object_names();
+        if prefix == names.instance_prefix {
+            let lapse = Lapse::Until(until);
+            self.state.steering.borrow_mut().instances.deregister(name, lapse);
+            Event::InstanceGone.log(format_args!("instance={name} lapse=\"{lapse:?}\""));
+        } else if prefix == names.rollout_prefix {
+            self.state.rollout_object_versions.borrow_mut().remove(name);
+        } else if prefix == names.host_prefix {
+            // The host that registered learns from the copy that it has to do so again.
+            self.state.mirror.apply_change(prefix, &event.name, None, event.era);
+            if name == self.state.settings().steering.own_host.name {
+                self.own_registration.send_replace(OwnRegistration::Absent);
+            }
+        }
+    }
+
     /// Applies a manifest. An invalid, deleted or older one leaves the active manifest in place.
-    fn apply_manifest(&self, event: &WatchEvent) {
+    /// Returns whether the manifest is or was active.
+    fn apply_manifest(&self, event: &WatchEvent) -> bool {
         let Some(object) = &event.object else {
             let name = &event.name;
             Event::ConfigRejected.log(format_args!("object={name} reason=\"it was deleted\""));
-            return;
+            return false;
         };
         let received_at = Instant::now();
         let manifest = match self.codec.decode_manifest(&object.bytes) {
@@ -489,7 +520,7 @@
                 Event::ConfigRejected.log(format_args!(
                     "object={name} object_version={version} reason=\"{error:#}\""
                 ));
-                return;
+                return false;
             }
         };
         let (version, routes) = (manifest.version(), manifest.route_count());
@@ -505,6 +536,7 @@
             Event::ConfigOlderIgnored
                 .log(format_args!("version={version} in_force={active_version}"));
         }
+        version >= active_version
     }
 
     /// Applies the registration of an instance or the end of it.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,7 +16,7 @@
 use kingcupford_platform::{
     Announcement, ApiRequest, ApiResponse, CallOutcome, Condition, Dialect, HostEntry,
     HttpObjectStore, HttpStoreSettings, ListPage, ListedObject, Listing, Object, ObjectChange,
-    ObjectStore, WatchResponse, WriteOutcome,
+    ObjectStore, StoreRevision, WatchResponse, WriteOutcome,
 };
 use kingcupford_steer::StoreSource;
 use kingcupford_telemetry::{CallLabels, Counter, Family};
@@ -25,7 +25,7 @@
 use crate::{
     endpoints,
     listener::serve_http,
-    mirror::{MirrorError, RelayResponse},
+    mirror::{EraResponse, MirrorError, RelayResponse},
     state::State,
 };
 
@@ -60,6 +60,9 @@
 /// Name of the LZ4 block format with a prepended length, as content encoding between hosts.
 const LZ4_ENCODING: &str = "lz4";
 
+/// Header with the era of the store to which the revisions of a relayed response belong.
+const ERA_HEADER: &str = "store-era";
+
 /// Shorter responses fit into one packet and are not compressed.
 const MIN_COMPRESSED_BYTES: usize = 1024;
 
@@ -252,7 +255,12 @@
         res
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> CallOutcome<WatchResponse> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> CallOutcome<WatchResponse> {
         let name = prefix.to_owned();
         let ask = move |client: HttpObjectStore<RelayDialect>, reader_kind| {
             let name = name.clone();
@@ -357,7 +365,7 @@
                 Some(ListedObject { name, version: version?, age_ms: 0, value })
             });
             let listing = Listing {
-                revision: it.revision,
+                revision: relayed_revision(response, it.revision),
                 objects: objects.collect(),
                 staleness: Duration::from_millis(it.age_ms),
             };
@@ -365,10 +373,11 @@
         })
     }
 
-    fn encode_watch(&self, prefix: &str, after: u64, wait: Duration) -> ApiRequest {
+    fn encode_watch(&self, prefix: &str, after: StoreRevision, wait: Duration) -> ApiRequest {
         ApiRequest::new(Method::GET, ["watch"])
             .with_query("prefix", prefix)
-            .with_query("after", after)
+            .with_query("after", after.number)
+            .with_query("era", after.era)
             .with_query("wait_ms", wait.as_millis())
             .with_header(header::ACCEPT_ENCODING, LZ4_ENCODING)
     }
@@ -378,7 +387,7 @@
             return CallOutcome::Value(WatchResponse::RevisionTooOld);
         }
         Self::decode_response(response).map(|it| WatchResponse::Changes {
-            revision: it.revision,
+            revision: relayed_revision(response, it.revision),
             changes: it
                 .objects
                 .into_iter()
@@ -425,18 +434,29 @@
         "/watch" => {
             let wait = Duration::from_millis(numeric_parameter("wait_ms").unwrap_or(0))
                 .min(MAX_WATCH_WAIT);
-            state.mirror.watch(&prefix, numeric_parameter("after").unwrap_or(0), wait).await
+            let after = StoreRevision {
+                era: numeric_parameter("era").unwrap_or(0),
+                number: numeric_parameter("after").unwrap_or(0),
+            };
+            state.mirror.watch(&prefix, after, wait).await
         }
         _ => return status_response(StatusCode::NOT_FOUND),
     };
     match result {
-        Ok(response) => match bincode::encode_to_vec(&response, BINCODE_CONFIG) {
-            Ok(it) => encoded_response(it, names_lz4(request.headers(), header::ACCEPT_ENCODING)),
-            Err(error) => {
-                log::warn!("response to a host cannot be encoded: {error}");
-                status_response(StatusCode::INTERNAL_SERVER_ERROR)
+        Ok(EraResponse { era, response }) => {
+            match bincode::encode_to_vec(&response, BINCODE_CONFIG) {
+                Ok(it) => {
+                    let accepts_lz4 = names_lz4(request.headers(), header::ACCEPT_ENCODING);
+                    let mut res = encoded_response(it, accepts_lz4);
+                    res.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
+                    res
+                }
+                Err(error) => {
+                    log::warn!("response to a host cannot be encoded: {error}");
+                    status_response(StatusCode::INTERNAL_SERVER_ERROR)
+                }
             }
-        },
+        }
         Err(MirrorError::NotSynced | MirrorError::Stale) => {
             status_response(StatusCode::SERVICE_UNAVAILABLE)
         }
@@ -456,6 +476,10 @@
     res
 }
 
+fn relayed_revision(response: &ApiResponse, number: u64) -> StoreRevision {
+    StoreRevision { era: response.header_number(ERA_HEADER).unwrap_or(0), number }
+}
+
 fn names_lz4(headers: &HeaderMap, name: header::HeaderName) -> bool {
     headers.get(name).is_some_and(|it| it == LZ4_ENCODING)
 }
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -227,6 +227,52 @@
     .await;
 }
 
+/// Guards against hosts that miss changes, or lose each other, after the platform was restored from
+/// a copy and gives revisions out again.
+#[tokio::test]
+async fn platform_restored() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            store.put("servers/i1", &format!("{} ready", upstream.address));
+            let copy = store.copy();
+            let client = Client::builder().no_proxy().build().unwrap();
+            let names = ["n1", "n2", "n3"];
+            let hosts = names.map(|name| {
+                let listen = listen_addresses();
+                spawn_process(name, listen, &store);
+                Harness { store: Arc::clone(&store), listen, client: client.clone() }
+            });
+            for host in &hosts {
+                host.wait_for_status("/read/1", 200).await;
+            }
+            store.put("config/main", "2 good,more");
+            for at in 0..20 {
+                store.put("servers/i2", &format!("127.0.0.1:{} ready", 10 + at));
+            }
+            sleep(Duration::from_millis(1500)).await;
+            store.restore(copy);
+            let restored_at = Instant::now();
+            store.put("config/main", "3 other");
+            for host in &hosts {
+                host.wait_for_status("/read/1", 401).await;
+            }
+            assert!(restored_at.elapsed() < Duration::from_secs(1));
+            let is_registered = |it: &&str| store.contains(&format!("hosts/{it}"));
+            wait_for(async || names.iter().all(is_registered)).await;
+            assert!(restored_at.elapsed() < Duration::from_secs(2));
+            let metrics = format!("http://{}/metrics", hosts[0].listen.metrics);
+            for _ in 0..30 {
+                let text = client.get(&metrics).send().await.unwrap().text().await.unwrap();
+                assert!(text.contains("kingcupford_live_members 3"), "{text}");
+                sleep(Duration::from_millis(100)).await;
+            }
+        })
+        .await;
+}
+
 /// Starts two hosts in different regions, each with a store of its own. Each host registers in its
 /// own store only, so the other host's registration is added here.
 async fn two_hosts_with_own_stores() -> Vec<Harness> {
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -19,7 +19,7 @@
 };
 use kingcupford_platform::{
     CallOutcome, Condition, HostEntry, ListedObject, Listing, Object, ObjectChange, ObjectStore,
-    WatchResponse, WriteOutcome,
+    StoreRevision, WatchResponse, WriteOutcome,
 };
 use kingcupford_steer::{
     CallerLimits, CanarySettings, InstanceRegistration, KeyDigest, Manifest, Member,
@@ -45,11 +45,16 @@
 /// Version and value; the value is `None` for a deleted object.
 type StoredValue = (u64, Option<Bytes>);
 
+/// Revision of a store, and its objects by name.
+pub(crate) type StoreCopy = (u64, BTreeMap<String, StoredValue>);
+
 /// In-memory object store with outages that a test controls.
 #[derive(Default)]
 pub(crate) struct MemoryStore {
     /// Revision of the store, and the objects by name.
-    objects: Mutex<(u64, BTreeMap<String, StoredValue>)>,
+    objects: Mutex<StoreCopy>,
+    /// Number of restorations, plus one.
+    era: AtomicU64,
     changed: Notify,
     /// Whether calls fail.
     pub(crate) is_unavailable: Mutex<bool>,
@@ -61,6 +66,26 @@
 }
 
 impl MemoryStore {
+    fn revision(&self, number: u64) -> StoreRevision {
+        StoreRevision { era: self.era.load(Ordering::SeqCst) + 1, number }
+    }
+
+    pub(crate) fn contains(&self, name: &str) -> bool {
+        self.objects.lock().1.get(name).is_some_and(|it| it.1.is_some())
+    }
+
+    /// Copies the state, for [`restore`](Self::restore).
+    pub(crate) fn copy(&self) -> StoreCopy {
+        self.objects.lock().clone()
+    }
+
+    /// Goes back to a copy; revisions since then are given out again.
+    pub(crate) fn restore(&self, copy: StoreCopy) {
+        *self.objects.lock() = copy;
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.changed.notify_waiters();
+    }
+
     pub(crate) fn put(&self, name: &str, value: &str) {
         let mut objects = self.objects.lock();
         objects.0 += 1;
@@ -111,12 +136,20 @@
             let (name, value) = (name.clone(), Some(value.clone()?));
             Some(ListedObject { name, version: *version, age_ms: 0, value })
         });
-        let objects =
-            Listing { revision: objects.0, objects: listed.collect(), staleness: Duration::ZERO };
+        let objects = Listing {
+            revision: self.revision(objects.0),
+            objects: listed.collect(),
+            staleness: Duration::ZERO,
+        };
         CallOutcome::Value(objects)
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> CallOutcome<WatchResponse> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> CallOutcome<WatchResponse> {
         let until = Instant::now() + wait;
         if *self.watches_hang.lock() {
             std::future::pending::<()>().await;
@@ -128,14 +161,19 @@
             }
             let (revision, changes) = {
                 let objects = self.objects.lock();
-                let changes =
-                    objects.1.iter().filter(|it| it.0.starts_with(prefix) && it.1.0 > after);
+                if after.number > objects.0 {
+                    return CallOutcome::Value(WatchResponse::RevisionTooOld);
+                }
+                let is_changed = |it: &(&String, &StoredValue)| {
+                    it.0.starts_with(prefix) && it.1.0 > after.number
+                };
+                let changes = objects.1.iter().filter(is_changed);
                 let changes = changes.map(|(name, (version, value))| ObjectChange {
                     name: name.clone(),
                     version: value.as_ref().map(|_| *version),
                     value: value.clone(),
                 });
-                (objects.0, changes.collect::<Vec<_>>())
+                (self.revision(objects.0), changes.collect::<Vec<_>>())
             };
             if !changes.is_empty() || Instant::now() >= until {
                 *self.answered_calls.lock() += 1;
--- a/crates/platform/src/dialect.rs
+++ b/crates/platform/src/dialect.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, de::DeserializeOwned};
 
 use crate::object::{
-    CallOutcome, Condition, HostEntry, ListedObject, Listing, Object, ObjectChange, WatchResponse,
-    WriteOutcome,
+    CallOutcome, Condition, HostEntry, ListedObject, Listing, Object, ObjectChange, StoreRevision,
+    WatchResponse, WriteOutcome,
 };
 
 /// Delay before a throttled call is repeated if the response specifies none.
@@ -54,9 +54,9 @@
     /// Decodes the response to a list.
     fn decode_list(&self, prefix: &str, response: &ApiResponse) -> CallOutcome<ListPage>;
 
-    /// Returns the request for changes after the store revision `after`, to which the platform
-    /// responds within `wait`.
-    fn encode_watch(&self, prefix: &str, after: u64, wait: Duration) -> ApiRequest;
+    /// Returns the request for changes after the revision `after`, to which the platform responds
+    /// within `wait`.
+    fn encode_watch(&self, prefix: &str, after: StoreRevision, wait: Duration) -> ApiRequest;
 
     /// Decodes the response to a watch.
     fn decode_watch(&self, prefix: &str, response: &ApiResponse) -> CallOutcome<WatchResponse>;
@@ -163,6 +163,11 @@
         }
     }
 
+    /// Returns the value of a header that is a decimal number.
+    pub fn header_number(&self, name: &str) -> Option<u64> {
+        self.headers.get(name)?.to_str().ok()?.parse().ok()
+    }
+
     /// Returns the delay before a throttled call may be repeated, from the body or else from the
     /// `Retry-After` header.
     pub(crate) fn retry_after_ms(&self) -> u64 {
@@ -263,7 +268,7 @@
                 value: None,
             });
             let listing = Listing {
-                revision: it.revision,
+                revision: StoreRevision { era: store_era(response), number: it.revision },
                 objects: objects.collect(),
                 staleness: Duration::ZERO,
             };
@@ -271,10 +276,10 @@
         })
     }
 
-    fn encode_watch(&self, prefix: &str, after: u64, wait: Duration) -> ApiRequest {
+    fn encode_watch(&self, prefix: &str, after: StoreRevision, wait: Duration) -> ApiRequest {
         ApiRequest::new(Method::GET, ["v1", "watch"])
             .with_query("prefix", prefix)
-            .with_query("after", after)
+            .with_query("after", after.number)
             .with_query("timeout_ms", wait.as_millis())
     }
 
@@ -289,7 +294,7 @@
                 value: None,
             });
             WatchResponse::Changes {
-                revision: it.revision,
+                revision: StoreRevision { era: store_era(response), number: it.revision },
                 changes: changes.collect(),
                 staleness: Duration::ZERO,
             }
@@ -356,6 +361,11 @@
     hosts: Vec<HostEntry>,
 }
 
+/// Returns the era of the store.
+fn store_era(response: &ApiResponse) -> u64 {
+    response.header_number("store-era").unwrap_or(0)
+}
+
 /// Returns the object version in the `ETag` header.
 fn etag_version(response: &ApiResponse) -> Option<u64> {
     let etag = response.headers.get(header::ETAG)?.to_str().ok()?;
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -11,8 +11,8 @@
 use crate::{
     dialect::{Announcement, ApiRequest, ApiResponse, Dialect, PlainDialect},
     object::{
-        CallOutcome, Condition, HostEntry, Listing, Object, ObjectStore, WatchResponse,
-        WriteOutcome,
+        CallOutcome, Condition, HostEntry, Listing, Object, ObjectStore, StoreRevision,
+        WatchResponse, WriteOutcome,
     },
 };
 
@@ -229,6 +229,10 @@
                 }
             };
             match &mut res {
+                Some(listing) if listing.revision.era != page.listing.revision.era => {
+                    log::warn!("platform was restored during a list of `{prefix}`");
+                    return CallOutcome::Unavailable;
+                }
                 // The revision of the first page is kept: a watch from there may repeat changes
                 // that later pages already contain, but misses none.
                 Some(listing) => listing.objects.extend(page.listing.objects),
@@ -248,7 +252,12 @@
         res.map_or(CallOutcome::Unavailable, CallOutcome::Value)
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> CallOutcome<WatchResponse> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> CallOutcome<WatchResponse> {
         let timeout = wait + Duration::from_millis(self.settings.watch_margin_ms);
         let response =
             self.send_repeatable(self.dialect.encode_watch(prefix, after, wait), timeout).await;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -20,7 +20,9 @@
     http::{HttpObjectStore, HttpStoreSettings},
     object::{
         CallOutcome, Condition, HostEntry, ListedHostState, ListedObject, Listing, Object,
-        ObjectChange, ObjectStore, WatchResponse, WriteOutcome,
+        ObjectChange, ObjectStore, StoreRevision, WatchResponse, WriteOutcome,
+    },
+    watcher::{
+        Outage, Reachability, Restoration, WatchEvent, WatchProgress, Watcher, WatcherSettings,
     },
-    watcher::{Outage, Reachability, WatchEvent, WatchProgress, Watcher, WatcherSettings},
 };
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -26,12 +26,12 @@
     /// Lists the objects whose names start with `prefix`.
     fn list(&self, prefix: &str) -> impl Future<Output = CallOutcome<Listing>> + Send;
 
-    /// Long-polls for changes after the store revision `after` to objects whose names start with
+    /// Long-polls for changes after the revision `after` to objects whose names start with
     /// `prefix`; the platform responds without changes once `wait` has passed.
     fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: StoreRevision,
         wait: Duration,
     ) -> impl Future<Output = CallOutcome<WatchResponse>> + Send;
 
@@ -111,11 +111,21 @@
     pub bytes: Bytes,
 }
 
+/// Revision of the store. A store that is restored from a copy gives numbers out again, so that
+/// numbers can be compared only within an era.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoreRevision {
+    /// Number that rises whenever the store is restored from a copy; 0 if it is not known.
+    pub era: u64,
+    /// Number that rises with each change.
+    pub number: u64,
+}
+
 /// Response to a list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listing {
-    /// Store revision after which a watch can continue without missing a change.
-    pub revision: u64,
+    /// Revision after which a watch can continue without missing a change.
+    pub revision: StoreRevision,
     /// Listed objects, ordered by name.
     pub objects: Vec<ListedObject>,
     /// Maximum staleness of the list at the time of the response; zero from the platform itself.
@@ -140,8 +150,8 @@
 pub enum WatchResponse {
     /// Objects changed, or the wait passed without a change.
     Changes {
-        /// Store revision after which the next watch continues.
-        revision: u64,
+        /// Revision after which the next watch continues.
+        revision: StoreRevision,
         /// Changed objects, empty if the wait passed without a change.
         changes: Vec<ObjectChange>,
         /// Maximum staleness of the changes at the time of the response; zero from the platform
--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -11,12 +11,16 @@
 
 use crate::{
     backoff::{Backoff, MAX_BACKOFF_MS},
-    object::{CallOutcome, Listing, Object, ObjectStore, WatchResponse},
+    object::{CallOutcome, Listing, Object, ObjectStore, StoreRevision, WatchResponse},
 };
 
 /// Maximum number of events that wait for the receiver.
 const EVENT_CHANNEL_CAPACITY: usize = 64;
 
+/// Time after a restoration of the platform for which an object that the copy lacks may be written
+/// again. Its writers do so within about two seconds.
+const REWRITE_GRACE: Duration = Duration::from_millis(2500);
+
 /// Followed objects and timing of a [`Watcher`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WatcherSettings {
@@ -51,10 +55,26 @@
     pub name: String,
     /// Current version and value of the object, `None` if it was deleted.
     pub object: Option<Object>,
+    /// Whether and how the change comes from a restoration of the platform.
+    pub restoration: Restoration,
+    /// Era of the store to which the version belongs.
+    pub era: u64,
     /// Newest outage that had ended when the change was received.
     pub last_outage: Option<Outage>,
 }
 
+/// Whether and how a change comes from a restoration of the platform from a copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Restoration {
+    /// The object was written or deleted.
+    None,
+    /// The object is in the copy, and may be older than the state that was reported before.
+    Copied,
+    /// The object is not in the copy. Unless it is written again until this time, its deletion is
+    /// reported.
+    Missing(Instant),
+}
+
 /// Whether the platform responds to calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reachability {
@@ -75,8 +95,8 @@
     /// Time before which all changes are reported: when the newest successful list or watch was
     /// sent, minus the staleness of the response.
     pub as_of: Instant,
-    /// Store revision up to which all changes are reported.
-    pub revision: u64,
+    /// Revision up to which all changes are reported.
+    pub revision: StoreRevision,
     /// Newest outage that has ended.
     pub last_outage: Option<Outage>,
 }
@@ -125,6 +145,8 @@
             is_failing: false,
             last_outage: None,
             reported_versions: BTreeMap::new(),
+            era: 0,
+            missing: BTreeMap::new(),
             backoff,
         };
         let task = tokio::spawn(async move {
@@ -178,6 +200,10 @@
     last_outage: Option<Outage>,
     /// Reported versions by object name.
     reported_versions: BTreeMap<String, u64>,
+    /// Era of the store to which the reported versions belong; 0 if it is not known.
+    era: u64,
+    /// Objects that the copy of the current era lacks, with the time at which they count as deleted.
+    missing: BTreeMap<String, Instant>,
     backoff: Backoff,
 }
 
@@ -201,41 +227,112 @@
     }
 
     /// Lists the objects and reports those whose state differs from the reported one; returns the
-    /// store revision from which to watch.
-    async fn list_and_report(&mut self) -> Result<u64, Interruption> {
+    /// revision from which to watch.
+    async fn list_and_report(&mut self) -> Result<StoreRevision, Interruption> {
         let sent_at = Instant::now();
         let outcome = list_all(Arc::clone(&self.store), self.settings.prefixes.clone()).await;
+        let outcome = outcome.and_then(|it| self.reject_outdated(it.revision, it));
         let listing = self.record_outcome(outcome)?;
         self.report_listing(listing, sent_at).await
     }
 
-    /// Reports all objects whose state differs from the reported one; returns the store revision
-    /// from which to watch.
+    /// Reports all objects whose state differs from the reported one, or all objects if the store
+    /// was restored; returns the revision from which to watch.
     async fn report_listing(
         &mut self,
         mut listing: Listing,
         sent_at: Instant,
-    ) -> Result<u64, Interruption> {
+    ) -> Result<StoreRevision, Interruption> {
         listing.objects.sort_by(|a, b| a.name.cmp(&b.name));
+        let restoration = if self.is_restored(listing.revision) {
+            self.begin_era(&listing).await?;
+            Restoration::Copied
+        } else {
+            Restoration::None
+        };
         let listed = listing.objects;
         let reported_names: Vec<String> = self.reported_versions.keys().cloned().collect();
         for name in reported_names {
             if listed.binary_search_by(|it| it.name.cmp(&name)).is_err() {
-                self.report(name, None).await?;
+                self.report(name, None, Restoration::None).await?;
             }
         }
         for it in listed {
-            self.report_if_changed(it.name, Some(it.version), it.value).await?;
+            self.report_if_changed(it.name, Some(it.version), it.value, restoration).await?;
         }
         self.record_progress(sent_at, listing.staleness, listing.revision);
         Ok(listing.revision)
     }
 
-    /// Watches for changes after the store revision `after` and reports them, until a call fails
-    /// or changes were missed.
-    async fn watch_and_report(&mut self, mut after: u64, wait_ms: &mut u64) -> Interruption {
+    /// Takes over the era of a list. Versions of the former era say nothing about those of the new
+    /// one; objects that are not listed are reported as missing.
+    async fn begin_era(&mut self, listing: &Listing) -> Result<(), Interruption> {
+        let (former_era, era) = (self.era, listing.revision.era);
+        self.era = era;
+        let reported = std::mem::take(&mut self.reported_versions).into_keys();
+        let until = Instant::now() + REWRITE_GRACE;
+        let is_listed =
+            |name: &str| listing.objects.binary_search_by(|it| it.name.as_str().cmp(name)).is_ok();
+        self.missing = reported
+            .chain(std::mem::take(&mut self.missing).into_keys())
+            .filter(|it| !is_listed(it))
+            .map(|it| (it, until))
+            .collect();
+        log::warn!(
+            "platform was restored: era {era} after {former_era}, revision {}, {} of {:?} listed, \
+             {} missing",
+            listing.revision.number,
+            listing.objects.len(),
+            self.settings.prefixes,
+            self.missing.len()
+        );
+        for name in self.missing.keys().cloned().collect::<Vec<_>>() {
+            self.send(name, None, Restoration::Missing(until)).await?;
+        }
+        Ok(())
+    }
+
+    /// Reports the deletion of objects that were not written again in time after a restoration.
+    async fn report_missing(&mut self) -> Result<(), Interruption> {
+        let now = Instant::now();
+        let overdue = self.missing.iter().filter(|it| *it.1 <= now);
+        for name in overdue.map(|it| it.0.clone()).collect::<Vec<_>>() {
+            self.report(name, None, Restoration::None).await?;
+        }
+        Ok(())
+    }
+
+    /// Whether a response comes from a store that was restored since the last reported list.
+    fn is_restored(&mut self, revision: StoreRevision) -> bool {
+        if self.era == 0 {
+            self.era = revision.era;
+        }
+        self.era < revision.era
+    }
+
+    /// Drops a response from before the restoration of the store, which a host that relays changes
+    /// may send.
+    fn reject_outdated<T>(&self, revision: StoreRevision, value: T) -> CallOutcome<T> {
+        let StoreRevision { era, number } = revision;
+        if era != 0 && era < self.era {
+            log::warn!("revision {number} of era {era} is ignored in era {}", self.era);
+            return CallOutcome::Unavailable;
+        }
+        CallOutcome::Value(value)
+    }
+
+    /// Watches for changes after a revision and reports them, until a call fails or changes were
+    /// missed.
+    async fn watch_and_report(
+        &mut self,
+        mut after: StoreRevision,
+        wait_ms: &mut u64,
+    ) -> Interruption {
         let min_interval = Duration::from_millis(self.settings.min_interval_ms);
         loop {
+            if let Err(it) = self.report_missing().await {
+                return it;
+            }
             let sent_at = Instant::now();
             let next_at = sent_at + min_interval;
             // With several prefixes one watch covers all names, because every pending watch counts
@@ -244,9 +341,15 @@
                 [single] => single.clone(),
                 _ => String::new(),
             };
-            let wait = Duration::from_millis(*wait_ms);
+            let mut wait = Duration::from_millis(*wait_ms);
+            if let Some(it) = self.missing.values().min() {
+                wait = wait.min(it.saturating_duration_since(sent_at));
+            }
             let response = match self.next_response(&prefix, after, wait).await {
-                NextResponse::Watch(it) => it,
+                NextResponse::Watch(it) => it.and_then(|it| match it {
+                    WatchResponse::Changes { revision, .. } => self.reject_outdated(revision, it),
+                    WatchResponse::RevisionTooOld => CallOutcome::Value(it),
+                }),
                 NextResponse::List(listing, sent_at) => {
                     self.record_success();
                     match self.report_listing(listing, sent_at).await {
@@ -257,6 +360,13 @@
                 }
             };
             match response {
+                // The changes after a revision of the former era are only some of the changes.
+                CallOutcome::Value(WatchResponse::Changes { revision, .. })
+                    if self.is_restored(revision) =>
+                {
+                    self.record_success();
+                    return Interruption::RetryAfterMs(0);
+                }
                 CallOutcome::Value(WatchResponse::Changes { revision, changes, staleness }) => {
                     self.record_success();
                     *wait_ms = self.settings.wait_ms;
@@ -265,8 +375,12 @@
                         if !self.is_followed(&change.name) {
                             continue;
                         }
-                        let report =
-                            self.report_if_changed(change.name, change.version, change.value);
+                        let report = self.report_if_changed(
+                            change.name,
+                            change.version,
+                            change.value,
+                            Restoration::None,
+                        );
                         if let Err(it) = report.await {
                             return it;
                         }
@@ -295,14 +409,21 @@
 
     /// Watches, and lists beside it when a check is requested. The watch goes on during the list
     /// and after one that failed.
-    async fn next_response(&self, prefix: &str, after: u64, wait: Duration) -> NextResponse {
+    async fn next_response(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> NextResponse {
         let watch = pin!(self.store.watch(prefix, after, wait));
         let list = pin!(async {
             loop {
                 self.check.notified().await;
                 let sent_at = Instant::now();
                 let prefixes = self.settings.prefixes.clone();
-                if let Some(it) = list_all(Arc::clone(&self.store), prefixes).await.value() {
+                let outcome = list_all(Arc::clone(&self.store), prefixes).await;
+                let outcome = outcome.and_then(|it| self.reject_outdated(it.revision, it));
+                if let Some(it) = outcome.value() {
                     return NextResponse::List(it, sent_at);
                 }
             }
@@ -324,11 +445,12 @@
         name: String,
         version: Option<u64>,
         value: Option<Bytes>,
+        restoration: Restoration,
     ) -> Result<(), Interruption> {
         if self.reported_versions.get(&name).copied() == version {
             return Ok(());
         }
-        let Some(version) = version else { return self.report(name, None).await };
+        let Some(version) = version else { return self.report(name, None, restoration).await };
         if let Some(bytes) = value {
             // A delayed list may contain an older version than a watch has reported.
             if let Some(reported) = self.reported_versions.get(&name).filter(|it| **it > version) {
@@ -337,14 +459,21 @@
                 );
                 return Ok(());
             }
-            return self.report(name, Some(Object { version, bytes })).await;
+            return self.report(name, Some(Object { version, bytes }), restoration).await;
         }
         let outcome = self.store.read(&name).await;
         let object = self.record_outcome(outcome)?;
-        self.report(name, object).await
+        self.report(name, object, restoration).await
     }
 
-    async fn report(&mut self, name: String, object: Option<Object>) -> Result<(), Interruption> {
+    /// Records the state of an object as reported and reports it.
+    async fn report(
+        &mut self,
+        name: String,
+        object: Option<Object>,
+        restoration: Restoration,
+    ) -> Result<(), Interruption> {
+        self.missing.remove(&name);
         match &object {
             Some(it) => {
                 self.reported_versions.insert(name.clone(), it.version);
@@ -353,8 +482,18 @@
                 self.reported_versions.remove(&name);
             }
         }
+        self.send(name, object, restoration).await
+    }
+
+    async fn send(
+        &self,
+        name: String,
+        object: Option<Object>,
+        restoration: Restoration,
+    ) -> Result<(), Interruption> {
+        let (era, last_outage) = (self.era, self.last_outage);
         self.events
-            .send(WatchEvent { name, object, last_outage: self.last_outage })
+            .send(WatchEvent { name, object, restoration, era, last_outage })
             .await
             .map_err(|_| Interruption::ReceiverDropped)
     }
@@ -382,7 +521,7 @@
     }
 
     /// Records that all changes up to a call that was sent at `sent_at` are reported.
-    fn record_progress(&self, sent_at: Instant, staleness: Duration, revision: u64) {
+    fn record_progress(&self, sent_at: Instant, staleness: Duration, revision: StoreRevision) {
         let as_of = sent_at.checked_sub(staleness).unwrap_or(sent_at);
         let last_outage = self.last_outage;
         self.progress.send_replace(Some(WatchProgress { as_of, revision, last_outage }));
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -18,8 +18,8 @@
 use kingcupford_config::{BlockDecl, Declarations, SiteDecl};
 use kingcupford_platform::{
     CallOutcome, ChangeOutcome, ChangeRequest, Condition, ConfigStore, ConfigStoreSettings,
-    HEAD_NAME, HostEntry, HttpObjectStore, Listing, LostRace, Object, ObjectStore, WatchResponse,
-    WriteOutcome,
+    HEAD_NAME, HostEntry, HttpObjectStore, Listing, LostRace, Object, ObjectStore, StoreRevision,
+    WatchResponse, WriteOutcome,
 };
 use kingcupford_standin::{OutageMode, PlatformFaults, PlatformStandin};
 
@@ -92,7 +92,12 @@
         self.inner.list(prefix).await
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> CallOutcome<WatchResponse> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> CallOutcome<WatchResponse> {
         self.inner.watch(prefix, after, wait).await
     }
 
--- a/crates/platform/tests/http_store.rs
+++ b/crates/platform/tests/http_store.rs
@@ -8,7 +8,7 @@
 use common::{object_store, object_store_with_timeout, start_platform, start_platform_with};
 use kingcupford_platform::{
     CallOutcome, Condition, HostEntry, HttpObjectStore, HttpStoreSettings, ListedHostState,
-    Listing, ObjectStore, WatchResponse, WriteOutcome,
+    Listing, ObjectStore, StoreRevision, WatchResponse, WriteOutcome,
 };
 use kingcupford_standin::{OutageMode, PlatformFaults, PlatformLimits, PlatformSettings};
 use tokio::{
@@ -17,6 +17,11 @@
     time::sleep,
 };
 
+/// Revision of a store that names no era.
+fn at(number: u64) -> StoreRevision {
+    StoreRevision { era: 0, number }
+}
+
 const VALUE: Bytes = Bytes::from_static(b"value");
 
 /// Guards against lost updates caused by writes whose condition does not hold.
@@ -139,7 +144,7 @@
     assert!(matches!(second, WriteOutcome::Throttled { retry_after_ms: 1..=1000 }), "{second:?}");
     let watch = tokio::spawn({
         let store = store.clone();
-        async move { store.watch("b", 1, Duration::from_secs(3)).await }
+        async move { store.watch("b", at(1), Duration::from_secs(3)).await }
     });
     tokio::time::sleep(Duration::from_millis(1500)).await;
     assert!(matches!(store.read("a").await, CallOutcome::Throttled { .. }));
@@ -164,24 +169,24 @@
     store.delete("config/a", Condition::Always).await;
     let wait = Duration::from_millis(100);
     let CallOutcome::Value(WatchResponse::Changes { revision, changes, .. }) =
-        store.watch("config/", 0, wait).await
+        store.watch("config/", at(0), wait).await
     else {
         panic!("no changes were returned");
     };
     let changes: Vec<_> = changes.into_iter().map(|it| (it.name, it.version)).collect();
-    assert_eq!(revision, 4);
+    assert_eq!(revision, at(4));
     assert_eq!(changes, [("config/a".to_owned(), None), ("config/b".to_owned(), Some(3))]);
     let unchanged =
-        WatchResponse::Changes { revision: 4, changes: Vec::new(), staleness: Duration::ZERO };
-    assert_eq!(store.watch("config/", 4, wait).await, CallOutcome::Value(unchanged));
+        WatchResponse::Changes { revision: at(4), changes: Vec::new(), staleness: Duration::ZERO };
+    assert_eq!(store.watch("config/", at(4), wait).await, CallOutcome::Value(unchanged));
     platform.clear_change_log();
     assert_eq!(
-        store.watch("config/", 3, wait).await,
+        store.watch("config/", at(3), wait).await,
         CallOutcome::Value(WatchResponse::RevisionTooOld)
     );
     // Revision from before the platform lost its state, newer than the current one.
     assert_eq!(
-        store.watch("config/", 9, wait).await,
+        store.watch("config/", at(9), wait).await,
         CallOutcome::Value(WatchResponse::RevisionTooOld)
     );
 }
@@ -267,6 +272,6 @@
     });
     let settings = HttpStoreSettings { read_timeout_ms: 300, ..HttpStoreSettings::new(&base_url) };
     let store = HttpObjectStore::new(settings).unwrap();
-    let listing = Listing { revision: 7, objects: Vec::new(), staleness: Duration::ZERO };
+    let listing = Listing { revision: at(7), objects: Vec::new(), staleness: Duration::ZERO };
     assert_eq!(store.list("config/").await, CallOutcome::Value(listing));
 }
