Do not use an instance that left after the copy from which the store was restored

The copy has registrations of instances that have left or are draining since, and says that they are ready. They were used again until their registration lapsed, seconds later.

The registry remembers departures for 60 s. A registration from the copy is ignored if the instance of that id and start is known to have left or to be draining; what the instance writes after the restoration counts. platform_restored_instance_left failed without the check (requests reached the draining instance) and passes.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -491,7 +491,8 @@
         let names = self.codec.object_names();
         if prefix == names.instance_prefix {
             let lapse = Lapse::Until(until);
-            self.state.steering.borrow_mut().instances.deregister(name, lapse);
+            let now = Instant::now();
+            self.state.steering.borrow_mut().instances.deregister(name, lapse, now);
             Event::InstanceGone.log(format_args!("instance={name} lapse=\"{lapse:?}\""));
         } else if prefix == names.rollout_prefix {
             self.state.rollout_object_versions.borrow_mut().remove(name);
@@ -551,7 +552,7 @@
             {
                 self.state.pool.remove(key);
             }
-            steering.instances.deregister(id, lapse);
+            steering.instances.deregister(id, lapse, now);
             Event::InstanceGone.log(format_args!("instance={id} lapse=\"{lapse:?}\""));
             return;
         };
@@ -564,10 +565,19 @@
                 Event::InstanceRejected.log(format_args!(
                     "instance={id} object_version={version} reason=\"{error:#}\""
                 ));
-                steering.instances.deregister(id, Lapse::Gone);
+                steering.instances.deregister(id, Lapse::Gone, now);
                 return;
             }
         };
+        if event.restoration == Restoration::Copied
+            && steering.instances.is_outdated(&registration, now)
+        {
+            let version = object.version;
+            Event::InstanceRejected.log(format_args!(
+                "instance={id} object_version={version} reason=\"it left after the platform's copy\""
+            ));
+            return;
+        }
         let details = format!(
             "instance={id} service={} address={} version={} slots={} state={} cold_ms={}",
             registration.service,
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -273,6 +273,39 @@
         .await;
 }
 
+/// Guards against requests to an instance that has left, and whose registration comes back with the
+/// copy from which the platform was restored.
+#[tokio::test]
+async fn platform_restored_instance_left() {
+    let first = Upstream::start("i1", Behaviour::Echo).await;
+    let second = Upstream::start("i2", Behaviour::Echo).await;
+    let third = Upstream::start("i3", Behaviour::Echo).await;
+    with_process(&[&first, &second, &third], async |harness| {
+        harness.wait_for_status("/read/1", 200).await;
+        let copy = harness.store.copy();
+        harness.store.put("servers/i1", &format!("{} draining", first.address));
+        harness.store.put("servers/i2", &format!("{} draining", second.address));
+        sleep(Duration::from_millis(300)).await;
+        harness.store.remove("servers/i2");
+        sleep(Duration::from_millis(300)).await;
+        let before = first.requests().len() + second.requests().len();
+        harness.store.restore(copy);
+        sleep(Duration::from_millis(500)).await;
+        for at in 0..30 {
+            let request = harness.request("GET", "/read/1", &format!("id-{at}"));
+            let request = request.header("x-object", at.to_string());
+            assert_eq!(request.send().await.unwrap().status(), 200);
+        }
+        assert_eq!(first.requests().len() + second.requests().len(), before);
+        // What an instance writes after the restoration counts.
+        harness.store.put("servers/i1", &format!("{} ready", first.address));
+        harness.store.remove("servers/i3");
+        sleep(Duration::from_millis(300)).await;
+        harness.wait_for_status("/read/1", 200).await;
+    })
+    .await;
+}
+
 /// Starts two hosts in different regions, each with a store of its own. Each host registers in its
 /// own store only, so the other host's registration is added here.
 async fn two_hosts_with_own_stores() -> Vec<Harness> {
--- a/crates/steer/src/instance_registry.rs
+++ b/crates/steer/src/instance_registry.rs
@@ -1,6 +1,10 @@
 //! Registry of the instances of all services.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -31,6 +35,10 @@
     pub(crate) lapses_at: Option<Instant>,
 }
 
+/// Time for which the departure of an instance is remembered: several times the age of a copy from
+/// which the platform may be restored.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
+
 /// How to treat the end of a registration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Lapse {
@@ -50,6 +58,16 @@
     by_id: Vec<(String, u32)>,
     /// Services with the slots of their instances, sorted by service.
     by_service: Vec<(String, Vec<u32>)>,
+    /// Instances that left, oldest first.
+    departures: VecDeque<Departure>,
+}
+
+/// An instance that left.
+#[derive(Debug)]
+struct Departure {
+    id: String,
+    started_unix_ms: Option<u64>,
+    left_at: Instant,
 }
 
 /// Effect of a registration on the registry.
@@ -106,10 +124,14 @@
     }
 
     /// Applies the end of a registration; returns the instance if it was removed.
-    pub fn deregister(&mut self, id: &str, lapse: Lapse) -> Option<Instance> {
+    pub fn deregister(&mut self, id: &str, lapse: Lapse, now: Instant) -> Option<Instance> {
         let key = self.key(id)?;
         match lapse {
-            Lapse::Gone => self.remove(key),
+            Lapse::Gone => {
+                let instance = self.remove(key)?;
+                self.record_departure(&instance.registration, now);
+                Some(instance)
+            }
             Lapse::Until(at) => {
                 let instance = self.get_mut(key)?;
                 instance.lapses_at.get_or_insert(at);
@@ -125,7 +147,42 @@
             .filter(|it| it.1.lapses_at.is_some_and(|at| at <= now))
             .map(|it| it.0)
             .collect();
-        expired.into_iter().filter_map(|it| self.remove(it)).collect()
+        let expired: Vec<Instance> = expired.into_iter().filter_map(|it| self.remove(it)).collect();
+        for it in &expired {
+            self.record_departure(&it.registration, now);
+        }
+        expired
+    }
+
+    fn record_departure(&mut self, registration: &InstanceRegistration, now: Instant) {
+        let is_old =
+            |it: &Departure| now.saturating_duration_since(it.left_at) >= DEPARTURE_RETENTION;
+        while self.departures.pop_front_if(|it| is_old(it)).is_some() {}
+        self.departures.push_back(Departure {
+            id: registration.id.clone(),
+            started_unix_ms: registration.started_unix_ms,
+            left_at: now,
+        });
+    }
+
+    /// Whether an instance is known to have left or to be draining, although its registration says
+    /// that it is ready. The registration is then from before that, as a copy from which the platform
+    /// was restored may contain it.
+    pub fn is_outdated(&self, registration: &InstanceRegistration, now: Instant) -> bool {
+        let is_same = |id: &str, started_unix_ms: Option<u64>| {
+            id == registration.id && started_unix_ms == registration.started_unix_ms
+        };
+        let known = self.key(&registration.id).and_then(|it| self.get(it));
+        if let Some(it) = known.map(|it| &it.registration) {
+            return is_same(&it.id, it.started_unix_ms)
+                && it.state == ServingState::Draining
+                && registration.state == ServingState::Ready;
+        }
+        let recent = self
+            .departures
+            .iter()
+            .filter(|it| now.saturating_duration_since(it.left_at) < DEPARTURE_RETENTION);
+        recent.into_iter().any(|it| is_same(&it.id, it.started_unix_ms))
     }
 
     /// Marks an instance as cold for a time, as reported with a response.
--- a/crates/steer/tests/it/instance_registry.rs
+++ b/crates/steer/tests/it/instance_registry.rs
@@ -43,8 +43,8 @@
     registry.register(instance("back", "a1"), now);
     registry.register(instance("gone", "a1"), now);
     let until = now + Duration::from_secs(2);
-    assert!(registry.deregister("back", Lapse::Until(until)).is_none());
-    assert!(registry.deregister("gone", Lapse::Until(until)).is_none());
+    assert!(registry.deregister("back", Lapse::Until(until), now).is_none());
+    assert!(registry.deregister("gone", Lapse::Until(until), now).is_none());
     registry.register(instance("back", "a1"), now);
     advance(Duration::from_secs(3)).await;
     let expired = registry.expire(Instant::now());
@@ -61,7 +61,7 @@
     for id in ["i1", "i2", "i3"] {
         registry.register(instance(id, "a1"), now);
     }
-    registry.deregister("i2", Lapse::Gone);
+    registry.deregister("i2", Lapse::Gone, Instant::now());
     let ids: Vec<&str> =
         registry.of_service("svc").map(|it| it.1.registration.id.as_str()).collect();
     assert_eq!(ids, ["i1", "i3"]);
--- a/crates/steer/tests/it/selector.rs
+++ b/crates/steer/tests/it/selector.rs
@@ -68,7 +68,7 @@
     assert_eq!(selected, again);
     let removed = selected[0].unwrap();
     let id = steering.instances.get(removed).unwrap().registration.id.clone();
-    steering.instances.deregister(&id, kingcupford_steer::Lapse::Gone);
+    steering.instances.deregister(&id, kingcupford_steer::Lapse::Gone, now);
     for (at, selected_key) in selected.iter().enumerate() {
         let selected_now = select_key(&mut steering, &at.to_string(), now);
         assert!(selected_now.is_some());
