Count the lag of the manifest from the version that replaced the own one

A host that lacked three versions and caught up with the first counted its lag from the newest one only, and a silence of the host that had reported a version reset the lag to zero, so that open routes were served by an outdated manifest again.

The lag keeps the time of every newer version, and forgets one 10 s after the last host that had it was heard. The minimum of 1.2 s leaves time for a list however short config_apply_ms is. manifest_lag_three_versions (1 s instead of 9 s) and manifest_lag_peer_silent (0 s instead of 3 s) failed before and pass.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -318,11 +318,16 @@
     /// Waits until a peer has had a newer manifest for so long that this host's watch must be hung.
     async fn manifest_watch_hung(&self) {
         sleep(WATCH_HANG_TIMEOUT).await;
-        let lag = || *self.state.steering.borrow().manifest_lag();
-        while lag().duration(Instant::now()).is_none_or(|it| it < WATCH_HANG_TIMEOUT) {
+        loop {
+            let now = Instant::now();
+            let lag = self.state.steering.borrow().manifest_lag().duration(now);
+            if lag.is_some_and(|it| it >= WATCH_HANG_TIMEOUT) {
+                break;
+            }
             sleep(MANIFEST_LAG_POLL_INTERVAL).await;
         }
-        let newer_version = lag().newer_version().unwrap_or_default();
+        let newer_version = self.state.steering.borrow().manifest_lag().newer_version();
+        let newer_version = newer_version.unwrap_or_default();
         log::warn!("watch of the manifest hangs: a peer has version {newer_version}");
     }
 
--- a/crates/steer/src/freshness.rs
+++ b/crates/steer/src/freshness.rs
@@ -62,46 +62,51 @@
     }
 }
 
+/// Time for which a newer version counts after the last host that had it was heard. Longer than the
+/// silence after which a host of another region counts as gone, in deployments of 195 hosts.
+const VERSION_RETENTION: Duration = Duration::from_secs(10);
+
 /// Tracks for how long other hosts have had a newer manifest than this one.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct ManifestLag {
-    /// `None` while no other host has a newer manifest.
-    current: Option<Lag>,
+    /// Versions above the own one that other hosts have or had, sorted.
+    newer_versions: Vec<NewerVersion>,
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Lag {
-    own_version: u64,
-    newest_version: u64,
-    /// Time at which another host first reported the newest version.
-    newest_since: Instant,
-    /// Time since which the own version has been outdated.
-    began_at: Instant,
+struct NewerVersion {
+    version: u64,
+    /// Time at which another host was first known to have it.
+    since: Instant,
+    /// Time at which a host was last known to have it or a newer one.
+    confirmed_at: Instant,
 }
 
 impl ManifestLag {
-    /// Updates the own version and the newest one at other hosts.
+    /// Updates the own version and the newest one at live hosts.
     pub fn update(&mut self, own_version: u64, peer_version: Option<u64>, now: Instant) {
-        let previous = self.current;
-        let newer_version = peer_version.filter(|it| *it > own_version);
-        self.current = newer_version.map(|newest_version| {
-            let newest_since = previous
-                .filter(|it| it.newest_version == newest_version)
-                .map_or(now, |it| it.newest_since);
-            let began_at = previous
-                .filter(|it| it.own_version == own_version)
-                .map_or(newest_since, |it| it.began_at);
-            Lag { own_version, newest_version, newest_since, began_at }
+        if let Some(version) = peer_version {
+            if let Err(at) = self.newer_versions.binary_search_by_key(&version, |it| it.version) {
+                let newer_version = NewerVersion { version, since: now, confirmed_at: now };
+                self.newer_versions.insert(at, newer_version);
+            }
+            let confirmed = self.newer_versions.iter_mut().take_while(|it| it.version <= version);
+            confirmed.for_each(|it| it.confirmed_at = now);
+        }
+        self.newer_versions.retain(|it| {
+            it.version > own_version
+                && now.saturating_duration_since(it.confirmed_at) < VERSION_RETENTION
         });
     }
 
     /// Newest version at the other hosts, if it is newer than the own one.
     pub fn newer_version(&self) -> Option<u64> {
-        self.current.map(|it| it.newest_version)
+        self.newer_versions.last().map(|it| it.version)
     }
 
     /// Time for which the own version has been outdated; `None` if it is not.
     pub fn duration(&self, now: Instant) -> Option<Duration> {
-        self.current.map(|it| now.saturating_duration_since(it.began_at))
+        let replaced_at = self.newer_versions.iter().map(|it| it.since).min();
+        replaced_at.map(|it| now.saturating_duration_since(it))
     }
 }
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -47,6 +47,10 @@
 /// of a host that has it: an interval of a reader's heartbeats between regions.
 const FIRST_REPORT_DELAY: Duration = Duration::from_millis(700);
 
+/// Minimum time for which other hosts must have had a newer manifest before this one refuses
+/// requests: the time after which its watch counts as hung, and a list.
+const MIN_OUTDATED_LAG: Duration = Duration::from_millis(1200);
+
 /// Number of heartbeats that carry a quarantine update, since heartbeats can get lost.
 const UPDATE_REPETITIONS: u32 = 5;
 
@@ -651,6 +655,7 @@
     /// by its own. What changed is unknown: it may be the regions that may serve a request.
     fn is_manifest_outdated(&self, now: Instant) -> bool {
         let max_lag = self.settings.max_config_delay.saturating_sub(FIRST_REPORT_DELAY);
+        let max_lag = max_lag.max(MIN_OUTDATED_LAG);
         self.manifest_lag.duration(now).is_some_and(|it| it >= max_lag)
     }
 
--- a/crates/steer/tests/it/freshness.rs
+++ b/crates/steer/tests/it/freshness.rs
@@ -57,3 +57,33 @@
     lag.update(5, None, after(6));
     assert_eq!(lag.duration(after(6)), None);
 }
+
+/// Guards against a lag that counts from the newest version only, when the host has caught up with
+/// one of several that it lacked.
+#[tokio::test(start_paused = true)]
+async fn manifest_lag_three_versions() {
+    let start = Instant::now();
+    let after = |seconds| start + Duration::from_secs(seconds);
+    let mut lag = ManifestLag::default();
+    lag.update(3, Some(4), after(1));
+    lag.update(3, Some(5), after(2));
+    lag.update(3, Some(6), after(10));
+    // Version 5, which replaced 4, has been active elsewhere since second 2.
+    lag.update(4, Some(6), after(11));
+    assert_eq!(lag.duration(after(11)), Some(Duration::from_secs(9)));
+}
+
+/// Guards against a lag that starts anew because the peers that reported the newer version were
+/// silent for a moment, and against one that never ends when they are gone.
+#[tokio::test(start_paused = true)]
+async fn manifest_lag_peer_silent() {
+    let start = Instant::now();
+    let after = |seconds| start + Duration::from_secs(seconds);
+    let mut lag = ManifestLag::default();
+    lag.update(3, Some(4), after(1));
+    lag.update(3, Some(3), after(3));
+    lag.update(3, Some(4), after(4));
+    assert_eq!(lag.duration(after(4)), Some(Duration::from_secs(3)));
+    lag.update(3, Some(3), after(15));
+    assert_eq!(lag.duration(after(15)), None);
+}
