Give up a response that arrives too slowly

Since the bytes of a response may arrive for 7 s, a reader whose bytes trickle kept a host from the newest manifest for that time, although the platform and other readers respond at once.

--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -2,8 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
+use kingcupford_steer::{Heartbeat, HostState, PROTOCOL_VERSION};
 use reqwest::Client;
 use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, UdpSocket},
     task::LocalSet,
     time::{Instant, sleep},
 };
@@ -306,6 +309,79 @@
     .await;
 }
 
+/// Guards against a host that waits for the manifest of a reader whose bytes trickle, although the
+/// platform responds at once.
+#[tokio::test]
+async fn reader_trickles() {
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let listen = listen_addresses();
+            spawn_process_in("z1", "n1", listen, &store);
+            let client = Client::builder().no_proxy().build().unwrap();
+            let host = Harness { store: Arc::clone(&store), listen, client };
+            host.wait_until_ready().await;
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let socket = UdpSocket::bind(address).await.unwrap();
+            let entry = serde_json::json!({
+                "name": "n2", "zone": "z1", "peer_address": address,
+                "public_addresses": [address], "state": "live",
+            });
+            store.put("hosts/n2", &entry.to_string());
+            tokio::spawn(async move {
+                for sequence in 1.. {
+                    let heartbeat = Heartbeat {
+                        protocol_version: PROTOCOL_VERSION,
+                        sender: "n2".to_owned(),
+                        incarnation: 1,
+                        sequence,
+                        ack: None,
+                        state: HostState::Serving,
+                        link_mbps: 1000,
+                        manifest_version: 1,
+                        view_age_ms: Some(0),
+                        platform_age_ms: Some(0),
+                        team_demand: Vec::new(),
+                        service_loads: Vec::new(),
+                        rollout_tallies: Vec::new(),
+                        quarantine_updates: Vec::new(),
+                    };
+                    let bytes =
+                        bincode::encode_to_vec(&heartbeat, bincode::config::standard()).unwrap();
+                    let _ = socket.send_to(&bytes, listen.peers).await;
+                    sleep(Duration::from_millis(200)).await;
+                }
+            });
+            tokio::spawn(async move {
+                loop {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    tokio::spawn(async move {
+                        let _ = stream.read(&mut [0; 4096]).await;
+                        let head = "HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n";
+                        let _ = stream.write_all(head.as_bytes()).await;
+                        while stream.write_all(&[0; 100]).await.is_ok() {
+                            sleep(Duration::from_millis(500)).await;
+                        }
+                    });
+                }
+            });
+            sleep(Duration::from_millis(1500)).await;
+            store.put("config/main", "2 other");
+            let changed_at = Instant::now();
+            wait_for(async || {
+                let response = host.request("GET", "/read/1", "id").send().await;
+                response.is_ok_and(|it| it.status() == 401)
+                    || changed_at.elapsed() > Duration::from_secs(9)
+            })
+            .await;
+            let took = changed_at.elapsed();
+            assert!(took < Duration::from_secs(3), "{took:?}");
+        })
+        .await;
+}
+
 /// Starts two hosts in different regions, each with a store of its own. Each host registers in its
 /// own store only, so the other host's registration is added here.
 async fn two_hosts_with_own_stores() -> Vec<Harness> {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -23,8 +23,12 @@
 /// list of all registrations, are longer by their encoding.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
-/// Maximum time without a further byte of a response's body: a few retransmissions.
-const BODY_IDLE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time for a response's body besides the time that its bytes take: a few retransmissions.
+const BODY_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Minimum rate of a response's body in bytes per second, a twentieth of a link of 10 Mbit/s. The
+/// call goes to another host if the body arrives more slowly.
+const MIN_BODY_RATE: f64 = 62_500.0;
 
 /// Maximum time for a response's body: one of 8 MB over a link of 10 Mbit/s.
 const MAX_BODY_TIME: Duration = Duration::from_secs(7);
@@ -32,7 +36,7 @@
 /// URL and timeouts of an [`HttpObjectStore`].
 ///
 /// The timeouts of calls end with the head of the response. The body may take longer as long as
-/// bytes arrive; a list that is given up and begun again never ends over a slow link.
+/// enough bytes arrive; a list that is given up and begun again never ends over a slow link.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HttpStoreSettings {
     /// Base URL of the platform, for example `http://10.0.0.1:7000`.
@@ -143,8 +147,7 @@
         };
         let (status, headers) = (response.status(), response.headers().clone());
         let mut received = BytesMut::new();
-        let body_deadline = Instant::now() + MAX_BODY_TIME;
-        let is_complete = read_body(response, &mut received, body_deadline).await;
+        let is_complete = read_body(response, &mut received).await;
         if !is_complete {
             log::warn!("response to {path} is incomplete: {} bytes received", received.len());
         }
@@ -309,10 +312,12 @@
 
 /// Appends the body of a response to `received`; returns whether it is complete and not longer than
 /// any valid one.
-async fn read_body(mut response: Response, received: &mut BytesMut, deadline: Instant) -> bool {
+async fn read_body(mut response: Response, received: &mut BytesMut) -> bool {
+    let started_at = Instant::now();
     loop {
-        let idle_deadline = deadline.min(Instant::now() + BODY_IDLE_TIMEOUT);
-        match timeout_at(idle_deadline, response.chunk()).await {
+        let transfer_time = Duration::from_secs_f64(received.len() as f64 / MIN_BODY_RATE);
+        let max_time = (BODY_TIMEOUT + transfer_time).min(MAX_BODY_TIME);
+        match timeout_at(started_at + max_time, response.chunk()).await {
             Ok(Ok(Some(it))) if received.len() + it.len() <= MAX_RESPONSE_BYTES => {
                 received.extend_from_slice(&it)
             }
