Let a list beside the watch end although the watch ends first

The list that is requested when the watch seems to hang was dropped whenever the watch ended, also without changes. With watches of 1 s a list of 1.2 s never ended.

--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -407,33 +407,47 @@
         }
     }
 
-    /// Watches, and lists beside it when a check is requested. The watch goes on during the list
-    /// and after one that failed.
+    /// Watches, and lists beside it when a check is requested. The watch goes on during the list; a
+    /// watch that ends without changes waits for a list that has begun.
     async fn next_response(
         &self,
         prefix: &str,
         after: StoreRevision,
         wait: Duration,
     ) -> NextResponse {
-        let watch = pin!(self.store.watch(prefix, after, wait));
-        let list = pin!(async {
-            loop {
-                self.check.notified().await;
-                let sent_at = Instant::now();
-                let prefixes = self.settings.prefixes.clone();
-                let outcome = list_all(Arc::clone(&self.store), prefixes).await;
-                let outcome = outcome.and_then(|it| self.reject_outdated(it.revision, it));
-                if let Some(it) = outcome.value() {
-                    return NextResponse::List(it, sent_at);
+        let mut watch = pin!(self.store.watch(prefix, after, wait));
+        loop {
+            tokio::select! {
+                it = &mut watch => return NextResponse::Watch(it),
+                () = self.check.notified() => {}
+            }
+            let sent_at = Instant::now();
+            let mut list = pin!(self.list_from());
+            let listing = tokio::select! {
+                it = &mut list => it,
+                response = &mut watch => {
+                    if has_changes(&response) {
+                        return NextResponse::Watch(response);
+                    }
+                    return match list.await {
+                        Some(it) => NextResponse::List(it, sent_at),
+                        None => NextResponse::Watch(response),
+                    };
                 }
+            };
+            if let Some(it) = listing {
+                return NextResponse::List(it, sent_at);
             }
-        });
-        tokio::select! {
-            it = watch => NextResponse::Watch(it),
-            it = list => it,
         }
     }
 
+    /// Lists the objects; `None` if that fails.
+    async fn list_from(&self) -> Option<Listing> {
+        let prefixes = self.settings.prefixes.clone();
+        let outcome = list_all(Arc::clone(&self.store), prefixes).await;
+        outcome.value()
+    }
+
     fn is_followed(&self, name: &str) -> bool {
         self.settings.prefixes.iter().any(|it| name.starts_with(it))
     }
@@ -556,6 +570,15 @@
     }
 }
 
+/// Whether a response to a watch reports changes or that changes were missed.
+fn has_changes(response: &CallOutcome<WatchResponse>) -> bool {
+    match response {
+        CallOutcome::Value(WatchResponse::Changes { changes, .. }) => !changes.is_empty(),
+        CallOutcome::Value(WatchResponse::RevisionTooOld) => true,
+        CallOutcome::Unavailable | CallOutcome::Throttled { .. } => false,
+    }
+}
+
 /// Lists the objects with any of the prefixes. The revision is that of the first list, since later
 /// ones may already contain changes that a watch from there returns again.
 async fn list_all<S: ObjectStore>(store: Arc<S>, prefixes: Vec<String>) -> CallOutcome<Listing> {
