Ignore a list from before the revision that was reported

The list beside the watch may come from the copy of another host, which may be older than what was reported: objects written since were reported as deleted.

check_list_outdated failed before (an object of revision 9 deleted by a list of revision 5) and passes.

--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -113,7 +113,7 @@
 
 /// Revision of the store. A store that is restored from a copy gives numbers out again, so that
 /// numbers can be compared only within an era.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct StoreRevision {
     /// Number that rises whenever the store is restored from a copy; 0 if it is not known.
     pub era: u64,
@@ -202,6 +202,16 @@
     Draining,
 }
 
+impl StoreRevision {
+    /// Whether this revision is older than another one. An unknown era counts as equal.
+    pub fn is_before(self, other: Self) -> bool {
+        if self.era == 0 || other.era == 0 || self.era == other.era {
+            return self.number < other.number;
+        }
+        self.era < other.era
+    }
+}
+
 impl<T> CallOutcome<T> {
     /// Returns the value of a successful call.
     pub fn value(self) -> Option<T> {
--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -422,7 +422,7 @@
                 () = self.check.notified() => {}
             }
             let sent_at = Instant::now();
-            let mut list = pin!(self.list_from());
+            let mut list = pin!(self.list_from(after));
             let listing = tokio::select! {
                 it = &mut list => it,
                 response = &mut watch => {
@@ -441,11 +441,12 @@
         }
     }
 
-    /// Lists the objects; `None` if that fails.
-    async fn list_from(&self) -> Option<Listing> {
+    /// Lists the objects; `None` if that fails or if the list is from before `after`, as one of
+    /// another host's copy may be.
+    async fn list_from(&self, after: StoreRevision) -> Option<Listing> {
         let prefixes = self.settings.prefixes.clone();
         let outcome = list_all(Arc::clone(&self.store), prefixes).await;
-        outcome.value()
+        outcome.value().filter(|it| !it.revision.is_before(after))
     }
 
     fn is_followed(&self, name: &str) -> bool {
--- a/crates/platform/tests/watcher.rs
+++ b/crates/platform/tests/watcher.rs
@@ -241,6 +241,26 @@
     Watcher::start(Arc::new(store), settings, 1)
 }
 
+/// Guards against a list of an outdated copy, requested beside the watch, that deletes an object
+/// which a watch has reported since.
+#[tokio::test]
+async fn check_list_outdated() {
+    let mut watcher = follow_scripted(ScriptedStore {
+        watches: AtomicUsize::new(0),
+        lists: AtomicUsize::new(0),
+        list_delay: Duration::ZERO,
+        has_change: true,
+        watches_end: false,
+        later_list: vec![("config/a", 5)],
+    });
+    assert_eq!(next_event(&mut watcher).await, ("config/a".to_owned(), Some(5)));
+    assert_eq!(next_event(&mut watcher).await, ("config/b".to_owned(), Some(9)));
+    sleep(Duration::from_millis(500)).await;
+    watcher.check_for_changes();
+    let event = timeout(Duration::from_secs(1), watcher.events.recv()).await;
+    assert!(event.is_err(), "{event:?}");
+}
+
 /// Guards against a list beside the watch that is given up whenever the watch ends without changes.
 #[tokio::test]
 async fn check_list_slower_than_watch() {
