Copy the newest manifest from a peer when the own copy lags

When the store went away while a manifest spread, the hosts that had not got it knew of it and refused all requests, open ones too, for the whole outage: the copy at the others was stale, and they were no readers any more.

--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -128,11 +128,20 @@
         self.updated.notify_waiters();
     }
 
-    /// Returns all objects with a prefix.
-    pub(crate) fn list(&self, prefix: &str, now: Instant) -> Result<EraResponse, MirrorError> {
+    /// Returns all objects with a prefix, with `any_age` also if the copy is stale.
+    pub(crate) fn list(
+        &self,
+        prefix: &str,
+        any_age: bool,
+        now: Instant,
+    ) -> Result<EraResponse, MirrorError> {
         let prefixes = self.prefixes.borrow();
         let mirrored = prefixes.get(prefix).ok_or(MirrorError::NotSynced)?;
-        let revision = mirrored.current_revision(now)?;
+        let revision = if any_age {
+            mirrored.revision.unwrap_or(0)
+        } else {
+            mirrored.current_revision(now)?
+        };
         let objects = mirrored.objects.iter();
         let objects = objects.map(|(name, it)| (name.clone(), Some(it.0), it.1.to_vec()));
         let (age_ms, objects) = (mirrored.age_ms(now), objects.collect());
--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use kingcupford_platform::{
-    CallOutcome, Condition, HostEntry, ListedHostState, ObjectStore, Outage, Reachability,
-    Restoration, WatchEvent, WatchProgress, Watcher, WatcherSettings, WriteOutcome,
+    CallOutcome, Condition, HostEntry, ListedHostState, ListedObject, Object, ObjectStore, Outage,
+    Reachability, Restoration, WatchEvent, WatchProgress, Watcher, WatcherSettings, WriteOutcome,
 };
 use kingcupford_steer::{
     Canary, InstanceRegistration, Lapse, Manifest, Member, RegistrationChange, RolloutOrder,
@@ -331,6 +331,27 @@
         log::warn!("watch of the manifest hangs: a peer has version {newer_version}");
     }
 
+    /// Applies the newest manifest of another host, also if neither of them reaches the platform. The
+    /// view is not confirmed by that.
+    fn copy_manifest_from_peer(&self) {
+        let own = self.state.settings().steering.own_host.clone();
+        let host = self.state.steering.borrow().members.newest_manifest_host(&own, Instant::now());
+        let Some(host) = host else { return };
+        let prefix = self.codec.object_names().manifest_prefix;
+        let sync = self.clone();
+        tokio::task::spawn_local(async move {
+            let Some(listing) = sync.store.list_copy(host, prefix).await.value() else { return };
+            for ListedObject { name, value, .. } in listing.objects {
+                let Some(bytes) = value else { continue };
+                // The version belongs to the other host's copy and says nothing about this one.
+                let object = Object { version: 0, bytes: bytes.clone() };
+                if sync.apply_manifest(&name, Some(&object)) {
+                    sync.state.mirror.apply_change(prefix, &name, Some((0, bytes)), 0);
+                }
+            }
+        });
+    }
+
     /// Registers this host and keeps the registration up to date; an equal registration is not
     /// written again.
     async fn maintain_registration(&self) {
@@ -419,6 +440,7 @@
                 }
                 () = &mut hung, if is_manifest => {
                     watcher.check_for_changes();
+                    self.copy_manifest_from_peer();
                     hung.set(self.manifest_watch_hung());
                 }
                 Ok(()) = watcher.reachability.changed() => {
@@ -471,7 +493,9 @@
             self.apply_missing(prefix, &name, &event, until);
             return;
         }
-        if prefix == names.manifest_prefix && !self.apply_manifest(&event) {
+        if prefix == names.manifest_prefix
+            && !self.apply_manifest(&event.name, event.object.as_ref())
+        {
             // Hosts that start must not get what this one rejects.
             return;
         }
@@ -512,9 +536,8 @@
 
     /// Applies a manifest. An invalid, deleted or older one leaves the active manifest in place.
     /// Returns whether the manifest is or was active.
-    fn apply_manifest(&self, event: &WatchEvent) -> bool {
-        let Some(object) = &event.object else {
-            let name = &event.name;
+    fn apply_manifest(&self, name: &str, object: Option<&Object>) -> bool {
+        let Some(object) = object else {
             Event::ConfigRejected.log(format_args!("object={name} reason=\"it was deleted\""));
             return false;
         };
@@ -522,7 +545,7 @@
         let manifest = match self.codec.decode_manifest(&object.bytes) {
             Ok(it) => it,
             Err(error) => {
-                let (name, version) = (&event.name, object.version);
+                let version = object.version;
                 Event::ConfigRejected.log(format_args!(
                     "object={name} object_version={version} reason=\"{error:#}\""
                 ));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -113,31 +113,41 @@
         }
     }
 
+    /// Lists the objects with a prefix in the copy of another host, however old it is.
+    pub(crate) async fn list_copy(&self, host: SocketAddr, prefix: &str) -> CallOutcome<Listing> {
+        match Self::new_client(host, RelayDialect { any_age: true }) {
+            Some(it) => it.list(prefix).await,
+            None => CallOutcome::Unavailable,
+        }
+    }
+
     /// Returns the client of a host, creating it if there is none.
     fn reader_client(&self, host: SocketAddr) -> Option<HttpObjectStore<RelayDialect>> {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(it) = clients.iter().find(|it| it.0 == host) {
             return Some(it.1.clone());
         }
+        let client = Self::new_client(host, RelayDialect { any_age: false })?;
+        if clients.len() >= MAX_READER_CLIENTS {
+            clients.remove(0);
+        }
+        clients.push((host, client.clone()));
+        Some(client)
+    }
+
+    fn new_client(
+        host: SocketAddr,
+        dialect: RelayDialect,
+    ) -> Option<HttpObjectStore<RelayDialect>> {
         let settings = HttpStoreSettings {
             connect_timeout_ms: RELAY_CALL_TIMEOUT_MS,
             read_timeout_ms: RELAY_CALL_TIMEOUT_MS,
             watch_margin_ms: WATCH_TIMEOUT_MARGIN_MS,
             ..HttpStoreSettings::new(&format!("http://{host}"))
         };
-        match HttpObjectStore::with_dialect(settings, RelayDialect) {
-            Ok(it) => {
-                if clients.len() >= MAX_READER_CLIENTS {
-                    clients.remove(0);
-                }
-                clients.push((host, it.clone()));
-                Some(it)
-            }
-            Err(error) => {
-                log::warn!("cannot create a client for the reader at {host}: {error:#}");
-                None
-            }
-        }
+        HttpObjectStore::with_dialect(settings, dialect)
+            .inspect_err(|error| log::warn!("cannot create a client for {host}: {error:#}"))
+            .ok()
     }
 
     /// Calls the followed host, then the fallbacks. Returns `None` when the platform must be called
@@ -296,7 +306,10 @@
 
 /// Dialect of the protocol between hosts: lists and watches of a [`Mirror`](crate::mirror::Mirror).
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct RelayDialect;
+pub(crate) struct RelayDialect {
+    /// Whether lists may come from a copy that is stale.
+    any_age: bool,
+}
 
 impl RelayDialect {
     fn decode_response(response: &ApiResponse) -> CallOutcome<RelayResponse> {
@@ -355,6 +368,7 @@
     fn encode_list(&self, prefix: &str, _: Option<&str>) -> ApiRequest {
         ApiRequest::new(Method::GET, ["list"])
             .with_query("prefix", prefix)
+            .with_query("any_age", self.any_age)
             .with_header(header::ACCEPT_ENCODING, LZ4_ENCODING)
     }
 
@@ -430,7 +444,10 @@
     let prefix = query_parameter("prefix").unwrap_or_default().replace("%2F", "/");
     let numeric_parameter = |name| query_parameter(name).and_then(|it| it.parse::<u64>().ok());
     let result = match request.uri().path() {
-        "/list" => state.mirror.list(&prefix, Instant::now()),
+        "/list" => {
+            let any_age = query_parameter("any_age").is_some_and(|it| it == "true");
+            state.mirror.list(&prefix, any_age, Instant::now())
+        }
         "/watch" => {
             let wait = Duration::from_millis(numeric_parameter("wait_ms").unwrap_or(0))
                 .min(MAX_WATCH_WAIT);
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -1,6 +1,6 @@
 //! Tests of following the platform: manifests, instances, readers and outages.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use kingcupford_steer::{Heartbeat, HostState, PROTOCOL_VERSION};
 use reqwest::Client;
@@ -192,14 +192,19 @@
     let upstream = Upstream::start("i1", Behaviour::Echo).await;
     LocalSet::new()
         .run_until(async {
-            let hosts = two_hosts_with_own_stores().await;
-            hosts[1].register(&upstream);
-            hosts[1].wait_for_status("/open/1", 200).await;
-            *hosts[1].store.watches_hang.lock() = true;
-            *hosts[1].store.list_delay.lock() = Duration::from_secs(60);
-            hosts[0].store.put("config/main", "2 good");
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let listen = listen_addresses();
+            spawn_process("n1", listen, &store);
+            let client = Client::builder().no_proxy().build().unwrap();
+            let host = Harness { store, listen, client };
+            host.register(&upstream);
+            host.wait_for_status("/open/1", 200).await;
+            // Nothing listens for TCP there, so that the manifest cannot be copied.
+            let unused = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+            spawn_heartbeats(&host, unused, 2).await;
             sleep(MAX_CONFIG_DELAY).await;
-            let response = hosts[1].request("GET", "/open/1", "id").send().await.unwrap();
+            let response = host.request("GET", "/open/1", "id").send().await.unwrap();
             assert_eq!(response.status(), 503);
         })
         .await;
@@ -324,36 +329,7 @@
             host.wait_until_ready().await;
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
-            let socket = UdpSocket::bind(address).await.unwrap();
-            let entry = serde_json::json!({
-                "name": "n2", "zone": "z1", "peer_address": address,
-                "public_addresses": [address], "state": "live",
-            });
-            store.put("hosts/n2", &entry.to_string());
-            tokio::spawn(async move {
-                for sequence in 1.. {
-                    let heartbeat = Heartbeat {
-                        protocol_version: PROTOCOL_VERSION,
-                        sender: "n2".to_owned(),
-                        incarnation: 1,
-                        sequence,
-                        ack: None,
-                        state: HostState::Serving,
-                        link_mbps: 1000,
-                        manifest_version: 1,
-                        view_age_ms: Some(0),
-                        platform_age_ms: Some(0),
-                        team_demand: Vec::new(),
-                        service_loads: Vec::new(),
-                        rollout_tallies: Vec::new(),
-                        quarantine_updates: Vec::new(),
-                    };
-                    let bytes =
-                        bincode::encode_to_vec(&heartbeat, bincode::config::standard()).unwrap();
-                    let _ = socket.send_to(&bytes, listen.peers).await;
-                    sleep(Duration::from_millis(200)).await;
-                }
-            });
+            spawn_heartbeats(&host, address, 1).await;
             tokio::spawn(async move {
                 loop {
                     let (mut stream, _) = listener.accept().await.unwrap();
@@ -382,6 +358,62 @@
         .await;
 }
 
+/// Guards against hosts that refuse all requests for the whole of a platform outage, because it began
+/// when only one of them had got the newest manifest.
+#[tokio::test]
+async fn outage_during_manifest_spread() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            let hosts = two_hosts_with_own_stores().await;
+            hosts[1].register(&upstream);
+            hosts[1].wait_for_status("/open/1", 200).await;
+            *hosts[1].store.is_unavailable.lock() = true;
+            hosts[0].store.put("config/main", "2 good");
+            sleep(Duration::from_millis(300)).await;
+            *hosts[0].store.is_unavailable.lock() = true;
+            sleep(Duration::from_secs(4)).await;
+            let response = hosts[1].request("GET", "/open/1", "id").send().await.unwrap();
+            assert_eq!(response.status(), 200);
+        })
+        .await;
+}
+
+/// Registers a host `n2` at `address` and sends heartbeats from there: it reads the platform and has
+/// a version of the manifest.
+async fn spawn_heartbeats(host: &Harness, address: SocketAddr, manifest_version: u64) {
+    let socket = UdpSocket::bind(address).await.unwrap();
+    let entry = serde_json::json!({
+        "name": "n2", "zone": "z1", "peer_address": address,
+        "public_addresses": [address], "state": "live",
+    });
+    host.store.put("hosts/n2", &entry.to_string());
+    let receiver = host.listen.peers;
+    tokio::spawn(async move {
+        for sequence in 1.. {
+            let heartbeat = Heartbeat {
+                protocol_version: PROTOCOL_VERSION,
+                sender: "n2".to_owned(),
+                incarnation: 1,
+                sequence,
+                ack: None,
+                state: HostState::Serving,
+                link_mbps: 1000,
+                manifest_version,
+                view_age_ms: Some(0),
+                platform_age_ms: Some(0),
+                team_demand: Vec::new(),
+                service_loads: Vec::new(),
+                rollout_tallies: Vec::new(),
+                quarantine_updates: Vec::new(),
+            };
+            let bytes = bincode::encode_to_vec(&heartbeat, bincode::config::standard()).unwrap();
+            let _ = socket.send_to(&bytes, receiver).await;
+            sleep(Duration::from_millis(200)).await;
+        }
+    });
+}
+
 /// Starts two hosts in different regions, each with a store of its own. Each host registers in its
 /// own store only, so the other host's registration is added here.
 async fn two_hosts_with_own_stores() -> Vec<Harness> {
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -394,6 +394,21 @@
         local.into_iter().any(|it| it.is_live(now) && it.is_reader(now))
     }
 
+    /// Address of a live host that has the newest version of the manifest, if possible in the region of
+    /// `own`. The choice depends on `own`, so that not all hosts ask the same one.
+    pub fn newest_manifest_host(&self, own: &Member, now: Instant) -> Option<SocketAddr> {
+        let newest_version = self.newest_manifest_version(now)?;
+        let own_hash = xxh3_64(own.name.as_bytes());
+        self.peers
+            .iter()
+            .filter(|it| it.is_live(now))
+            .filter(|it| {
+                it.heartbeat.as_ref().is_some_and(|it| it.manifest_version == newest_version)
+            })
+            .max_by_key(|it| (it.is_local, mix(own_hash ^ xxh3_64(it.member.name.as_bytes()))))
+            .map(|it| it.member.peer_address)
+    }
+
     /// Newest version of the manifest that is active at a live host; `None` if none reported one.
     pub fn newest_manifest_version(&self, now: Instant) -> Option<u64> {
         let live = self.peers.iter().filter(|it| it.is_live(now));
