Write the status of a rollout again after the store lost it

A rollout's final status that was written in the seconds which a restored store lost was never written again, since hosts took their own state for the stored one; an order that was replaced in that time came back and started a new rollout without the evidence gathered.

The stored state is kept apart from the newest one and written again when it differs. An older order from the copy is ignored until the operator writes again. set_state_restored failed before (no write is due) and passes.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -657,6 +657,11 @@
         let mut steering = self.state.steering.borrow_mut();
         let settings = steering.settings().canary;
         let known_order = steering.versions.rollout(service).map(Canary::order);
+        if event.restoration == Restoration::Copied && known_order.is_some_and(|it| *it != order) {
+            // The operator writes the newer order again. Until then no status is written.
+            self.state.rollout_object_versions.borrow_mut().remove(service);
+            return;
+        }
         if known_order != Some(&order) {
             let started_unix_ms = started_unix_ms.unwrap_or_else(unix_time_ms);
             starts.insert(service.to_owned(), started_unix_ms);
@@ -665,8 +670,11 @@
             steering.versions.insert_rollout(canary);
         }
         let state = status.map(|it| it.state);
-        if let (Some(state), Some(it)) = (state, steering.versions.rollout_mut(&order.service)) {
-            it.set_state(state);
+        if let Some(it) = steering.versions.rollout_mut(&order.service) {
+            match state {
+                Some(state) => it.set_state(state),
+                None => it.clear_stored_state(),
+            }
         }
         Event::RolloutChanged.log(format_args!(
             "service={service} version={} duration_ms={} state={} object_version={}",
--- a/crates/steer/src/canary.rs
+++ b/crates/steer/src/canary.rs
@@ -114,8 +114,11 @@
 pub struct Canary {
     order: RolloutOrder,
     settings: CanarySettings,
-    /// State that the platform stores; `None` before the first status.
+    /// Newest state that the platform stored; `None` before the first status.
     state: Option<RolloutState>,
+    /// State that the platform stores now. It is behind `state` when the platform was restored from
+    /// a copy.
+    stored_state: Option<RolloutState>,
     /// Time of the order, as far as this host knows.
     started_at: Instant,
     rollout_hash: u32,
@@ -156,6 +159,7 @@
         Self {
             settings,
             state: None,
+            stored_state: None,
             started_at: now.checked_sub(elapsed).unwrap_or(now),
             rollout_hash,
             own_tallies: Vec::new(),
@@ -204,8 +208,15 @@
         res
     }
 
-    /// Records the state that the platform stores. A final state does not change any more.
+    /// Records that the platform stores no state of the order any more.
+    pub fn clear_stored_state(&mut self) {
+        self.stored_state = None;
+    }
+
+    /// Records the state that the platform stores. A final state does not change any more; it is
+    /// written again if the platform stores another one.
     pub fn set_state(&mut self, state: RolloutState) {
+        self.stored_state = Some(state);
         if matches!(self.state, None | Some(RolloutState::Running)) {
             self.state = Some(state);
         }
@@ -365,14 +376,19 @@
     /// State that the platform should store but does not.
     fn missing_status(&self, now: Instant) -> Option<RolloutState> {
         match self.state {
-            Some(RolloutState::Completed | RolloutState::RolledBack) => return None,
+            Some(state @ (RolloutState::Completed | RolloutState::RolledBack)) => {
+                return (self.stored_state != Some(state)).then_some(state);
+            }
             _ if self.fault.is_some() => return Some(RolloutState::RolledBack),
             None => return Some(RolloutState::Running),
             Some(RolloutState::Running) => {}
         }
         let is_complete =
             self.progress(now) >= COMPLETION_FRACTION && self.new_version_share(now) >= 1.0;
-        is_complete.then_some(RolloutState::Completed)
+        if is_complete {
+            return Some(RolloutState::Completed);
+        }
+        (self.stored_state != Some(RolloutState::Running)).then_some(RolloutState::Running)
     }
 
     /// Elapsed fraction of the rollout's duration; above 1 after the deadline.
--- a/crates/steer/tests/it/canary.rs
+++ b/crates/steer/tests/it/canary.rs
@@ -193,3 +193,26 @@
     assert!(!versions.allows(new, Side::New));
     assert!(versions.allows(old, Side::Old));
 }
+
+/// Guards against a final state that is lost when the platform is restored from a copy, and against
+/// a rollout that goes on by the older state of the copy.
+#[tokio::test(start_paused = true)]
+async fn set_state_restored() {
+    for copied in [Some(RolloutState::Running), None] {
+        let now = Instant::now();
+        let mut canary = canary(now);
+        canary.set_state(RolloutState::Running);
+        canary.set_state(RolloutState::Completed);
+        assert_eq!(canary.due_status_write(0, now), None);
+        match copied {
+            Some(it) => canary.set_state(it),
+            None => canary.clear_stored_state(),
+        }
+        assert_eq!(canary.state(), Some(RolloutState::Completed));
+        let write = canary.due_status_write(0, now).unwrap();
+        assert_eq!(write.state, RolloutState::Completed);
+        canary.set_state(RolloutState::Completed);
+        advance(Duration::from_secs(10)).await;
+        assert_eq!(canary.due_status_write(0, Instant::now()), None);
+    }
+}
