Refuse requests of a new process that starts with an outdated manifest

After a restart, a process that reads a platform which was restored from a copy gets an older manifest and would accept keys that were revoked since, until its lag exceeds the bound.

A process that has never been up to date refuses as soon as a live host reports a newer manifest. admit_outdated_after_start failed before (admitted at once) and passes. platform_restored_new_process plays it through a reader, whose copy keeps the newer manifest; it passes with and without this change.

--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -379,6 +379,41 @@
         .await;
 }
 
+/// Guards against a new process that accepts a revoked key, since the platform was restored from a
+/// copy with an older manifest.
+#[tokio::test]
+async fn platform_restored_new_process() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            store.put("servers/i1", &format!("{} ready", upstream.address));
+            let client = Client::builder().no_proxy().build().unwrap();
+            let start = |name| {
+                let listen = listen_addresses();
+                spawn_process(name, listen, &store);
+                Harness { store: Arc::clone(&store), listen, client: client.clone() }
+            };
+            let first = start("n1");
+            first.wait_for_status("/read/1", 200).await;
+            let copy = store.copy();
+            store.put("config/main", "2 other");
+            first.wait_for_status("/read/1", 401).await;
+            store.restore(copy);
+            let second = start("n2");
+            for at in 0..60 {
+                let path = format!("/read/{at}");
+                if let Ok(it) = second.request("GET", &path, "id").send().await {
+                    assert_ne!(it.status(), 200, "request {at}");
+                }
+                sleep(Duration::from_millis(25)).await;
+            }
+            second.wait_for_status("/read/1", 401).await;
+        })
+        .await;
+}
+
 /// Registers a host `n2` at `address` and sends heartbeats from there: it reads the platform and has
 /// a version of the manifest.
 async fn spawn_heartbeats(host: &Harness, address: SocketAddr, manifest_version: u64) {
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -412,7 +412,8 @@
     /// Newest version of the manifest that is active at a live host; `None` if none reported one.
     pub fn newest_manifest_version(&self, now: Instant) -> Option<u64> {
         let live = self.peers.iter().filter(|it| it.is_live(now));
-        live.filter_map(|it| Some(it.heartbeat.as_ref()?.manifest_version)).max()
+        let versions = live.filter_map(|it| Some(it.heartbeat.as_ref()?.manifest_version));
+        versions.filter(|it| *it > 0).max()
     }
 
     /// Rank of this host among the live hosts for a duty, by rendezvous hashing; 0 is first.
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -141,6 +141,8 @@
     /// Age of this host's view of the platform.
     pub freshness: ViewFreshness,
     manifest_lag: ManifestLag,
+    /// Whether the own manifest was once at least as new as those of live hosts.
+    has_caught_up: bool,
     /// Fingerprints of requests that crash instances.
     quarantine: Quarantine,
     splits: RouteSplits,
@@ -173,6 +175,7 @@
             rate_limiter: TeamRateLimiter::new(settings.rate_limit),
             freshness: ViewFreshness::new(suspended),
             manifest_lag: ManifestLag::default(),
+            has_caught_up: false,
             quarantine: Quarantine::new(),
             splits: RouteSplits::default(),
             retry_budgets: Vec::new(),
@@ -649,11 +652,18 @@
     fn update_manifest_lag(&mut self, now: Instant) {
         let newest = self.members.newest_manifest_version(now);
         self.manifest_lag.update(self.manifest_version(), newest, now);
+        self.has_caught_up |=
+            self.manifest.is_some() && newest.is_some_and(|it| it <= self.manifest_version());
     }
 
     /// Whether a newer manifest has been active elsewhere for so long that this host must not act
     /// by its own. What changed is unknown: it may be the regions that may serve a request.
     fn is_manifest_outdated(&self, now: Instant) -> bool {
+        if !self.has_caught_up {
+            // A platform that was restored from a copy gives a new process an older manifest, which
+            // may hold keys that were revoked since.
+            return self.manifest_lag.newer_version().is_some();
+        }
         let max_lag = self.settings.max_config_delay.saturating_sub(FIRST_REPORT_DELAY);
         let max_lag = max_lag.max(MIN_OUTDATED_LAG);
         self.manifest_lag.duration(now).is_some_and(|it| it >= max_lag)
--- a/crates/steer/tests/it/steering.rs
+++ b/crates/steer/tests/it/steering.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use kingcupford_steer::{
-    Attempts, ExchangeOutcome, ExchangeReport, Manifest, Refusal, RepeatPolicy, RequestHead,
-    RequestPlan, Selection, Steering,
+    Attempts, ExchangeOutcome, ExchangeReport, Heartbeat, Manifest, Refusal, RepeatPolicy,
+    RequestHead, RequestPlan, Selection, Steering,
 };
 use tokio::time::Instant;
 
-use crate::common::{instance, limits, route, service, steering, team};
+use crate::common::{heartbeat, instance, limits, member, route, service, steering, team};
 
 const HEAD: RequestHead<'static> = RequestHead {
     host: "host.example",
@@ -113,3 +113,39 @@
     let other = RequestHead { path: "/p/2", ..HEAD };
     assert!(steering.admit(&other, now).is_ok());
 }
+
+/// Guards against a new process that accepts revoked keys by the older manifest of a restored
+/// platform, although other hosts have a newer one, and against a process that is late for a moment
+/// and refuses at once.
+#[tokio::test(start_paused = true)]
+async fn admit_outdated_after_start() {
+    for has_caught_up in [false, true] {
+        let now = Instant::now();
+        let mut steering = steering(now);
+        let (peer, own) = (member("peer", "a1", 2000), steering.settings().own_host.locality);
+        let from = peer.peer_address;
+        steering.members.register(peer, own, now);
+        let manifest = |version| {
+            let (teams, services) = (vec![team("two", 0.0)], vec![service("svc")]);
+            Manifest::new(version, vec![route()], services, teams, limits()).unwrap()
+        };
+        steering.apply_manifest(manifest(2), now);
+        if has_caught_up {
+            steering.receive_heartbeat(
+                Heartbeat { manifest_version: 2, ..heartbeat("peer", 1) },
+                from,
+                now,
+            );
+            steering.tick(now);
+        }
+        steering.receive_heartbeat(
+            Heartbeat { manifest_version: 3, ..heartbeat("peer", 2) },
+            from,
+            now,
+        );
+        steering.tick(now);
+        assert_eq!(steering.admit(&HEAD, now).is_ok(), has_caught_up);
+        steering.apply_manifest(manifest(3), now);
+        assert!(steering.admit(&HEAD, now).is_ok());
+    }
+}
