Restore the platform stand-in from a copy

The platform may come back from a copy that is some seconds old. Then what was written since is gone, revisions are given out again, and the header `Store-Era` rises. The stand-in could only lose its log of changes or everything.

`PlatformStandin::restore` and `PUT /admin/restore` go back to the objects, announcements and revision of up to 30 s ago, and end waiting watches. Every response carries the era in which it was determined.

--- a/crates/standin/src/platform/api.rs
+++ b/crates/standin/src/platform/api.rs
@@ -2,8 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use anyhow::ensure;
 use bytes::Bytes;
-use http::{Method, StatusCode, header};
+use http::{HeaderName, Method, StatusCode, header};
 use parking_lot::Mutex;
 use poem::{Endpoint, Request, Response};
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
@@ -20,10 +21,10 @@
         hosts::{HostAnnouncements, HostEntry},
         rate_limiter::CallRateLimiter,
         settings::{CallCounts, OutageMode, PlatformFaults, PlatformLimits, PlatformSettings},
-        store::{ChangesAfter, Condition, Store},
+        store::{ChangesAfter, Condition, MAX_RESTORE_AGE, Store},
         wire::{
-            CallKind, ListQuery, LostMessage, WatchQuery, parse_condition, throttled_response,
-            watch_response,
+            CallKind, ListQuery, LostMessage, RestoreRequest, WatchQuery, parse_condition,
+            throttled_response, watch_response,
         },
     },
 };
@@ -31,12 +32,15 @@
 /// Longest wait of a watch without `timeout_ms`.
 const DEFAULT_WATCH_TIMEOUT_MS: u64 = 30_000;
 
+/// Header with the era of the store, in every response.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
+
 /// Served state of a platform stand-in.
 pub(crate) struct Api {
     state: Mutex<State>,
     /// Revision of the store; wakes waiting watches.
     revision: watch::Sender<u64>,
-    /// Notifies waiting watches of changed faults.
+    /// Notifies waiting watches of changed faults and restorations.
     faults_changed: watch::Sender<()>,
     tracker: Arc<ConnectionTracker>,
 }
@@ -44,6 +48,8 @@
 /// Mutable part of an [`Api`].
 struct State {
     store: Store,
+    /// Number of restorations from a copy, plus 1.
+    era: u64,
     hosts: HostAnnouncements,
     /// Limiter of reads, lists and watches.
     read_limiter: CallRateLimiter,
@@ -63,6 +69,7 @@
         let PlatformSettings { limits, faults } = settings;
         let state = State {
             store: Store::new(limits.kept_changes),
+            era: 1,
             hosts: HostAnnouncements::default(),
             read_limiter: CallRateLimiter::new(limits.reads_per_s, now),
             write_limiter: CallRateLimiter::new(limits.writes_per_s, now),
@@ -106,6 +113,23 @@
         self.state.lock().store.clear_change_log();
     }
 
+    /// Goes back to the objects, revision and announcements of `age_ms` ago, begins a new era and
+    /// ends waiting watches. Returns the new era. Fails for more than [`MAX_RESTORE_AGE`].
+    pub(crate) fn restore(&self, age_ms: u64) -> anyhow::Result<u64> {
+        let age = Duration::from_millis(age_ms);
+        ensure!(age <= MAX_RESTORE_AGE, "the oldest copy is {MAX_RESTORE_AGE:?} old");
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        state.store.restore(age, now);
+        state.hosts.restore(age, now);
+        state.era += 1;
+        let (era, revision) = (state.era, state.store.revision());
+        drop(state);
+        self.revision.send_replace(revision);
+        self.faults_changed.send_replace(());
+        Ok(era)
+    }
+
     /// Returns the numbers of calls since the start.
     pub(crate) fn call_counts(&self) -> CallCounts {
         self.state.lock().call_counts.clone()
@@ -201,14 +225,16 @@
         let state = &mut *self.state.lock();
         let revision = state.store.revision();
         let Some(object) = state.store.read(name) else {
-            return error_response(StatusCode::NOT_FOUND, "no object has this name");
+            let message = "no object has this name";
+            return with_era(error_response(StatusCode::NOT_FOUND, message), state.era);
         };
         state.call_counts.bytes_read += object.bytes.len() as u64;
-        Response::builder()
+        let res = Response::builder()
             .header(header::ETAG, format!("\"{}\"", object.version))
             .header("kingcupford-revision", revision)
             .content_type("application/octet-stream")
-            .body(object.bytes.clone())
+            .body(object.bytes.clone());
+        with_era(res, state.era)
     }
 
     /// Writes an object, or deletes it when `value` is `None`.
@@ -233,7 +259,7 @@
         let response = {
             let state = &mut *self.state.lock();
             let bytes = value.as_ref().map_or(0, Bytes::len) as u64;
-            match state.store.write(name, value, condition, Instant::now()) {
+            let res = match state.store.write(name, value, condition, Instant::now()) {
                 Ok(version) => {
                     state.call_counts.bytes_written += bytes;
                     self.revision.send_replace(state.store.revision());
@@ -246,7 +272,8 @@
                     let body = json!({ "message": message, "current": current });
                     json_response(StatusCode::PRECONDITION_FAILED, &body)
                 }
-            }
+            };
+            with_era(res, state.era)
         };
         if lost_message == LostMessage::Response {
             self.tracker.connection_token(client).cancel();
@@ -271,10 +298,8 @@
             json!({ "name": name, "version": object.version, "age_ms": age_ms })
         });
         let objects: Vec<_> = objects.collect();
-        json_response(
-            StatusCode::OK,
-            &json!({ "revision": state.store.revision(), "objects": objects }),
-        )
+        let body = json!({ "revision": state.store.revision(), "objects": objects });
+        with_era(json_response(StatusCode::OK, &body), state.era)
     }
 
     /// Serves a long poll for changes.
@@ -292,26 +317,34 @@
         let mut revisions = self.revision.subscribe();
         let mut faults = self.faults_changed.subscribe();
         let timeout_ms = query.timeout_ms.unwrap_or(DEFAULT_WATCH_TIMEOUT_MS);
-        let timeout_ms = timeout_ms.min(self.state.lock().limits.max_watch_ms);
+        let (first_era, max_watch_ms) = {
+            let state = self.state.lock();
+            (state.era, state.limits.max_watch_ms)
+        };
+        let timeout_ms = timeout_ms.min(max_watch_ms);
         let deadline = Instant::now() + Duration::from_millis(timeout_ms);
         loop {
             revisions.borrow_and_update();
             faults.borrow_and_update();
             let hangs = {
                 let state = self.state.lock();
-                let revision = state.store.revision();
-                let hangs = state.faults.watches_hang;
-                match state.store.changes_after(&query.prefix, query.after) {
-                    _ if hangs => {}
+                let (era, revision) = (state.era, state.store.revision());
+                let is_restored = era != first_era;
+                let hangs = state.faults.watches_hang && !is_restored;
+                let response = match state.store.changes_after(&query.prefix, query.after) {
+                    _ if hangs => None,
                     ChangesAfter::OutOfRange => {
                         let body = json!({ "message": "list again", "revision": revision });
-                        return json_response(StatusCode::GONE, &body);
+                        Some(json_response(StatusCode::GONE, &body))
                     }
-                    ChangesAfter::Changed(changes) => return watch_response(revision, &changes),
-                    ChangesAfter::None if Instant::now() >= deadline => {
-                        return watch_response(revision, &[]);
+                    ChangesAfter::Changed(changes) => Some(watch_response(revision, &changes)),
+                    ChangesAfter::None if is_restored || Instant::now() >= deadline => {
+                        Some(watch_response(revision, &[]))
                     }
-                    ChangesAfter::None => {}
+                    ChangesAfter::None => None,
+                };
+                if let Some(it) = response {
+                    return with_era(it, era);
                 }
                 hangs
             };
@@ -343,7 +376,7 @@
             Duration::from_millis(state.faults.host_lag_ms.unwrap_or(state.limits.host_lag_ms));
         let expiry = Duration::from_millis(state.limits.host_expiry_ms);
         let hosts = state.hosts.list(Instant::now(), lag, expiry);
-        json_response(StatusCode::OK, &json!({ "hosts": hosts }))
+        with_era(json_response(StatusCode::OK, &json!({ "hosts": hosts })), state.era)
     }
 
     /// Serves the announcement of a host.
@@ -364,8 +397,9 @@
                 "the path names another host than the body",
             );
         }
-        self.state.lock().hosts.record(entry, Instant::now());
-        StatusCode::OK.into()
+        let state = &mut *self.state.lock();
+        state.hosts.record(entry, Instant::now());
+        with_era(StatusCode::OK.into(), state.era)
     }
 
     /// Serves the endpoints with which tests set faults and limits and read counters.
@@ -383,6 +417,14 @@
                     Err(error) => error_response(StatusCode::BAD_REQUEST, &error.to_string()),
                 }
             }
+            "restore" if is_put => {
+                let body = request.take_body().into_bytes().await.unwrap_or_default();
+                let request = serde_json::from_slice::<RestoreRequest>(&body);
+                match request.map_err(anyhow::Error::from).and_then(|it| self.restore(it.age_ms)) {
+                    Ok(era) => json_response(StatusCode::OK, &json!({ "era": era })),
+                    Err(error) => error_response(StatusCode::BAD_REQUEST, &error.to_string()),
+                }
+            }
             "forget-changes" if is_put => {
                 self.clear_change_log();
                 StatusCode::OK.into()
@@ -399,6 +441,7 @@
                     .collect();
                 let body = json!({
                     "revision": state.store.revision(),
+                    "era": state.era,
                     "objects": objects,
                     "faults": state.faults,
                     "limits": state.limits,
@@ -422,7 +465,8 @@
         let api = &self.0;
         let path = request.uri().path().to_owned();
         if let Some(rest) = path.strip_prefix("/admin/") {
-            return Ok(api.admin(rest, &mut request).await);
+            let res = api.admin(rest, &mut request).await;
+            return Ok(with_era(res, api.state.lock().era));
         }
         let connection_token = api.tracker.connection_token(http_util::client_address(&request));
         let served = async {
@@ -444,12 +488,21 @@
         // The end of a connection ends its request, except for a write that was received. The 503
         // response is never sent.
         tokio::select! {
-            response = served => Ok(response),
+            response = served => {
+                let has_era = response.headers().contains_key(ERA_HEADER);
+                Ok(if has_era { response } else { with_era(response, api.state.lock().era) })
+            }
             () = connection_token.cancelled() => Ok(StatusCode::SERVICE_UNAVAILABLE.into()),
         }
     }
 }
 
+/// Adds the era in which a response was determined.
+fn with_era(mut response: Response, era: u64) -> Response {
+    response.headers_mut().insert(ERA_HEADER, era.into());
+    response
+}
+
 impl State {
     /// Returns which message of the next write is lost, and counts a lost response.
     fn next_lost_message(&mut self) -> LostMessage {
--- a/crates/standin/src/platform/hosts.rs
+++ b/crates/standin/src/platform/hosts.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::platform::store::MAX_RESTORE_AGE;
+
 /// One host as it announced itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostEntry {
@@ -34,7 +36,8 @@
 /// Announcements of all hosts, with the history that a lagging list needs.
 #[derive(Debug, Default)]
 pub(crate) struct HostAnnouncements {
-    /// Announcements of each host, oldest first.
+    /// Announcements of each host, oldest first, back to the one that a list needed
+    /// [`MAX_RESTORE_AGE`] ago.
     by_host: BTreeMap<String, Vec<(Instant, HostEntry)>>,
     /// Time since which the list is frozen. Later announcements are not listed.
     frozen_at: Option<Instant>,
@@ -59,16 +62,26 @@
         };
         let mut res = Vec::new();
         self.by_host.retain(|_, announcements| {
-            let latest = announcements.iter().rposition(|it| it.0 <= as_of);
-            let Some(latest) = latest else { return true };
-            announcements.drain(..latest);
-            let (announced_at, entry) = &announcements[0];
-            let is_listed = as_of.duration_since(*announced_at) <= expiry;
-            if is_listed {
+            let newest_until = |time: Instant| announcements.iter().rposition(|it| it.0 <= time);
+            if let Some((announced_at, entry)) = newest_until(as_of).map(|it| &announcements[it])
+                && as_of.duration_since(*announced_at) <= expiry
+            {
                 res.push(entry.clone());
             }
-            is_listed || announcements.len() > 1
+            let oldest_as_of = as_of.checked_sub(MAX_RESTORE_AGE);
+            let oldest_needed = oldest_as_of.and_then(newest_until).unwrap_or(0);
+            announcements.drain(..oldest_needed);
+            let max_age = expiry + MAX_RESTORE_AGE;
+            announcements.last().is_some_and(|it| as_of.duration_since(it.0) <= max_age)
         });
         res
     }
+
+    /// Forgets the announcements that are younger than `age`.
+    pub(crate) fn restore(&mut self, age: Duration, now: Instant) {
+        for announcements in self.by_host.values_mut() {
+            announcements.retain(|it| now.duration_since(it.0) >= age);
+        }
+        self.by_host.retain(|_, announcements| !announcements.is_empty());
+    }
 }
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -59,6 +59,14 @@
         self.api.clear_change_log();
     }
 
+    /// Restores the platform from a copy, so that everything written in the last `age_ms` is lost:
+    /// objects, announcements and revisions, which later changes get again. Waiting watches end.
+    /// Returns the new era, which all responses carry in the header `store-era`. Fails for an age of
+    /// more than 30 s.
+    pub fn restore(&self, age_ms: u64) -> anyhow::Result<u64> {
+        self.api.restore(age_ms)
+    }
+
     /// Returns the numbers of calls since the start.
     pub fn call_counts(&self) -> CallCounts {
         self.api.call_counts()
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,10 +1,16 @@
 //! Versioned objects, and the log of their changes, from which watches are served.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use tokio::time::Instant;
 
+/// Age of the oldest state to which the platform can be restored.
+pub(crate) const MAX_RESTORE_AGE: Duration = Duration::from_secs(30);
+
 /// Objects by name, with one revision for the whole store.
 #[derive(Debug)]
 pub(crate) struct Store {
@@ -14,6 +20,9 @@
     /// Log of the latest changes, oldest first, with consecutive revisions.
     change_log: VecDeque<Change>,
     max_logged_changes: usize,
+    /// What the changes of the last [`MAX_RESTORE_AGE`] replaced, oldest first. Unlike the log of
+    /// changes it is never emptied.
+    undo_log: VecDeque<UndoEntry>,
 }
 
 /// A stored value.
@@ -34,6 +43,15 @@
     is_deletion: bool,
 }
 
+/// Object before a change.
+#[derive(Debug)]
+struct UndoEntry {
+    changed_at: Instant,
+    name: String,
+    /// Replaced or deleted object, `None` if the change created it.
+    previous: Option<Object>,
+}
+
 /// Precondition of a write or a deletion.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Condition {
@@ -64,6 +82,7 @@
             revision: 0,
             change_log: VecDeque::new(),
             max_logged_changes,
+            undo_log: VecDeque::new(),
         }
     }
 
@@ -109,14 +128,17 @@
         if self.change_log.len() > self.max_logged_changes {
             self.change_log.pop_front();
         }
-        match value {
+        let previous = match value {
             Some(bytes) => {
                 let object = Object { version: revision, bytes, changed_at: now };
-                self.objects.insert(name.to_owned(), object);
-            }
-            None => {
-                self.objects.remove(name);
+                self.objects.insert(name.to_owned(), object)
             }
+            None => self.objects.remove(name),
+        };
+        self.undo_log.push_back(UndoEntry { changed_at: now, name: name.to_owned(), previous });
+        let is_too_old = |it: &UndoEntry| now.duration_since(it.changed_at) > MAX_RESTORE_AGE;
+        while self.undo_log.front().is_some_and(is_too_old) {
+            self.undo_log.pop_front();
         }
         Ok(revision)
     }
@@ -139,6 +161,19 @@
         }
     }
 
+    /// Undoes all changes that are younger than `age`; later changes get their revisions again.
+    pub(crate) fn restore(&mut self, age: Duration, now: Instant) {
+        let is_younger = |it: &mut UndoEntry| now.duration_since(it.changed_at) < age;
+        while let Some(it) = self.undo_log.pop_back_if(is_younger) {
+            match it.previous {
+                Some(object) => self.objects.insert(it.name, object),
+                None => self.objects.remove(&it.name),
+            };
+            self.revision -= 1;
+        }
+        while self.change_log.pop_back_if(|it| it.revision > self.revision).is_some() {}
+    }
+
     /// Empties the log of changes, so that a watch after an older revision than the current one has
     /// to list the objects again.
     pub(crate) fn clear_change_log(&mut self) {
--- a/crates/standin/src/platform/wire.rs
+++ b/crates/standin/src/platform/wire.rs
@@ -56,6 +56,14 @@
     pub(super) timeout_ms: Option<u64>,
 }
 
+/// Body of a request to restore the platform from a copy.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RestoreRequest {
+    /// Age of the copy.
+    pub(super) age_ms: u64,
+}
+
 impl CallCounts {
     /// Returns the counter of calls of a kind.
     pub(super) fn counter(&mut self, kind: CallKind) -> &mut u64 {
