Withhold units that a restored ledger adds

A platform that comes back from a copy has a ledger from before units were given away. A holder that adopted it used them at once, while the holder that had received them went on until it knew of the restoration or its lease ended: both held them.

A ledger with a lower generation or refresh counter than the known one is from such a copy. What it adds to the own share is usable once the main leases of the lost ledger have ended.

--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -74,6 +74,15 @@
         total <= u64::from(UNITS_PER_CAP) && self.holders.is_sorted_by(|a, b| a.key() < b.key())
     }
 
+    /// Whether this ledger lacks changes of `earlier`, which was known before, because the platform
+    /// was restored from a copy. Otherwise generations and refresh counters never decrease.
+    pub(crate) fn is_restored_from_before(&self, earlier: &Self) -> bool {
+        let has_lower_counter = |it: &ShareRecord| {
+            earlier.record(&it.name, it.incarnation).is_some_and(|known| it.counter < known.counter)
+        };
+        self.generation < earlier.generation || self.holders.iter().any(has_lower_counter)
+    }
+
     /// Index of the record of a process, or the index at which to insert it.
     pub(crate) fn position(&self, name: &str, incarnation: u64) -> Result<usize, usize> {
         self.holders.binary_search_by(|it| it.key().cmp(&(name, incarnation)))
--- a/crates/quota/src/ledger_writer.rs
+++ b/crates/quota/src/ledger_writer.rs
@@ -114,6 +114,8 @@
             return;
         }
         self.advance_all(now);
+        let is_restored = self.writer.ledger().is_some_and(|it| ledger.is_restored_from_before(it));
+        let units_before = self.share.floor_units + self.share.main_units;
         self.tracker.record_ledger(&ledger, now);
         let record = ledger.record(&self.name, self.incarnation);
         // Unresolved writes are conditional on an older version, so each of them has taken effect
@@ -145,6 +147,9 @@
                 self.writer.reclaimed_units = 0;
             }
         }
+        if is_restored {
+            self.withhold_restored_units(units_before, now);
+        }
         let is_new_generation =
             self.writer.ledger().is_none_or(|it| it.generation < ledger.generation);
         if is_new_generation {
@@ -156,6 +161,16 @@
         self.advance_all(now);
     }
 
+    /// Withholds the units that a restored ledger adds to this share. Their holder in the lost
+    /// ledger may use them until it learns of the restoration or its main lease ends.
+    fn withhold_restored_units(&mut self, units_before: u32, now: Instant) {
+        let added = (self.share.floor_units + self.share.main_units).saturating_sub(units_before);
+        if added > 0 {
+            let usable_from = now + self.settings.main_lease + self.settings.main_reclaim_margin;
+            self.share.reclaimed.push((added, usable_from));
+        }
+    }
+
     /// Records that the platform has no ledger yet, so that this holder may create one.
     pub fn ledger_missing(&mut self) {
         if matches!(self.writer.known_ledger, KnownLedger::Unread) {
--- a/crates/quota/tests/leases.rs
+++ b/crates/quota/tests/leases.rs
@@ -238,3 +238,42 @@
     assert!((tokens - tokens_before / 2.0).abs() < 0.1, "{tokens} tokens moved");
     assert_eq!(pair.admit_all(0), 10, "the lender keeps the other half");
 }
+
+/// Guards against units that two holders use after a restoration, because one adopts a copy of the
+/// ledger from before it gave them away and the other one does not know of the restoration yet.
+#[test]
+fn restored_ledger_adds_units_after_leases() {
+    let mut pair = Pair::settled();
+    let (version, copy) = pair.ledger_object.clone();
+    let mut moved = copy.clone();
+    moved.holders[0].main -= 200_000;
+    moved.holders[0].counter += 1;
+    moved.holders[1].main += 200_000;
+    for it in &mut pair.holders {
+        it.adopt_ledger(version + 1, moved.clone(), pair.now);
+    }
+    let restored_version = version + 1_000;
+    pair.holders[0].adopt_ledger(restored_version, copy.clone(), pair.now);
+    assert_eq!(pair.holders[0].share_units(), (100_000, 400_000));
+    let count_for_s = |pair: &mut Pair, seconds: u32| {
+        pair.admit_all(0);
+        pair.admit_all(1);
+        let mut admitted = 0;
+        for _ in 0..seconds * 10 {
+            pair.advance(100);
+            admitted += pair.admit_all(0) + pair.admit_all(1);
+        }
+        admitted
+    };
+    let admitted = count_for_s(&mut pair, 5);
+    assert!(admitted <= 1_001, "{admitted} admitted, the limit is 200 per second");
+    pair.ledger_object = (restored_version, copy.clone());
+    pair.holders[1].adopt_ledger(restored_version, copy, pair.now);
+    for _ in 0..80 {
+        pair.advance(100);
+        pair.write(0);
+        pair.write(1);
+    }
+    let admitted = count_for_s(&mut pair, 2);
+    assert!((390..=401).contains(&admitted), "{admitted} admitted of 400 after the leases");
+}
