Write the ledger again when the platform has lost it

A host that knew a ledger ignored that the platform no longer had one. All its writes were conditional on a version that would not come back, so no host could join, refresh or reclaim. Starting over would give all units to one host while the others still hold theirs.

When a read that began with a known version finds no ledger, the host creates the object again with the known content.

--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -254,6 +254,17 @@
         self.holder.ledger_missing();
     }
 
+    /// Returns the version of the newest known ledger.
+    pub fn ledger_version(&self) -> Option<u64> {
+        self.holder.ledger().map(|it| it.0)
+    }
+
+    /// Records that the platform no longer has a ledger, although this host knew `version` when it
+    /// asked.
+    pub fn record_ledger_lost(&mut self, version: u64, now: Instant) {
+        self.holder.ledger_lost(version, now);
+    }
+
     /// Applies the platform's list of entry hosts.
     pub fn apply_platform_hosts(&mut self, list: &[ListedHost], now: Instant) {
         self.fleet.record_platform_contact(now);
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -123,6 +123,7 @@
             continue;
         }
         host.metrics.platform_calls.inc();
+        let known_version = host.engine.lock().ledger_version();
         let response = host.store.read(LEDGER_NAME).await;
         let is_available = !matches!(response, CallOutcome::Unavailable);
         if is_available != std::mem::replace(&mut was_available, is_available) {
@@ -133,9 +134,12 @@
         match response {
             CallOutcome::Value(Some(object)) => apply_object(host, LEDGER_NAME, &object),
             CallOutcome::Value(None) => {
-                let mut engine = host.engine.lock();
-                engine.record_platform_contact(Instant::now());
-                engine.record_ledger_missing();
+                let (mut engine, now) = (host.engine.lock(), Instant::now());
+                engine.record_platform_contact(now);
+                match known_version {
+                    Some(version) => engine.record_ledger_lost(version, now),
+                    None => engine.record_ledger_missing(),
+                }
             }
             CallOutcome::Unavailable | CallOutcome::Throttled { .. } => {}
         }
--- a/crates/quota/src/ledger_writer.rs
+++ b/crates/quota/src/ledger_writer.rs
@@ -24,6 +24,8 @@
 #[derive(Debug)]
 pub(crate) struct LedgerWriter {
     known_ledger: KnownLedger,
+    /// Whether the platform has lost the known ledger and has no other one.
+    is_lost: bool,
     /// Writes whose effect is not known yet, the one in flight included.
     unresolved: Vec<UnresolvedWrite>,
     /// Content of the proposal whose outcome has not been reported yet.
@@ -61,6 +63,7 @@
     pub(crate) fn new(now: Instant) -> Self {
         Self {
             known_ledger: KnownLedger::Unread,
+            is_lost: false,
             unresolved: Vec::new(),
             in_flight: None,
             refresh_counter: 0,
@@ -158,6 +161,7 @@
             self.writer.next_proposal_at = self.writer.next_proposal_at.max(now + delay / 4);
         }
         self.writer.known_ledger = KnownLedger::Present(version, ledger);
+        self.writer.is_lost = false;
         self.advance_all(now);
     }
 
@@ -178,6 +182,15 @@
         }
     }
 
+    /// Records that the platform no longer has a ledger, although `version` was known when it was
+    /// asked. This holder may then write the known ledger again.
+    pub fn ledger_lost(&mut self, version: u64, now: Instant) {
+        if matches!(self.writer.known_ledger, KnownLedger::Present(known, _) if known == version) {
+            self.writer.is_lost = true;
+            self.writer.force_refresh(now);
+        }
+    }
+
     /// Returns the conditional update that is due, if any: a join, a refresh, a rebalance, a
     /// reclaim or a handover.
     ///
@@ -191,7 +204,9 @@
         let (base_version, mut next) = match &self.writer.known_ledger {
             KnownLedger::Unread => return None,
             KnownLedger::Missing => (None, Ledger::default()),
-            KnownLedger::Present(version, ledger) => (Some(*version), ledger.clone()),
+            KnownLedger::Present(version, ledger) => {
+                ((!self.writer.is_lost).then_some(*version), ledger.clone())
+            }
         };
         let changed = match next.position(&self.name, self.incarnation) {
             Err(_) => self.join(&mut next),
--- a/crates/quota/tests/leases.rs
+++ b/crates/quota/tests/leases.rs
@@ -277,3 +277,24 @@
     let admitted = count_for_s(&mut pair, 2);
     assert!((390..=401).contains(&admitted), "{admitted} admitted of 400 after the leases");
 }
+
+/// Guards against a division that starts over, with all units at one holder, when the platform is
+/// restored from a copy without a ledger.
+#[test]
+fn lost_ledger_is_written_again() {
+    let mut pair = Pair::settled();
+    let (version, ledger) = pair.ledger_object.clone();
+    pair.holders[0].ledger_lost(version - 1, pair.now);
+    pair.advance(100);
+    assert_eq!(pair.holders[0].propose_ledger(pair.now), None, "an older read says nothing");
+    pair.holders[0].ledger_lost(version, pair.now);
+    let proposal = pair.holders[0].propose_ledger(pair.now).expect("the lost ledger");
+    assert_eq!(proposal.base_version, None);
+    let units = |it: &Ledger| it.holders.iter().map(|it| (it.floor, it.main)).collect::<Vec<_>>();
+    assert_eq!(units(&proposal.ledger), units(&ledger));
+    pair.holders[0].proposal_done(WriteOutcome::Written(version + 1_000), pair.now);
+    pair.holders[0].ledger_lost(version, pair.now);
+    pair.advance(70_000);
+    let next = pair.holders[0].propose_ledger(pair.now).expect("a refresh");
+    assert_eq!(next.base_version, Some(version + 1_000));
+}
