Order versions of the platform's objects by its era

Hosts keep the document with the highest version and write on the condition of a version. A platform that comes back from a copy gives versions out again: hosts ignored its ledger and rollouts, all writes were conditional on versions that no longer existed, or on one that meanwhile named something else.

The client of an entry host puts the era of the store, from the header `store-era`, into the upper bits of versions and revisions. Those of an earlier era are lower than all of a later one, conditions on them conflict and watches after them get 410. Nothing changes for a platform that names no era.

--- /dev/null
+++ b/crates/entry/src/era.rs
@@ -0,0 +1,161 @@
+//! Versions of the platform's objects that keep rising when the platform is restored from a copy.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::HeaderName;
+use kingcupford_platform::{
+    Announcement, ApiRequest, ApiResponse, CallOutcome, Condition, Dialect, HostEntry, ListPage,
+    Object, PlainDialect, WatchResponse, WriteOutcome,
+};
+
+/// Header with the era of the platform's store, which rises with each restoration.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
+
+/// Bits of a version below those of its era.
+const VERSION_BITS: u32 = 40;
+
+/// [`PlainDialect`] whose versions and revisions contain the era of the store.
+///
+/// After a restoration the platform gives versions out again. With the era in the upper bits, a
+/// version of an earlier era is lower than every version of a later one, and a condition or a watch
+/// that refers to it fails.
+#[derive(Debug, Clone, Default)]
+pub struct EraDialect {
+    plain: PlainDialect,
+    /// Newest era in a response, 0 if the platform names none; shared by all clones.
+    newest_era: Arc<AtomicU64>,
+}
+
+impl EraDialect {
+    /// Returns the era of a response. One without the header is of the newest known era.
+    fn era(&self, response: &ApiResponse) -> u64 {
+        let header = response.headers.get(ERA_HEADER).and_then(|it| it.to_str().ok()?.parse().ok());
+        match header {
+            Some(era) => {
+                self.newest_era.fetch_max(era, Ordering::Relaxed);
+                era
+            }
+            None => self.newest_era.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Returns the version that the platform knows. A version of another era than the newest one
+    /// remains as it is, so that it is higher than every version of the platform.
+    fn plain_version(&self, version: u64) -> u64 {
+        let era = self.newest_era.load(Ordering::Relaxed);
+        if version >> VERSION_BITS == era { version & ((1 << VERSION_BITS) - 1) } else { version }
+    }
+
+    fn plain_condition(&self, condition: Condition) -> Condition {
+        match condition {
+            Condition::Version(it) => Condition::Version(self.plain_version(it)),
+            Condition::Always | Condition::Absent => condition,
+        }
+    }
+}
+
+/// Returns the version with its era in the upper bits.
+fn version_in_era(era: u64, version: u64) -> u64 {
+    era << VERSION_BITS | version
+}
+
+impl Dialect for EraDialect {
+    fn encode_read(&self, name: &str) -> ApiRequest {
+        self.plain.encode_read(name)
+    }
+
+    fn decode_read(&self, response: &ApiResponse) -> CallOutcome<Option<Object>> {
+        let era = self.era(response);
+        self.plain.decode_read(response).map(|object| {
+            object.map(|it| Object { version: version_in_era(era, it.version), ..it })
+        })
+    }
+
+    fn encode_write(&self, name: &str, value: &Bytes, condition: Condition) -> ApiRequest {
+        self.plain.encode_write(name, value, self.plain_condition(condition))
+    }
+
+    fn encode_create_fallback(
+        &self,
+        name: &str,
+        value: &Bytes,
+        condition: Condition,
+        response: &ApiResponse,
+    ) -> Option<ApiRequest> {
+        let condition = self.plain_condition(condition);
+        self.plain.encode_create_fallback(name, value, condition, response)
+    }
+
+    fn encode_delete(&self, name: &str, condition: Condition) -> ApiRequest {
+        self.plain.encode_delete(name, self.plain_condition(condition))
+    }
+
+    fn decode_write(&self, response: &ApiResponse) -> WriteOutcome {
+        let era = self.era(response);
+        match self.plain.decode_write(response) {
+            WriteOutcome::Written { version } => {
+                WriteOutcome::Written { version: version_in_era(era, version) }
+            }
+            WriteOutcome::Conflict { current } => {
+                WriteOutcome::Conflict { current: current.map(|it| version_in_era(era, it)) }
+            }
+            other => other,
+        }
+    }
+
+    fn encode_list(&self, prefix: &str, after: Option<&str>) -> ApiRequest {
+        self.plain.encode_list(prefix, after)
+    }
+
+    fn decode_list(&self, prefix: &str, response: &ApiResponse) -> CallOutcome<ListPage> {
+        let era = self.era(response);
+        self.plain.decode_list(prefix, response).map(|mut page| {
+            page.listing.revision = version_in_era(era, page.listing.revision);
+            for it in &mut page.listing.objects {
+                it.version = version_in_era(era, it.version);
+            }
+            page
+        })
+    }
+
+    fn encode_watch(&self, prefix: &str, after: u64, wait: Duration) -> ApiRequest {
+        self.plain.encode_watch(prefix, self.plain_version(after), wait)
+    }
+
+    fn decode_watch(&self, prefix: &str, response: &ApiResponse) -> CallOutcome<WatchResponse> {
+        let previous_era = self.newest_era.load(Ordering::Relaxed);
+        let era = self.era(response);
+        if era != previous_era {
+            // The response continues from a revision of another era.
+            return CallOutcome::Value(WatchResponse::RevisionTooOld);
+        }
+        self.plain.decode_watch(prefix, response).map(|mut response| {
+            if let WatchResponse::Changes { revision, changes, .. } = &mut response {
+                *revision = version_in_era(era, *revision);
+                for it in changes {
+                    it.version = it.version.map(|it| version_in_era(era, it));
+                }
+            }
+            response
+        })
+    }
+
+    fn encode_list_hosts(&self) -> ApiRequest {
+        self.plain.encode_list_hosts()
+    }
+
+    fn decode_list_hosts(&self, response: &ApiResponse) -> CallOutcome<Vec<HostEntry>> {
+        self.plain.decode_list_hosts(response)
+    }
+
+    fn encode_announce(&self, entry: &HostEntry) -> Announcement {
+        self.plain.encode_announce(entry)
+    }
+}
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -30,6 +30,7 @@
     admin::AdminApi,
     api::CallerApi,
     certificate, control,
+    era::EraDialect,
     listener::{CallerListener, Connections},
     settings::Settings,
     upstream::UpstreamClient,
@@ -43,7 +44,7 @@
     pub(crate) snapshot: ArcSwap<Snapshot>,
     pub(crate) metrics: Metrics,
     pub(crate) upstreams: UpstreamClient,
-    pub(crate) store: Arc<HttpObjectStore>,
+    pub(crate) store: Arc<HttpObjectStore<EraDialect>>,
     pub(crate) transport: Transport,
     /// Wakes requests that wait for a slot. The value is the last ticket that was placed.
     pub(crate) placed_ticket: watch::Sender<Ticket>,
@@ -129,12 +130,14 @@
             EngineSettings { seeds: seed_hosts(&settings), ..EngineSettings::default() };
         let seed = rand::rng().random();
         let engine = Engine::new(identity, engine_settings, seed, Instant::now());
+        let store_settings = HttpStoreSettings::new(&settings.platform_url);
+        let store = HttpObjectStore::with_dialect(store_settings, EraDialect::default())?;
         let host = Arc::new(Host {
             engine: Mutex::new(engine),
             snapshot: ArcSwap::from_pointee(Snapshot::default()),
             metrics: Metrics::new(),
             upstreams: UpstreamClient::new()?,
-            store: Arc::new(HttpObjectStore::new(HttpStoreSettings::new(&settings.platform_url))?),
+            store: Arc::new(store),
             transport,
             placed_ticket: watch::Sender::new(Ticket(0)),
             share_tick: Notify::new(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod body;
 mod certificate;
 mod control;
+mod era;
 mod forward;
 mod headers;
 mod host;
@@ -18,6 +19,7 @@
 mod upstream;
 
 pub use crate::{
+    era::EraDialect,
     host::{EntryHost, ShutdownReport},
     settings::{CallerTls, Limits, PeerTls, Seed, Settings, SettingsError},
 };
--- a/crates/entry/tests/it/platform.rs
+++ b/crates/entry/tests/it/platform.rs
@@ -3,7 +3,12 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, ensure};
-use kingcupford_platform::{CallOutcome, ChangeOutcome, Condition, ObjectStore as _};
+use kingcupford_entry::EraDialect;
+use kingcupford_platform::{
+    CallOutcome, ChangeOutcome, Condition, HttpObjectStore, HttpStoreSettings, ObjectStore as _,
+    WatchResponse, WriteOutcome,
+};
+use kingcupford_quota::Ledger;
 use kingcupford_standin::{OutageMode, PlatformFaults};
 use tokio::time::{Instant, sleep};
 
@@ -97,3 +102,71 @@
         Ok(())
     });
 }
+
+/// Guards against hosts that keep to a ledger which the platform has lost, so that no host can join
+/// or change the division again.
+#[test]
+fn ledger_after_restoration() {
+    run_test(async {
+        let mut fleet = TestFleet::prepare(settings(3, &["fukuoka-a"], 16), |_| ()).await?;
+        let prepared_at = Instant::now();
+        sleep(Duration::from_millis(100)).await;
+        for index in [0, 1] {
+            fleet.start_host(index)?;
+        }
+        fleet.wait_until_settled(1).await?;
+        sleep(Duration::from_secs(1)).await;
+        let third_started_at = Instant::now();
+        fleet.start_host(2)?;
+        fleet.wait_until_settled(1).await?;
+        // The first copy has no record of the third host, the second one has no ledger.
+        for copied_at in [third_started_at, prepared_at] {
+            let age_ms = copied_at.elapsed().as_millis() as u64;
+            fleet.deployment.platform.restore(age_ms)?;
+            let waited = wait_until("the ledger names all hosts", Duration::from_secs(20), || {
+                let read = fleet.deployment.store.read("quota/ledger");
+                async {
+                    let object = read.await.value().flatten();
+                    let ledger =
+                        object.and_then(|it| serde_json::from_slice::<Ledger>(&it.bytes).ok());
+                    ledger.is_some_and(|it| it.holders.len() == 3)
+                }
+            });
+            println!("the ledger named all hosts {:?} after the restoration", waited.await?);
+            fleet.wait_until_settled(1).await?;
+        }
+        Ok(())
+    });
+}
+
+/// Guards against a version from before a restoration that is taken for one given out again.
+#[test]
+fn versions_rise_over_restoration() {
+    run_test(async {
+        let fleet = TestFleet::prepare(settings(1, &["fukuoka-a"], 16), |_| ()).await?;
+        let platform = &fleet.deployment.platform;
+        let store_settings = HttpStoreSettings::new(&format!("http://{}", platform.address()));
+        let store = HttpObjectStore::with_dialect(store_settings, EraDialect::default())?;
+        let write = async |condition| store.write("quota/a", "1".into(), condition).await;
+        sleep(Duration::from_millis(500)).await;
+        let WriteOutcome::Written { version: lost } = write(Condition::Always).await else {
+            anyhow::bail!("not written");
+        };
+        platform.restore(300)?;
+        ensure!(store.read("quota/a").await == CallOutcome::Value(None));
+        let WriteOutcome::Written { version } = write(Condition::Always).await else {
+            anyhow::bail!("not written");
+        };
+        ensure!(version > lost, "version {version} after {lost}");
+        ensure!(
+            write(Condition::Version(lost)).await
+                == WriteOutcome::Conflict { current: Some(version) },
+            "the version of the lost write has the same number in the platform"
+        );
+        let watch = store.watch("quota/", lost, Duration::ZERO).await;
+        ensure!(watch == CallOutcome::Value(WatchResponse::RevisionTooOld), "{watch:?}");
+        let next = write(Condition::Version(version)).await;
+        ensure!(matches!(next, WriteOutcome::Written { .. }), "{next:?}");
+        Ok(())
+    });
+}
