Add failing tests of configuration changes over a restoration

The configuration store trusts versions and chunks from before the platform came back from a copy. Four tests show what follows: a version is given to two configurations, so hosts ignore a revocation; a head refers to chunks that are lost; a condition holds for a version that was given out again.

--- a/crates/entry/tests/it/platform.rs
+++ b/crates/entry/tests/it/platform.rs
@@ -139,6 +139,30 @@
     });
 }
 
+/// Guards against a revocation after a restoration that hosts ignore because a configuration which
+/// the platform lost had the same version.
+#[test]
+fn revoked_key_after_restoration() {
+    run_test(async {
+        let fleet = TestFleet::start(settings(3, &["fukuoka-a"], 16)).await?;
+        let key = fleet.issue_key("k", "school-1").await?;
+        sleep(Duration::from_millis(500)).await;
+        let copied_at = Instant::now();
+        fleet.issue_key("lost", "school-1").await?;
+        fleet.deployment.platform.restore(copied_at.elapsed().as_millis() as u64)?;
+        let revoked = fleet.deployment.config.revoke_key("k", "revoke-k").await;
+        ensure!(matches!(revoked, ChangeOutcome::Applied { .. }), "{revoked:?}");
+        for index in 0..fleet.hosts.len() {
+            wait_until("the revoked key is refused", Duration::from_secs(6), || async {
+                let read = fleet.get(index, "/ledger-view/a", &key).send().await;
+                read.is_ok_and(|it| it.status() == 401)
+            })
+            .await?;
+        }
+        Ok(())
+    });
+}
+
 /// Guards against a version from before a restoration that is taken for one given out again.
 #[test]
 fn versions_rise_over_restoration() {
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -43,6 +43,19 @@
     SwitchAfter,
     /// The write takes effect and an outage begins.
     OutageAfter(Arc<PlatformStandin>),
+    /// The platform is restored from a copy of [`COPY_AGE_MS`] before the write, whose response is
+    /// not lost.
+    RestoreBefore(Arc<PlatformStandin>),
+    /// As [`RestoreBefore`](Self::RestoreBefore), and then another operator issues a key.
+    RestoreAndIssueBefore(Arc<PlatformStandin>),
+}
+
+/// Age of the copy from which the platform is restored.
+const COPY_AGE_MS: u64 = 400;
+
+/// Waits until the objects written so far are in the copy.
+async fn wait_until_copied() {
+    tokio::time::sleep(Duration::from_millis(COPY_AGE_MS + 200)).await;
 }
 
 impl InterferingStore {
@@ -80,6 +93,16 @@
                 let outage = OutageMode::Unavailable;
                 platform.set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
             }
+            Interference::RestoreBefore(platform) => {
+                platform.restore(COPY_AGE_MS).unwrap();
+                return self.inner.write(name, value, condition).await;
+            }
+            Interference::RestoreAndIssueBefore(platform) => {
+                platform.restore(COPY_AGE_MS).unwrap();
+                let outcome = self.other_operator.issue_key(&key("other"), "other").await;
+                assert!(matches!(outcome, ChangeOutcome::Applied { .. }));
+                return self.inner.write(name, value, condition).await;
+            }
         }
         WriteOutcome::Unknown
     }
@@ -495,3 +518,54 @@
     };
     assert!(history.objects.len() <= 17, "{} archived heads are stored", history.objects.len());
 }
+
+/// Guards against a head whose chunks were lost when the platform was restored between their write
+/// and that of the head.
+#[tokio::test]
+async fn apply_restored_before_head() {
+    let platform = Arc::new(start_platform().await);
+    let inner = object_store(&platform);
+    config_store(inner.clone(), 1).apply(&declarations(), &change_request("base")).await;
+    wait_until_copied().await;
+    let interference = Interference::RestoreBefore(Arc::clone(&platform));
+    let store = config_store(InterferingStore::new(inner, interference), 2);
+    let change = declarations_with_block_at("s2");
+    let outcome = store.apply(&change, &change_request("a")).await;
+    assert!(matches!(outcome, ChangeOutcome::Applied { .. }), "{outcome:?}");
+    let reader = config_store(object_store(&platform), 3);
+    let stored = reader.read_declarations(&read_head(&reader).await).await;
+    assert_eq!(stored.expect("all chunks are stored").blocks[0].site, "s2");
+}
+
+/// Guards against a change that overwrites another one because the version on which its write is
+/// conditional was given out again after a restoration.
+#[tokio::test]
+async fn issue_key_restored_version_reused() {
+    let platform = Arc::new(start_platform().await);
+    let inner = object_store(&platform);
+    config_store(inner.clone(), 1).apply(&declarations(), &change_request("base")).await;
+    wait_until_copied().await;
+    config_store(inner.clone(), 3).issue_key(&key("lost"), "lost").await;
+    let interference = Interference::RestoreAndIssueBefore(Arc::clone(&platform));
+    let store = config_store(InterferingStore::new(inner, interference), 2);
+    let outcome = store.issue_key(&key("k1"), "a").await;
+    assert!(matches!(outcome, ChangeOutcome::Applied { .. }), "{outcome:?}");
+    let keys = store.read_declarations(&read_head(&store).await).await.unwrap().keys;
+    let ids: Vec<&str> = keys.iter().map(|it| it.id.as_str()).collect();
+    assert!(ids.contains(&"other") && ids.contains(&"k1"), "keys of both operators: {ids:?}");
+}
+
+/// Guards against a configuration version that is given to two configurations, of which hosts that
+/// have the lost one ignore the other.
+#[tokio::test]
+async fn issue_key_restored_config_version() {
+    let platform = start_platform().await;
+    let store = config_store(object_store(&platform), 1);
+    store.apply(&declarations(), &change_request("base")).await;
+    wait_until_copied().await;
+    assert_eq!(store.issue_key(&key("lost"), "lost").await, applied(2));
+    platform.restore(COPY_AGE_MS).unwrap();
+    let outcome = config_store(object_store(&platform), 2).issue_key(&key("k1"), "a").await;
+    let ChangeOutcome::Applied { version } = outcome else { panic!("{outcome:?}") };
+    assert!(version > 2, "version {version} was given to a lost configuration");
+}
