Withhold floor units of a restored ledger for the floor lease

All units that a restored ledger added were withheld for the main lease. A holder that is cut off may use floor units of the lost ledger for the floor lease, which is longer.

--- a/crates/quota/src/ledger_writer.rs
+++ b/crates/quota/src/ledger_writer.rs
@@ -118,7 +118,7 @@
         }
         self.advance_all(now);
         let is_restored = self.writer.ledger().is_some_and(|it| ledger.is_restored_from_before(it));
-        let units_before = self.share.floor_units + self.share.main_units;
+        let units_before = self.share_units();
         self.tracker.record_ledger(&ledger, now);
         let record = ledger.record(&self.name, self.incarnation);
         // Unresolved writes are conditional on an older version, so each of them has taken effect
@@ -166,13 +166,16 @@
     }
 
     /// Withholds the units that a restored ledger adds to this share. Their holder in the lost
-    /// ledger may use them until it learns of the restoration or its main lease ends.
-    fn withhold_restored_units(&mut self, units_before: u32, now: Instant) {
-        let added = (self.share.floor_units + self.share.main_units).saturating_sub(units_before);
-        if added > 0 {
-            let usable_from = now + self.settings.main_lease + self.settings.main_reclaim_margin;
-            self.share.reclaimed.push((added, usable_from));
-        }
+    /// ledger may use them until it learns of the restoration or its leases end.
+    fn withhold_restored_units(&mut self, units_before: (u32, u32), now: Instant) {
+        let (floor_before, main_before) = units_before;
+        let settings = &self.settings;
+        let floor_wait = settings.floor_lease + settings.floor_reclaim_margin;
+        let main_wait = settings.main_lease + settings.main_reclaim_margin;
+        let added_floor = self.share.floor_units.saturating_sub(floor_before);
+        let added_main = self.share.main_units.saturating_sub(main_before);
+        let added = [(added_floor, now + floor_wait), (added_main, now + main_wait)];
+        self.share.reclaimed.extend(added.into_iter().filter(|it| it.0 > 0));
     }
 
     /// Records that the platform has no ledger yet, so that this holder may create one.
--- a/crates/quota/tests/leases.rs
+++ b/crates/quota/tests/leases.rs
@@ -278,6 +278,32 @@
     assert!((390..=401).contains(&admitted), "{admitted} admitted of 400 after the leases");
 }
 
+/// Guards against floor units that two holders use after a restoration during a partition, when the
+/// main leases have ended and the floor leases have not.
+#[test]
+fn restored_ledger_adds_floor_after_floor_lease() {
+    let mut pair = Pair::settled();
+    let (version, copy) = pair.ledger_object.clone();
+    let mut moved = copy.clone();
+    moved.holders[0].floor -= 50_000;
+    moved.holders[0].counter += 1;
+    moved.holders[1].floor += 50_000;
+    for it in &mut pair.holders {
+        it.adopt_ledger(version + 1, moved.clone(), pair.now);
+    }
+    pair.holders[0].adopt_ledger(version + 1_000, copy, pair.now);
+    pair.advance(15_000);
+    pair.admit_all(0);
+    pair.admit_all(1);
+    let mut admitted = 0;
+    for _ in 0..100 {
+        pair.advance(100);
+        admitted += pair.admit_all(0) + pair.admit_all(1);
+    }
+    assert!(admitted <= 401, "{admitted} in 10 s, the floor shares are 40 per second");
+    assert!(admitted >= 390, "{admitted} in 10 s of 400");
+}
+
 /// Guards against a division that starts over, with all units at one holder, when the platform is
 /// restored from a copy without a ledger.
 #[test]
