--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -12,6 +12,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::{
+    era::split_version,
     host::{Host, unix_ms},
     platform, reports,
 };
@@ -177,7 +178,8 @@
             Event::RolloutStopped.log(format_args!("{service}: {reason}"));
         }
         EngineEvent::LedgerChanged(version) => {
-            Event::LedgerChanged.log(format_args!("version {version}"))
+            let (era, number) = split_version(*version);
+            Event::LedgerChanged.log(format_args!("version {number} of era {era}"))
         }
     }
 }
--- a/crates/entry/src/era.rs
+++ b/crates/entry/src/era.rs
@@ -50,7 +50,8 @@
     /// remains as it is, so that it is higher than every version of the platform.
     fn plain_version(&self, version: u64) -> u64 {
         let era = self.newest_era.load(Ordering::Relaxed);
-        if version >> VERSION_BITS == era { version & ((1 << VERSION_BITS) - 1) } else { version }
+        let (version_era, number) = split_version(version);
+        if version_era == era { number } else { version }
     }
 
     fn plain_condition(&self, condition: Condition) -> Condition {
@@ -66,6 +67,11 @@
     era << VERSION_BITS | version
 }
 
+/// Returns the era of a version and the number that the platform gave it.
+pub(crate) fn split_version(version: u64) -> (u64, u64) {
+    (version >> VERSION_BITS, version & ((1 << VERSION_BITS) - 1))
+}
+
 impl Dialect for EraDialect {
     fn encode_read(&self, name: &str) -> ApiRequest {
         self.plain.encode_read(name)
