Restore the store from a copy in the soak

The soak's store never lost what it had acknowledged. In a drill it may come back from a copy some seconds old.

The fault `RestoreStore` has the store away for 1 to 2 s and takes it back to a copy of up to 9 s before, with the next `Store-Era` and 410 for revisions that it does not have. What operators and instances wrote is written again within 1 s, what hosts wrote is not. A revocation follows before the store has reached its old revision, which an unrelated object raises every 100 ms. At the end, the store must have the registration of every host. Operators wait while the store is away.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -4,7 +4,11 @@
 
 use rand::{Rng as _, rngs::SmallRng, seq::IndexedRandom as _};
 
-use crate::{instance::InstanceFault, proxy::LinkFault, store::StoreFault};
+use crate::{
+    instance::InstanceFault,
+    proxy::LinkFault,
+    store::{MAX_COPY_AGE, StoreFault},
+};
 
 /// A fault or a planned operation that is applied to a deployment. Numbers are indices of hosts or
 /// instances.
@@ -28,6 +32,13 @@
     Store(StoreFault),
     /// The store discards its change log, so that watches from older revisions fail.
     Compact,
+    /// The store is away and comes back from a copy.
+    RestoreStore {
+        /// Time for which the store is away.
+        away_time: Duration,
+        /// Age of the copy when the store is back.
+        copy_age: Duration,
+    },
     /// Connections of all hosts to an instance are disrupted.
     InstanceLink(usize, LinkFault),
     /// An instance misbehaves.
@@ -69,7 +80,7 @@
     fn random(rng: &mut SmallRng, host_count: usize, instance_count: usize) -> Self {
         let host = rng.random_range(0..host_count);
         let instance = rng.random_range(0..instance_count);
-        match rng.random_range(0..16) {
+        match rng.random_range(0..17) {
             0 | 1 => Self::StopHost(host),
             2 => Self::KillHost(host),
             3 => Self::KillHosts,
@@ -83,13 +94,17 @@
             12 => Self::Instance(instance, random_instance_fault(rng)),
             13 => Self::InstanceLeaves(instance),
             14 => Self::ChangeManifest,
+            15 => Self::RestoreStore {
+                away_time: Duration::from_millis(rng.random_range(1000..2000)),
+                copy_age: MAX_COPY_AGE.mul_f64(rng.random_range(0.0..1.0)),
+            },
             _ => Self::RevokeKey,
         }
     }
 }
 
 /// Draws the faults of a run, sorted by time. Faults may overlap, and about a quarter of them are
-/// applied three times in a row.
+/// applied three times in a row. A restoration of the store is followed by a revocation.
 pub(crate) fn schedule(
     rng: &mut SmallRng,
     fault_phase: Duration,
@@ -109,6 +124,13 @@
             let starts_after = (first_start + gap * repetition).min(fault_phase);
             res.push(ScheduledFault { starts_after, duration, fault });
         }
+        if let Fault::RestoreStore { away_time, copy_age } = fault {
+            // A change before the store has reached its old revision again.
+            let starts_after =
+                first_start + away_time + copy_age.mul_f64(rng.random_range(0.0..1.0));
+            let starts_after = starts_after.min(fault_phase);
+            res.push(ScheduledFault { starts_after, duration, fault: Fault::RevokeKey });
+        }
     }
     res.sort_by_key(|it| it.starts_after);
     res
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -150,7 +150,9 @@
     }
     let history = &deployment.history;
     let summary = format!("{} requests {:?}", history.request_count(), history.outcome_counts());
-    Ok(RunReport { violations: history.violations(settled_at), faults, summary })
+    let mut violations = history.violations(settled_at);
+    violations.extend(deployment.check_registrations());
+    Ok(RunReport { violations, faults, summary })
 }
 
 impl Deployment {
@@ -165,7 +167,6 @@
         let history = Arc::new(History::default());
         let store_address = SocketAddr::from((ip(250), 7000));
         tokio::spawn(Arc::clone(&store).serve(store_address));
-        store.put("config", "main", manifest(1, &REVOCABLE_KEYS));
         let mut instances = Vec::new();
         for index in 0..config.instances {
             let service = if index % 2 == 0 { "catalogue" } else { "orders" };
@@ -183,6 +184,8 @@
             site.start_instance(index, service, &store, &history);
             instances.push(Mutex::new(site));
         }
+        store.put("config", "main", manifest(1, &REVOCABLE_KEYS));
+        tokio::spawn(Arc::clone(&store).write_unrelated_object());
         let mut hosts = Vec::new();
         for index in 0..config.hosts {
             let proxy_address = SocketAddr::from((ip(251), 7100 + index as u16));
@@ -219,15 +222,20 @@
                 sleep(Duration::from_millis(50)).await;
             }
         }
-        let registered = self.store.names("entry-hosts").len();
-        ensure!(
-            registered == self.hosts.len(),
-            "{registered} of {} hosts registered",
-            self.hosts.len()
-        );
+        let missing = self.check_registrations();
+        ensure!(missing.is_none(), "not all hosts registered: {missing:?}");
         Ok(())
     }
 
+    /// Checks that the store has the registration of every host.
+    fn check_registrations(&self) -> Option<Violation> {
+        let registered = self.store.names("entry-hosts").len();
+        (registered != self.hosts.len()).then(|| Violation {
+            guarantee: "registered",
+            observed: format!("{registered} of {} hosts at the end", self.hosts.len()),
+        })
+    }
+
     /// Applies a fault, waits for its duration, and removes it. Records the time as a disturbance
     /// unless the fault is a planned operation.
     async fn apply_fault(&self, scheduled: ScheduledFault) -> anyhow::Result<()> {
@@ -268,6 +276,9 @@
                 self.store.set_fault(StoreFault::None);
             }
             Fault::Compact => self.store.compact(),
+            Fault::RestoreStore { away_time, copy_age } => {
+                self.store.restore(away_time, copy_age).await;
+            }
             Fault::InstanceLink(site, fault) => {
                 self.instances[site].lock().proxy.set_fault(fault);
                 sleep(scheduled.duration).await;
@@ -279,8 +290,8 @@
                 self.instances[site].lock().set_instance_fault(InstanceFault::None);
             }
             Fault::InstanceLeaves(site) => self.replace_instance(site).await,
-            Fault::ChangeManifest => self.change_manifest(false),
-            Fault::RevokeKey => self.change_manifest(true),
+            Fault::ChangeManifest => self.change_manifest(false).await,
+            Fault::RevokeKey => self.change_manifest(true).await,
         }
         if !scheduled.fault.is_planned() {
             self.history.record_disturbance(applied_at, Instant::now());
@@ -335,7 +346,8 @@
     }
 
     /// Writes a new version of the manifest, which optionally revokes the next key.
-    fn change_manifest(&self, revoke_key: bool) {
+    async fn change_manifest(&self, revoke_key: bool) {
+        self.store.wait_until_back().await;
         let mut state = self.manifest_state.lock();
         let revoked_keys = (state.1 + usize::from(revoke_key)).min(REVOCABLE_KEYS.len());
         let (version, previously_revoked_keys) = *state;
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -13,6 +13,7 @@
     http::{Method, StatusCode},
     listener::TcpListener,
 };
+use rand::{SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::{
@@ -23,6 +24,19 @@
 /// Changes that are kept for watches.
 const CHANGE_LOG_CAPACITY: usize = 2000;
 
+/// Age of the oldest copy from which the store is restored.
+pub(crate) const MAX_COPY_AGE: Duration = Duration::from_secs(9);
+
+/// Time from a restoration until operators and instances have written everything again.
+const REWRITE_TIME: Duration = Duration::from_secs(1);
+
+/// Interval at which a program that isn't part of the deployment writes to the store. A store that
+/// was restored therefore takes about the age of its copy to reach its old revision again.
+const UNRELATED_WRITE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Header of all responses, whose value rises by one at each restoration.
+const ERA_HEADER: &str = "Store-Era";
+
 /// Misbehavior of the store towards its HTTP clients.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -37,6 +51,9 @@
     LosesAnswers,
 }
 
+/// Objects by kind and name.
+type Objects = BTreeMap<(String, String), StoredObject>;
+
 /// The store; its state is shared by all calls.
 #[derive(Default)]
 pub(crate) struct Store {
@@ -46,8 +63,9 @@
 }
 
 struct StoreState {
-    /// Objects by kind and name.
-    objects: BTreeMap<(String, String), StoredObject>,
+    objects: Objects,
+    /// Specs as operators and instances last wrote them, `None` for removed objects.
+    written_specs: BTreeMap<(String, String), Option<Value>>,
     /// Revision of the newest change.
     revision: u64,
     /// Revision, kind and event of each retained change, oldest first.
@@ -55,6 +73,13 @@
     /// Revision up to which changes were dropped from the change log.
     compacted_revision: u64,
     fault: StoreFault,
+    /// Whether every call is refused until a restoration.
+    is_away: bool,
+    /// Number of restorations, plus 1.
+    era: u64,
+    /// Objects and revision after each change, oldest first, from the newest copy that is at least
+    /// [`MAX_COPY_AGE`] old. The first copy is the one with the first manifest.
+    copies: VecDeque<(Instant, u64, Objects)>,
 }
 
 #[derive(Debug, Clone)]
@@ -82,11 +107,15 @@
 impl Default for StoreState {
     fn default() -> Self {
         Self {
-            objects: BTreeMap::new(),
+            objects: Objects::new(),
+            written_specs: BTreeMap::new(),
             revision: 1,
             change_log: VecDeque::new(),
             compacted_revision: 0,
             fault: StoreFault::None,
+            is_away: false,
+            era: 1,
+            copies: VecDeque::new(),
         }
     }
 }
@@ -104,6 +133,14 @@
         }
     }
 
+    /// Writes an object of an unrelated kind at a fixed interval until the task is dropped.
+    pub(crate) async fn write_unrelated_object(self: Arc<Self>) {
+        for count in 0u64.. {
+            self.put("usage", "total", json!(count));
+            sleep(UNRELATED_WRITE_INTERVAL).await;
+        }
+    }
+
     /// Sets the fault of the calls that arrive from now on.
     pub(crate) fn set_fault(&self, fault: StoreFault) {
         self.state.lock().fault = fault;
@@ -116,18 +153,60 @@
         state.compacted_revision = state.revision;
     }
 
-    /// Writes the spec of an object as operators and instances do; store faults don't apply.
-    pub(crate) fn put(&self, kind: &str, name: &str, spec: Value) {
-        let mut state = self.state.lock();
-        let status = state.get(kind, name).map_or(Value::Null, |it| it.status.clone());
-        state.apply_change(kind, name, Some((spec, status)));
-        drop(state);
+    /// Refuses all calls for `away_time`, then goes back to a copy of age `copy_age` and returns
+    /// once operators and instances have written their objects again. Does nothing if the store is
+    /// away already.
+    pub(crate) async fn restore(&self, away_time: Duration, copy_age: Duration) {
+        if std::mem::replace(&mut self.state.lock().is_away, true) {
+            return;
+        }
         self.changed.notify_waiters();
+        sleep(away_time).await;
+        let mut keys: Vec<(String, String)> = {
+            let mut state = self.state.lock();
+            state.restore(copy_age);
+            state.written_specs.keys().cloned().collect()
+        };
+        self.changed.notify_waiters();
+        keys.shuffle(&mut SmallRng::seed_from_u64(copy_age.as_nanos() as u64));
+        let interval = REWRITE_TIME / keys.len().max(1) as u32;
+        for key in keys {
+            sleep(interval).await;
+            self.state.lock().write_spec(&key);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Waits until the store is not away.
+    pub(crate) async fn wait_until_back(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if !self.state.lock().is_away {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Writes the spec of an object as operators and instances do; store faults don't apply, but
+    /// while the store is away the write is left to the end of the restoration.
+    pub(crate) fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.set_spec(kind, name, Some(spec));
     }
 
-    /// Removes an object, if it exists; store faults don't apply.
+    /// Removes an object, if it exists; store faults apply as to [`put`](Self::put).
     pub(crate) fn remove(&self, kind: &str, name: &str) {
-        self.state.lock().apply_change(kind, name, None);
+        self.set_spec(kind, name, None);
+    }
+
+    fn set_spec(&self, kind: &str, name: &str, spec: Option<Value>) {
+        let key = (kind.to_owned(), name.to_owned());
+        let mut state = self.state.lock();
+        state.written_specs.insert(key.clone(), spec);
+        if !state.is_away {
+            state.write_spec(&key);
+        }
+        drop(state);
         self.changed.notify_waiters();
     }
 
@@ -137,32 +216,43 @@
         state.objects.keys().filter(|it| it.0 == kind).map(|it| it.1.clone()).collect()
     }
 
-    async fn handle(&self, mut request: Request) -> Response {
+    async fn handle(&self, request: Request) -> Response {
         let fault = self.state.lock().fault;
-        match fault {
-            StoreFault::None | StoreFault::LosesAnswers => {}
-            StoreFault::Busy => return empty_response(StatusCode::SERVICE_UNAVAILABLE),
-            StoreFault::Slow(delay) => sleep(delay).await,
+        let is_read = request.method() == Method::GET;
+        if let StoreFault::Slow(delay) = fault {
+            sleep(delay).await;
         }
+        let mut response = match fault {
+            StoreFault::Busy => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+            _ => self.process(request).await,
+        };
+        let era = self.state.lock().era;
+        response.headers_mut().insert(ERA_HEADER, era.into());
+        if fault == StoreFault::LosesAnswers && !is_read {
+            // Exceeds the time-out of every client.
+            sleep(Duration::from_secs(30)).await;
+        }
+        response
+    }
+
+    async fn process(&self, mut request: Request) -> Response {
         let query: QueryParams = request.params().unwrap_or_default();
         let path = request.uri().path().trim_matches('/').to_owned();
         let segments: Vec<&str> = path.split('/').skip(1).collect();
         let method = request.method().clone();
         let body = request.take_body().into_vec().await.unwrap_or_default();
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
-        let response = match (&method, segments.as_slice()) {
+        if self.state.lock().is_away {
+            return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        match (&method, segments.as_slice()) {
             (&Method::GET, [kind]) => match query.watch_after {
-                Some(after) => return self.watch(kind, after, query.wait_ms).await,
-                None => return self.list(kind),
+                Some(after) => self.watch(kind, after, query.wait_ms).await,
+                None => self.list(kind),
             },
-            (&Method::GET, [kind, name]) => return self.read(kind, name),
+            (&Method::GET, [kind, name]) => self.read(kind, name),
             _ => self.write(&method, &segments, &body, query.revision),
-        };
-        if fault == StoreFault::LosesAnswers {
-            // Exceeds the time-out of every client.
-            sleep(Duration::from_secs(30)).await;
         }
-        response
     }
 
     /// Lists all objects of a kind.
@@ -185,7 +275,10 @@
             let changed = self.changed.notified();
             {
                 let state = self.state.lock();
-                if after < state.compacted_revision {
+                if state.is_away {
+                    return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+                }
+                if after < state.compacted_revision || after > state.revision {
                     return empty_response(StatusCode::GONE);
                 }
                 let events = state.change_log.iter().filter(|it| it.0 > after && it.1 == kind);
@@ -259,6 +352,26 @@
         self.objects.get(&(kind.to_owned(), name.to_owned()))
     }
 
+    /// Goes back to the newest copy of at least this age, or to the oldest one.
+    fn restore(&mut self, copy_age: Duration) {
+        let is_young = |it: &mut (Instant, u64, Objects)| it.0.elapsed() < copy_age;
+        while self.copies.len() > 1 && self.copies.pop_back_if(is_young).is_some() {}
+        if let Some((_, revision, objects)) = self.copies.back().cloned() {
+            (self.revision, self.objects) = (revision, objects);
+        }
+        while self.change_log.pop_back_if(|it| it.0 > self.revision).is_some() {}
+        self.compacted_revision = self.compacted_revision.min(self.revision);
+        self.era += 1;
+        self.is_away = false;
+    }
+
+    /// Writes or removes an object as its operator or instance last did.
+    fn write_spec(&mut self, key: &(String, String)) {
+        let status = self.objects.get(key).map_or(Value::Null, |it| it.status.clone());
+        let spec = self.written_specs.get(key).cloned().flatten();
+        self.apply_change(&key.0, &key.1, spec.map(|it| (it, status)));
+    }
+
     /// Sets the spec and status of an object, or removes it if `value` is `None`. A write that
     /// changes nothing creates no revision and no event.
     fn apply_change(&mut self, kind: &str, name: &str, value: Option<(Value, Value)>) {
@@ -286,6 +399,12 @@
         if self.change_log.len() > CHANGE_LOG_CAPACITY {
             self.compacted_revision = self.change_log.pop_front().map_or(0, |it| it.0);
         }
+        if self.get("config", "main").is_some() {
+            self.copies.push_back((Instant::now(), self.revision, self.objects.clone()));
+        }
+        while self.copies.get(1).is_some_and(|it| it.0.elapsed() > MAX_COPY_AGE) {
+            self.copies.pop_front();
+        }
     }
 }
 
