Add a failing test of a rollout with the generation of a lost one

A restoration loses a rollout's object and with it its generation, which the next rollout gets. Hosts keep the stop of the lost rollout and send nothing to the new version.

--- a/crates/rollout/tests/splitter.rs
+++ b/crates/rollout/tests/splitter.rs
@@ -81,6 +81,20 @@
     assert_eq!(splitter.share_percent(), 50);
 }
 
+/// Guards against a stop of a rollout that the platform lost in a restoration, which stops the next
+/// one because that got the same generation.
+#[test]
+fn stop_ends_with_lost_rollout() {
+    let mut splitter = TrafficSplitter::new(1);
+    let lost = running(Stage::Fifty);
+    splitter.update_rollout(Some(&lost), 1);
+    assert!(splitter.stop(lost.generation, Reason::Unproven));
+    let started_unix_ms = lost.started_unix_ms + 5_000;
+    let next = Rollout { to: "v3".to_owned(), started_unix_ms, ..lost };
+    splitter.update_rollout(Some(&next), 2);
+    assert_eq!(splitter.share_percent(), 50);
+}
+
 /// Guards against an older object that restores the share of a version that is being rolled back.
 #[test]
 fn update_rollout_ignores_older_object() {
