--- a/crates/quota/src/ledger_writer.rs
+++ b/crates/quota/src/ledger_writer.rs
@@ -24,6 +24,8 @@
 #[derive(Debug)]
 pub(crate) struct LedgerWriter {
     known_ledger: KnownLedger,
+    /// Whether the platform has lost the known ledger and has no other one.
+    is_lost: bool,
     /// Writes whose effect is not known yet, the one in flight included.
     unresolved: Vec<UnresolvedWrite>,
     /// Content of the proposal whose outcome has not been reported yet.
@@ -61,6 +63,7 @@
     pub(crate) fn new(now: Instant) -> Self {
         Self {
             known_ledger: KnownLedger::Unread,
+            is_lost: false,
             unresolved: Vec::new(),
             in_flight: None,
             refresh_counter: 0,
@@ -114,6 +117,8 @@
             return;
         }
         self.advance_all(now);
+        let is_restored = self.writer.ledger().is_some_and(|it| ledger.is_restored_from_before(it));
+        let units_before = self.share_units();
         self.tracker.record_ledger(&ledger, now);
         let record = ledger.record(&self.name, self.incarnation);
         // Unresolved writes are conditional on an older version, so each of them has taken effect
@@ -145,6 +150,9 @@
                 self.writer.reclaimed_units = 0;
             }
         }
+        if is_restored {
+            self.withhold_restored_units(units_before, now);
+        }
         let is_new_generation =
             self.writer.ledger().is_none_or(|it| it.generation < ledger.generation);
         if is_new_generation {
@@ -153,9 +161,23 @@
             self.writer.next_proposal_at = self.writer.next_proposal_at.max(now + delay / 4);
         }
         self.writer.known_ledger = KnownLedger::Present(version, ledger);
+        self.writer.is_lost = false;
         self.advance_all(now);
     }
 
+    /// Withholds the units that a restored ledger adds to this share. Their holder in the lost
+    /// ledger may use them until it learns of the restoration or its leases end.
+    fn withhold_restored_units(&mut self, units_before: (u32, u32), now: Instant) {
+        let (floor_before, main_before) = units_before;
+        let settings = &self.settings;
+        let floor_wait = settings.floor_lease + settings.floor_reclaim_margin;
+        let main_wait = settings.main_lease + settings.main_reclaim_margin;
+        let added_floor = self.share.floor_units.saturating_sub(floor_before);
+        let added_main = self.share.main_units.saturating_sub(main_before);
+        let added = [(added_floor, now + floor_wait), (added_main, now + main_wait)];
+        self.share.reclaimed.extend(added.into_iter().filter(|it| it.0 > 0));
+    }
+
     /// Records that the platform has no ledger yet, so that this holder may create one.
     pub fn ledger_missing(&mut self) {
         if matches!(self.writer.known_ledger, KnownLedger::Unread) {
@@ -163,6 +185,15 @@
         }
     }
 
+    /// Records that the platform no longer has a ledger, although `version` was known when it was
+    /// asked. This holder may then write the known ledger again.
+    pub fn ledger_lost(&mut self, version: u64, now: Instant) {
+        if matches!(self.writer.known_ledger, KnownLedger::Present(known, _) if known == version) {
+            self.writer.is_lost = true;
+            self.writer.force_refresh(now);
+        }
+    }
+
     /// Returns the conditional update that is due, if any: a join, a refresh, a rebalance, a
     /// reclaim or a handover.
     ///
@@ -176,7 +207,9 @@
         let (base_version, mut next) = match &self.writer.known_ledger {
             KnownLedger::Unread => return None,
             KnownLedger::Missing => (None, Ledger::default()),
-            KnownLedger::Present(version, ledger) => (Some(*version), ledger.clone()),
+            KnownLedger::Present(version, ledger) => {
+                ((!self.writer.is_lost).then_some(*version), ledger.clone())
+            }
         };
         let changed = match next.position(&self.name, self.incarnation) {
             Err(_) => self.join(&mut next),
