Bound the numbers in an instance's headers

Cause: An idle timeout of 2^63 s or more in `keep-alive` overflowed the clock, and a load whose parts add up to more than 2^32 overflowed in builds with overflow checks. The panic ended the caller's connection without an answer, although the instance had responded.

Change: An idle connection is kept for an hour at most; the parts of a load are added as floating-point numbers.

Result: `forwarding::response_extreme_numbers` failed with "overflow when adding duration to instant" and an incomplete message at the caller, and passes.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -25,6 +25,9 @@
 /// for 5 s or more.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum time for which an idle connection is kept, whatever the instance announces.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3600);
+
 /// Time before the end of the instance's idle timeout at which a connection is no longer used.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 
@@ -92,8 +95,8 @@
         max_idle_connections: usize,
     ) {
         let now = Instant::now();
-        let retention =
-            idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT).saturating_sub(IDLE_TIMEOUT_MARGIN);
+        let idle_timeout = idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT).min(MAX_IDLE_TIMEOUT);
+        let retention = idle_timeout.saturating_sub(IDLE_TIMEOUT_MARGIN);
         if connection.sender.is_closed() || retention.is_zero() {
             return;
         }
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -361,3 +361,26 @@
     })
     .await;
 }
+
+/// Guards against an instance whose headers hold numbers that overflow and end the caller's
+/// connection without an answer.
+#[tokio::test]
+async fn response_extreme_numbers() {
+    let headers = [
+        "keep-alive: timeout=18446744073709551615\r\n",
+        "keep-alive: timeout=9223372036854775807\r\n",
+        "x-load: 4294967295,4294967295,4294967295\r\n",
+        "x-load: 4294967295,1,0\r\n",
+        "x-cold: 18446744073709551615\r\n",
+    ];
+    for it in headers {
+        let upstream = Upstream::start("i1", Behaviour::OkWith(it)).await;
+        with_process(&[&upstream], async |harness| {
+            for at in 0..2 {
+                let response = harness.request("GET", "/read/1", &format!("id-{at}")).send().await;
+                assert!(response.is_ok(), "{it}: {response:?}");
+            }
+        })
+        .await;
+    }
+}
--- a/crates/gateway/tests/it/upstream.rs
+++ b/crates/gateway/tests/it/upstream.rs
@@ -54,6 +54,13 @@
     EarlyResponse,
     /// Never responds.
     Silent,
+    /// Responds with the body of the request and with more headers.
+    OkWith(&'static str),
+    /// Responds with this status line and these headers, and with a body.
+    Status(&'static str),
+    /// Closes the connection gracefully within a chunked response that is larger than what the
+    /// process buffers.
+    LargeTruncated,
     /// Responds with bytes without end.
     Endless(EndlessPart),
 }
@@ -217,6 +224,21 @@
                 "HTTP/1.1 421 No\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             )
             .into_bytes(),
+            Behaviour::OkWith(headers) => ok(headers, &body),
+            Behaviour::Status(text) => {
+                format!("HTTP/1.1 {text}x-id: {id}\r\ncontent-length: 3\r\n\r\nown").into_bytes()
+            }
+            Behaviour::LargeTruncated => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n"
+                );
+                let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x10000));
+                let _ = stream.write_all(head.as_bytes()).await;
+                for _ in 0..8 {
+                    let _ = stream.write_all(chunk.as_bytes()).await;
+                }
+                return;
+            }
             Behaviour::ServerError => format!(
                 "HTTP/1.1 500 Failed\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 3\r\n\r\nbad"
             )
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -88,7 +88,7 @@
     /// Records a report. Must precede [`record_finished`](Self::record_finished) for the request
     /// whose response carried the report.
     pub fn record_report(&mut self, report: LoadReport, now: Instant) {
-        let total = f64::from(report.running + report.waiting);
+        let total = f64::from(report.running) + f64::from(report.waiting);
         let own_besides_response = f64::from(self.own_requests.saturating_sub(1));
         let other_requests = (total - own_besides_response).max(0.0);
         self.other_requests =
