Send requests without an id on new connections

Cause: A late second copy of an earlier response on a pooled connection was taken for the response to the next request when that had no id to compare.

Change: Requests without an id get a connection of their own.

Result: `forwarding::request_without_id_response_duplicated_late` failed with the body of the earlier request at the first caller without an id, and passes.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -440,8 +440,9 @@
         body,
         is_body_sent,
         // If the instance closed a pooled connection while the request is being sent, it would be
-        // unknown whether the request ran.
-        needs_new_connection: plan.route.repeat != RepeatPolicy::Idempotent,
+        // unknown whether the request ran. On a pooled connection a late copy of an earlier response
+        // may arrive, which only the id distinguishes from the response to this request.
+        needs_new_connection: plan.route.repeat != RepeatPolicy::Idempotent || request.id.is_none(),
         max_idle_connections,
         request_id: request.id.clone(),
     };
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -384,3 +384,24 @@
         .await;
     }
 }
+
+/// Guards against a request without an id that gets an earlier response which the instance sends
+/// once more.
+#[tokio::test]
+async fn request_without_id_response_duplicated_late() {
+    let upstream = Upstream::start("i1", Behaviour::LateDuplicate).await;
+    with_process(&[&upstream], async |harness| {
+        let url = format!("http://{}/read/1", harness.listen.callers);
+        for at in 0..20 {
+            let first = harness.request("GET", "/read/1", &format!("id-{at}")).body("other");
+            first.send().await.unwrap();
+            let body = format!("own-{at}");
+            let request = harness.client.get(&url).header("host", "host.example");
+            let response = request.header("x-key", "good").body(body.clone()).send().await.unwrap();
+            if response.status() == 200 {
+                assert_eq!(response.text().await.unwrap(), body);
+            }
+        }
+    })
+    .await;
+}
