Reject responses with two ids, a second encoding, or status 101

Cause: Only the first id and the first content encoding of a response were checked; a transfer encoding below the chunks was dropped, so that the caller got encoded bytes as the body; and status 101 was passed on although bytes of another protocol would follow.

Change: Every id must be that of the request, every content encoding must be `identity` and every transfer encoding `chunked`; an informational status is no response.

Result: `forwarding::response_ambiguous` failed for each of the four responses (200 three times, and 101 instead of 502), and passes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -161,14 +161,25 @@
     head: &http::response::Parts,
     request_id: Option<&HeaderValue>,
 ) -> Result<(), ExchangeError> {
-    if request_id.is_some() && head.headers.get(&names.request_id) != request_id {
-        return Err(ExchangeError::Broken("response to another request"));
+    if head.status.is_informational() {
+        return Err(ExchangeError::Broken("no final response"));
+    }
+    if let Some(request_id) = request_id {
+        let mut ids = head.headers.get_all(&names.request_id).iter().peekable();
+        if ids.peek().is_none() || ids.any(|it| it != request_id) {
+            return Err(ExchangeError::Broken("response to another request"));
+        }
     }
     if head.status.is_success() && !head.headers.contains_key(&names.seal) {
         return Err(ExchangeError::Broken("success without a seal"));
     }
-    let encoding = head.headers.get(header::CONTENT_ENCODING);
-    if encoding.is_some_and(|it| it.as_bytes() != b"identity") {
+    let is_encoded = |name, plain: &[u8]| {
+        head.headers.get_all(name).iter().any(|it| !it.as_bytes().eq_ignore_ascii_case(plain))
+    };
+    // The HTTP library decodes chunks only, and the caller does not get the header.
+    if is_encoded(header::CONTENT_ENCODING, b"identity")
+        || is_encoded(header::TRANSFER_ENCODING, b"chunked")
+    {
         return Err(ExchangeError::Broken("encoded body"));
     }
     Ok(())
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -405,3 +405,27 @@
     })
     .await;
 }
+
+/// Guards against responses that two readers would understand differently, when they are forwarded
+/// as if they were valid: two ids, a second encoding, bytes of another protocol.
+#[tokio::test]
+async fn response_ambiguous() {
+    let responses = [
+        Behaviour::OkWith("x-id: other\r\n"),
+        Behaviour::OkWith("content-encoding: identity\r\ncontent-encoding: gzip\r\n"),
+        Behaviour::OkWith("transfer-encoding: gzip, chunked\r\n"),
+        Behaviour::Status("101 Other\r\nx-seal: s\r\nconnection: upgrade\r\nupgrade: other\r\n"),
+    ];
+    for it in responses {
+        let upstream = Upstream::start("i1", it).await;
+        with_process(&[&upstream], async |harness| {
+            // The body is echoed, and is valid in chunks too.
+            let request = harness.request("POST", "/order/1", "id-1").body("1\r\nx\r\n0\r\n\r\n");
+            let response = request.send().await.unwrap();
+            assert_eq!(response.status(), 502, "{it:?}");
+            assert_eq!(response.headers()["kingcupford-outcome"], "unknown", "{it:?}");
+            harness.request("GET", "/read/1", "id-2").send().await.unwrap();
+        })
+        .await;
+    }
+}
