Reset the caller's connection when a response breaks off

Cause: A caller with HTTP/1.0 gets a response without a known length until the end of the connection. When an instance broke off a chunked response of more than 256 KiB, that end was an orderly one.

Change: A connection whose response ends with an error is reset.

Result: `forwarding::response_breaks_off_http_1_0` failed: the caller got 524327 bytes and an orderly end.

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -64,6 +64,8 @@
     idle_since: Cell<Instant>,
     /// Time at which the connection was opened, or at which bytes arrived after the last response.
     received_at: Cell<Option<Instant>>,
+    /// Whether the end of the connection must be a reset.
+    is_broken: Cell<bool>,
     /// Requests a close as soon as no request is running on the connection.
     close_requested: Notify,
 }
@@ -74,6 +76,7 @@
             is_busy: Cell::new(false),
             idle_since: Cell::new(now),
             received_at: Cell::new(Some(now)),
+            is_broken: Cell::new(false),
             close_requested: Notify::new(),
         }
     }
@@ -189,6 +192,9 @@
         };
         if let Err(error) = result {
             log::debug!("connection of a caller ended: {error}");
+            // Without a length and without chunks, as in HTTP/1.0, an orderly end would make the
+            // part that was sent a complete response.
+            connection.is_broken.set(error.is_user());
         }
     }
 }
@@ -237,12 +243,22 @@
     }
 }
 
-/// Stream of a connection that records when bytes arrive.
+/// Stream of a connection that records when bytes arrive, and resets a broken connection.
 struct CallerStream {
     stream: TcpStream,
     connection: Rc<CallerConnection>,
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.connection.is_broken.get()
+            && let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+        {
+            log::debug!("connection of a caller could not be reset: {error}");
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -429,3 +429,24 @@
         .await;
     }
 }
+
+/// Guards against a large response that breaks off and looks complete to a caller that knows no
+/// chunks: its only sign is how the connection ends.
+#[tokio::test]
+async fn response_breaks_off_http_1_0() {
+    let upstream = Upstream::start("i1", Behaviour::LargeTruncated).await;
+    with_process(&[&upstream], async |harness| {
+        for version in ["1.0", "1.1"] {
+            let mut stream = TcpStream::connect(harness.listen.callers).await.unwrap();
+            let request = format!(
+                "POST /order/1 HTTP/{version}\r\nhost: host.example\r\nx-id: 1\r\nx-key: good\r\n\r\n"
+            );
+            stream.write_all(request.as_bytes()).await.unwrap();
+            let mut received = Vec::new();
+            let res = stream.read_to_end(&mut received).await;
+            let is_complete = res.is_ok() && (version == "1.0" || received.ends_with(b"0\r\n\r\n"));
+            assert!(!is_complete, "HTTP/{version}: {} bytes", received.len());
+        }
+    })
+    .await;
+}
