--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -450,3 +450,23 @@
     })
     .await;
 }
+
+/// Guards against a request that ends at an instance which has the address of another one: status
+/// 421 alone states that the request did not run.
+#[tokio::test]
+async fn misdirected_without_header() {
+    let first = Upstream::start("i1", Behaviour::Status("421 No\r\n")).await;
+    with_process(&[&first], async |harness| {
+        let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+        assert_eq!(response.status(), 503);
+        assert_eq!(response.headers()["kingcupford-outcome"], "not-run");
+        let second = Upstream::start("i2", Behaviour::Echo).await;
+        harness.register(&second);
+        wait_for(async || {
+            let response = harness.request("POST", "/order/1", "id-2").send().await.unwrap();
+            response.status() == 200
+        })
+        .await;
+    })
+    .await;
+}
