Answer 502 when an instance's 408, 429 or 503 is no statement

Cause: An instance's own 408, 429 or 503 was passed on also when it lacked the header that states that the request did not run. By the protocol callers take these statuses for that statement ("Status codes 429 and 503 are a promise, and so are 408 and 421"), with and without a seal, and send a request that must not be repeated once more. The rule REFUSED makes no exception for sealed responses, and MIXED forbids another status only under the instance's seal.

Change: For requests that must not be repeated, and for responses without a seal, the caller gets 502 with outcome `unknown` and without the seal. Idempotent requests get the sealed response unchanged.

Result: `forwarding::response_status_is_no_promise` failed with 503 instead of 502, and passes.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -100,8 +100,19 @@
 }
 
 impl RequestLogGuard {
-    /// Finishes with the response of an instance.
+    /// Finishes with the response of an instance, unless the caller would take it for the statement
+    /// that the request did not run, which the instance did not make.
     fn finish_answered(&mut self, upstream_response: UpstreamResponse) -> Response<ResponseBody> {
+        let is_sealed = upstream_response.headers.contains_key(&self.state.settings().headers.seal);
+        let repeat = self.log.plan.as_ref().map(|it| it.route.repeat);
+        if states_not_run(upstream_response.status)
+            && !(is_sealed && repeat == Some(RepeatPolicy::Idempotent))
+        {
+            return self.finish_failed(
+                StatusCode::BAD_GATEWAY,
+                "refused by the instance, which may have run it",
+            );
+        }
         self.end(RequestOutcome::Answered(upstream_response.status));
         response::upstream_response(
             upstream_response.status,
@@ -522,6 +533,17 @@
     log_guard.finish_refused(status, reason, retry_after)
 }
 
+/// Whether callers take a status for the statement that the request did not run and will not run.
+fn states_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Host name that a request is addressed to, without the port.
 fn request_host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
     let name = headers.get(header::HOST).and_then(|it| it.to_str().ok()).or_else(|| uri.host());
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -470,3 +470,34 @@
     })
     .await;
 }
+
+/// Guards against an instance's own status that the caller would take for the statement that the
+/// request did not run: only the header states that.
+#[tokio::test]
+async fn response_status_is_no_promise() {
+    let statuses = [
+        "503 Busy\r\n",
+        "503 Busy\r\nx-seal: s\r\n",
+        "429 Slow\r\n",
+        "429 Slow\r\nx-seal: s\r\n",
+        "408 Late\r\n",
+        "408 Late\r\nx-seal: s\r\n",
+    ];
+    for it in statuses {
+        let upstream = Upstream::start("i1", Behaviour::Status(it)).await;
+        with_process(&[&upstream], async |harness| {
+            let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+            assert_eq!(response.status(), 502, "{it}");
+            assert_eq!(response.headers()["kingcupford-outcome"], "unknown", "{it}");
+            assert!(!response.headers().contains_key("x-seal"), "{it}");
+            assert_eq!(upstream.requests().len(), 1, "{it}");
+            // A request that may run again gets what the instance sealed.
+            let response = harness.request("GET", "/read/1", "id-2").send().await.unwrap();
+            let is_sealed = it.contains("x-seal");
+            let expected = if is_sealed { &it[..3] } else { "502" };
+            assert_eq!(response.status().as_str(), expected, "{it}");
+            assert_eq!(response.headers().contains_key("x-seal"), is_sealed, "{it}");
+        })
+        .await;
+    }
+}
