Pass on that an instance rejects a request without an id

Cause: Instances reject requests without an id with status 400 and state that they did not run them. This counted as shedding: the request went to further instances, each of them was charged with a failure, and the caller was told to come back with 503.

Change: Such a response is the answer to the caller.

Result: `forwarding::request_rejected_by_instance` failed with 503 instead of 400, and passes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -101,9 +101,13 @@
     let (head, mut body) = response.into_parts();
     let instance_status = parse_instance_status(&settings.headers, &head.headers);
     validate_response(&settings.headers, &head, upstream_request.request_id.as_ref())?;
-    // The instance at the address is another one than the target, and runs nothing.
-    let not_run = head.headers.contains_key(&settings.headers.not_run)
-        || head.status == StatusCode::MISDIRECTED_REQUEST;
+    // Every instance rejects a request without an id, so the caller must change it.
+    let is_invalid_request =
+        head.status == StatusCode::BAD_REQUEST && upstream_request.request_id.is_none();
+    // With status 421, the instance at the address is another one than the target, and runs nothing.
+    let not_run = !is_invalid_request
+        && (head.headers.contains_key(&settings.headers.not_run)
+            || head.status == StatusCode::MISDIRECTED_REQUEST);
     let reuse = reuse_timeout(&head.headers);
     let start = read_body_start(&mut body).await?;
     let body = match start {
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -501,3 +501,29 @@
         .await;
     }
 }
+
+/// Guards against malformed requests of one caller that are sent to every instance, and that count
+/// as failures of the instances which reject them.
+#[tokio::test]
+async fn request_rejected_by_instance() {
+    let rejected = Behaviour::Status("400 No\r\nx-not-run: 1\r\n");
+    let first = Upstream::start("i1", rejected).await;
+    let second = Upstream::start("i2", rejected).await;
+    with_process(&[&first, &second], async |harness| {
+        let url = format!("http://{}/order/1", harness.listen.callers);
+        for at in 1..=30 {
+            let request = harness.client.post(&url).header("host", "host.example");
+            let response = request.header("x-key", "good").send().await.unwrap();
+            assert_eq!(response.status(), 400, "{at}");
+            assert_eq!(first.requests().len() + second.requests().len(), at);
+        }
+        first.set_behaviour(Behaviour::Echo);
+        second.set_behaviour(Behaviour::Echo);
+        for at in 0..10 {
+            let id = format!("id-{at}");
+            let response = harness.request("POST", "/order/1", &id).send().await.unwrap();
+            assert_eq!(response.status(), 200, "{at}");
+        }
+    })
+    .await;
+}
