Retry a request that was rejected late from an instance's queue

Cause: Once the delay for a second attempt had passed, a request counted as one that may have run, also when no second attempt was started. When the instance then stated that it had not run the request, it was not sent to another instance, and the caller was told that it may have run.

Change: Only a second attempt that is started counts.

Result: `forwarding::refusal_late_not_run` failed with 502 instead of 503, and passes.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -345,7 +345,7 @@
                     && attempts.made < plan.route.max_attempts
                     && state.steering.borrow_mut().may_hedge(&plan, Instant::now());
                 should_start_attempt = allowed;
-                attempts.may_have_run = true;
+                attempts.may_have_run |= allowed;
             }
             () = sleep_until(request.deadline) => {
                 for it in &mut log_guard.log.attempts {
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -527,3 +527,24 @@
     })
     .await;
 }
+
+/// Guards against a request that an instance rejected from its queue, and that the caller cannot
+/// repeat because it is called one that may have run.
+#[tokio::test]
+async fn refusal_late_not_run() {
+    let first = Upstream::start("i1", Behaviour::ShedLate).await;
+    with_process(&[&first], async |harness| {
+        let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+        assert_eq!(response.status(), 503);
+        assert_eq!(response.headers()["kingcupford-outcome"], "not-run");
+        let second = Upstream::start("i2", Behaviour::Echo).await;
+        harness.register(&second);
+        for at in 0..6 {
+            let id = format!("id-{at}");
+            let response = harness.request("POST", "/order/1", &id).send().await.unwrap();
+            assert!([200, 503].contains(&response.status().as_u16()), "{at}: {response:?}");
+        }
+        assert!(!second.requests().is_empty());
+    })
+    .await;
+}
--- a/crates/gateway/tests/it/upstream.rs
+++ b/crates/gateway/tests/it/upstream.rs
@@ -27,6 +27,8 @@
     Slow,
     /// Responds that the request did not run.
     Shed,
+    /// Responds after 400 ms that the request did not run.
+    ShedLate,
     /// Responds that the request was meant for another instance.
     Misdirected,
     /// Responds with status 500.
@@ -204,6 +206,9 @@
             res.extend_from_slice(body);
             res
         };
+        if behaviour == Behaviour::ShedLate {
+            sleep(Duration::from_millis(400)).await;
+        }
         let response = match behaviour {
             Behaviour::Echo => ok("", &body),
             Behaviour::Slow => {
@@ -216,7 +221,7 @@
                 }
                 return;
             }
-            Behaviour::Shed => format!(
+            Behaviour::Shed | Behaviour::ShedLate => format!(
                 "HTTP/1.1 503 Busy\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             )
             .into_bytes(),
