End a streamed response that outlasts its timeout

Cause: Once the start of a response of more than 256 KiB was sent to the caller, no timeout applied. A body without end went on until the caller closed, and held the instance's connection also while the caller read nothing.

Change: 200 ms after the timeout of the caller or of the route the instance's connection is reset and the response to the caller breaks off. Without either timeout there is no limit.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -36,6 +36,8 @@
     /// Maximum number of idle connections to keep in the pool for the instance.
     pub(crate) max_idle_connections: usize,
     pub(crate) request_id: Option<HeaderValue>,
+    /// Time by which a response that is being sent to the caller must end.
+    pub(crate) response_ends_by: Option<Instant>,
 }
 
 /// A valid response of the instance to the request.
@@ -49,8 +51,18 @@
 pub(crate) enum UpstreamBody {
     /// The whole body.
     Buffered(Bytes),
-    /// The start of the body, the rest, and the connection on which the rest arrives.
-    Streamed(Bytes, Incoming, Connection),
+    /// A body whose rest is still arriving.
+    Streamed(StreamedBody),
+}
+
+/// A body that is too large to be buffered.
+pub(crate) struct StreamedBody {
+    pub(crate) start: Bytes,
+    pub(crate) rest: Incoming,
+    /// Connection on which the rest arrives.
+    pub(crate) connection: Connection,
+    /// Time by which the body must end.
+    pub(crate) ends_by: Option<Instant>,
 }
 
 /// Status of the instance from the headers of a response.
@@ -124,7 +136,12 @@
             }
             UpstreamBody::Buffered(start)
         }
-        (start, false) => UpstreamBody::Streamed(start, body, connection),
+        (start, false) => UpstreamBody::Streamed(StreamedBody {
+            start,
+            rest: body,
+            connection,
+            ends_by: upstream_request.response_ends_by,
+        }),
     };
     if not_run {
         return Err(ExchangeError::NotRun { status: head.status, instance_status });
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -34,6 +34,9 @@
 /// Time after which a refused caller may retry, unless a better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Time beyond the deadline within which a response that is being sent may end.
+const MAX_RESPONSE_OVERRUN: Duration = Duration::from_millis(200);
+
 /// Minimum time until the deadline for which an attempt is still started.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -48,6 +51,8 @@
     body: RequestBody,
     /// Time after which a response is of no use to the caller.
     deadline: Instant,
+    /// Time by which a response that is being sent to the caller must end.
+    response_ends_by: Option<Instant>,
 }
 
 /// A running attempt; resolves to the index of its log entry, the attempt and its result.
@@ -208,8 +213,9 @@
     let caller_timeout = caller_timeout.and_then(|it| it.to_str().ok()?.parse().ok());
     let caller_timeout = caller_timeout.map(Duration::from_millis);
     let timeouts = [caller_timeout, plan.route.timeout];
-    let timeout = timeouts.into_iter().flatten().min().unwrap_or(DEFAULT_TIMEOUT);
-    let deadline = arrived + timeout;
+    let timeout = timeouts.into_iter().flatten().min();
+    let response_ends_by = timeout.map(|it| arrived + it + MAX_RESPONSE_OVERRUN);
+    let deadline = arrived + timeout.unwrap_or(DEFAULT_TIMEOUT);
     let body = match timeout_at(deadline, read_body(body, max_body_bytes)).await {
         Ok(Ok(it)) => it,
         Ok(Err(BodyError::TooLarge)) => {
@@ -244,7 +250,15 @@
     }
     let uri =
         head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |it| Uri::from(it.clone()));
-    let request = ForwardedRequest { method: head.method, uri, headers, id, body, deadline };
+    let request = ForwardedRequest {
+        method: head.method,
+        uri,
+        headers,
+        id,
+        body,
+        deadline,
+        response_ends_by,
+    };
     run_attempts(state, request, plan, log_guard).await
 }
 
@@ -456,6 +470,7 @@
         needs_new_connection: plan.route.repeat != RepeatPolicy::Idempotent || request.id.is_none(),
         max_idle_connections,
         request_id: request.id.clone(),
+        response_ends_by: request.response_ends_by,
     };
     let attempt_future = async move {
         let result = exchange(&attempt.state, upstream_request).await;
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -10,8 +10,15 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, Sleep, sleep_until},
+};
 
-use crate::{exchange::UpstreamBody, pool::Connection};
+use crate::{
+    exchange::{StreamedBody, UpstreamBody},
+    pool::Connection,
+};
 
 /// Header of gateway responses that tells whether the request ran.
 const OUTCOME_HEADER: HeaderName = HeaderName::from_static("kingcupford-outcome");
@@ -37,11 +44,42 @@
         /// The bytes that were read; `None` once they were sent.
         start: Option<Bytes>,
         rest: Incoming,
+        time_limit: Option<TimeLimit>,
         /// Held so that the connection is reset when the caller disconnects.
         _connection: Connection,
     },
 }
 
+/// Limit for the time that a body takes.
+pub(crate) struct TimeLimit {
+    ends_by: Instant,
+    /// Wakes the reader of the body at the end.
+    sleep: Pin<Box<Sleep>>,
+    /// Resets the instance's connection at the end, also while the caller reads nothing.
+    reset: JoinHandle<()>,
+}
+
+impl TimeLimit {
+    fn new(ends_by: Instant, connection: &Connection) -> Self {
+        let handle = connection.reset_handle();
+        let reset = tokio::task::spawn_local(async move {
+            sleep_until(ends_by).await;
+            handle.abort();
+        });
+        Self { ends_by, sleep: Box::pin(sleep_until(ends_by)), reset }
+    }
+
+    fn is_exceeded(&mut self, context: &mut Context<'_>) -> bool {
+        self.sleep.as_mut().poll(context).is_ready() || Instant::now() >= self.ends_by
+    }
+}
+
+impl Drop for TimeLimit {
+    fn drop(&mut self) {
+        self.reset.abort();
+    }
+}
+
 /// Whether the request ran, as stated in a gateway response. The kebab-case names of the variants
 /// are part of the response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
@@ -83,8 +121,13 @@
 ) -> Response<ResponseBody> {
     let body = match body {
         UpstreamBody::Buffered(it) => ResponseBody::Buffered(Some(it)),
-        UpstreamBody::Streamed(start, rest, connection) => {
-            ResponseBody::Streamed { start: Some(start), rest, _connection: connection }
+        UpstreamBody::Streamed(StreamedBody { start, rest, connection, ends_by }) => {
+            ResponseBody::Streamed {
+                start: Some(start),
+                rest,
+                time_limit: ends_by.map(|it| TimeLimit::new(it, &connection)),
+                _connection: connection,
+            }
         }
     };
     let mut res = Response::new(body);
@@ -119,18 +162,24 @@
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = Box<dyn std::error::Error + Send + Sync>;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         match &mut *self {
             Self::Buffered(it) => Poll::Ready(it.take().map(|it| Ok(Frame::data(it)))),
-            Self::Streamed { start, rest, .. } => match start.take() {
-                Some(it) => Poll::Ready(Some(Ok(Frame::data(it)))),
-                None => Pin::new(rest).poll_frame(context),
-            },
+            Self::Streamed { start, rest, time_limit, .. } => {
+                // The rest ends without an error once the connection was reset here.
+                if time_limit.as_mut().is_some_and(|it| it.is_exceeded(context)) {
+                    return Poll::Ready(Some(Err("response took too long".into())));
+                }
+                match start.take() {
+                    Some(it) => Poll::Ready(Some(Ok(Frame::data(it)))),
+                    None => Pin::new(rest).poll_frame(context).map_err(Into::into),
+                }
+            }
         }
     }
 
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -5,7 +5,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -548,3 +548,40 @@
     })
     .await;
 }
+
+/// Guards against a body without end that keeps a caller, or a caller's connection, for ever. The
+/// route's timeout is 800 ms.
+#[tokio::test]
+async fn body_without_end_timeout() {
+    for caller_reads in [true, false] {
+        let upstream = Upstream::start("i1", Behaviour::Endless(EndlessPart::Body)).await;
+        with_process(&[&upstream], async |harness| {
+            let mut stream = TcpStream::connect(harness.listen.callers).await.unwrap();
+            let request = "POST /order/1 HTTP/1.1\r\nhost: host.example\r\nx-id: 1\r\n\
+                           x-key: good\r\n\r\n";
+            stream.write_all(request.as_bytes()).await.unwrap();
+            let sent_at = Instant::now();
+            let mut received = vec![0; 65_536];
+            let mut end = Ok(1);
+            while caller_reads
+                && matches!(end, Ok(1..))
+                && sent_at.elapsed() < Duration::from_secs(3)
+            {
+                end = timeout(Duration::from_secs(2), stream.read(&mut received)).await.unwrap();
+            }
+            if caller_reads {
+                assert!(end.is_err(), "{end:?} after {:?}", sent_at.elapsed());
+            }
+            wait_for(async || upstream.cancelled.load(Ordering::SeqCst) == 1).await;
+            let took = sent_at.elapsed();
+            assert!(took > Duration::from_millis(790), "{took:?}");
+            assert!(took < Duration::from_millis(1300), "{took:?}");
+            if !caller_reads {
+                // Socket buffers hold most of it.
+                let sent_bytes = upstream.endless_bytes.load(Ordering::SeqCst);
+                assert!(sent_bytes < 32 << 20, "{sent_bytes}");
+            }
+        })
+        .await;
+    }
+}
--- a/crates/gateway/tests/it/upstream.rs
+++ b/crates/gateway/tests/it/upstream.rs
@@ -118,6 +118,8 @@
     requests: Arc<Mutex<Vec<RecordedRequest>>>,
     /// Connections that the peer reset or closed while a request was running.
     pub(crate) cancelled: Arc<AtomicUsize>,
+    /// Bytes of responses without end that were sent.
+    pub(crate) endless_bytes: Arc<AtomicUsize>,
     /// Connections that were opened.
     pub(crate) connections: Arc<AtomicUsize>,
     task: JoinHandle<()>,
@@ -138,6 +140,8 @@
         let requests = Arc::new(Mutex::new(Vec::new()));
         let cancelled = Arc::new(AtomicUsize::new(0));
         let connections = Arc::new(AtomicUsize::new(0));
+        let endless_bytes = Arc::new(AtomicUsize::new(0));
+        let sent_bytes = Arc::clone(&endless_bytes);
         let (shared_behaviour, recorded, cancel_count, open_count) = (
             Arc::clone(&behaviour),
             Arc::clone(&requests),
@@ -147,18 +151,19 @@
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 open_count.fetch_add(1, Ordering::SeqCst);
-                let (shared_behaviour, recorded, cancel_count) = (
+                let (sent_bytes, shared_behaviour, recorded, cancel_count) = (
+                    Arc::clone(&sent_bytes),
                     Arc::clone(&shared_behaviour),
                     Arc::clone(&recorded),
                     Arc::clone(&cancel_count),
                 );
                 tokio::spawn(async move {
-                    serve(stream, &shared_behaviour, &recorded, &cancel_count).await;
+                    serve(stream, &shared_behaviour, &recorded, &cancel_count, &sent_bytes).await;
                 });
             }
         });
         let id = id.to_owned();
-        Self { id, address, behaviour, requests, cancelled, connections, task }
+        Self { id, address, behaviour, requests, cancelled, endless_bytes, connections, task }
     }
 
     pub(crate) fn set_behaviour(&self, behaviour: Behaviour) {
@@ -177,6 +182,7 @@
     behaviour: &Mutex<Behaviour>,
     requests: &Mutex<Vec<RecordedRequest>>,
     cancelled: &AtomicUsize,
+    endless_bytes: &AtomicUsize,
 ) {
     let mut buffer = Vec::new();
     let mut previous: Vec<u8> = Vec::new();
@@ -294,6 +300,7 @@
                 let repeated = repeated.repeat(500);
                 let mut next = start.as_bytes();
                 while stream.write_all(next).await.is_ok() {
+                    endless_bytes.fetch_add(next.len(), Ordering::SeqCst);
                     next = repeated.as_bytes();
                 }
                 cancelled.fetch_add(1, Ordering::SeqCst);
