Reset connections whose response is cut by the end of the process

Cause: At the end of the shutdown grace period the runtime closed the sockets of streamed responses in order. A caller with HTTP/1.0 took the part that had arrived for the whole body.

Change: A connection that is dropped while a response is being sent is reset.

Result: `shutdown::shut_down_cuts_response_http_1_0` failed with an orderly end, and passes.

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -251,7 +251,9 @@
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
-        if self.connection.is_broken.get()
+        // At the end of the process, a response may still be sent on the connection.
+        let is_incomplete = self.connection.is_broken.get() || self.connection.is_busy.get();
+        if is_incomplete
             && let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
         {
             log::debug!("connection of a caller could not be reset: {error}");
--- a/crates/gateway/tests/it/shutdown.rs
+++ b/crates/gateway/tests/it/shutdown.rs
@@ -7,6 +7,7 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
+    thread::JoinHandle,
     time::Duration,
 };
 
@@ -23,7 +24,7 @@
 
 use crate::{
     harness::{Harness, MemoryStore, listen_addresses, run_process_until, settings, wait_for},
-    upstream::{Behaviour, Upstream, header},
+    upstream::{Behaviour, EndlessPart, Upstream, header},
 };
 
 /// Number of connections that callers keep open.
@@ -60,6 +61,35 @@
     (harness, stop)
 }
 
+/// A process on a thread of its own, and the sender that stops it. Its sockets are closed at the end
+/// of the runtime, as they are at the end of a process.
+async fn spawn_thread(
+    settings: GatewaySettings,
+    upstream: &Upstream,
+) -> (oneshot::Sender<()>, JoinHandle<()>) {
+    let address = settings.listen.callers;
+    let store = Arc::new(MemoryStore::default());
+    store.put("config/main", "1 good");
+    store.put("servers/i1", &format!("{} ready", upstream.address));
+    let (stop, stopped) = oneshot::channel::<()>();
+    let process = std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(
+            &runtime,
+            run_process_until(settings, store, async move {
+                let _ = stopped.await;
+            }),
+        );
+    });
+    wait_for(async || {
+        let Ok(mut stream) = TcpStream::connect(address).await else { return false };
+        let _ = stream.write_all(request_text("probe").as_bytes()).await;
+        read_response(&mut stream).await.is_some_and(|it| it.contains(" 200 "))
+    })
+    .await;
+    (stop, process)
+}
+
 fn request_text(id: &str) -> String {
     format!("POST /order/1 HTTP/1.1\r\nhost: host.example\r\nx-id: {id}\r\nx-key: good\r\n\r\n")
 }
@@ -201,26 +231,7 @@
     let upstream = Upstream::start("i1", Behaviour::Slow).await;
     let settings = stop_settings();
     let address = settings.listen.callers;
-    let store = Arc::new(MemoryStore::default());
-    store.put("config/main", "1 good");
-    store.put("servers/i1", &format!("{} ready", upstream.address));
-    let (stop, stopped) = oneshot::channel::<()>();
-    // The sockets are closed at the end of the runtime, as they are at the end of a process.
-    let process = std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        LocalSet::new().block_on(
-            &runtime,
-            run_process_until(settings, store, async move {
-                let _ = stopped.await;
-            }),
-        );
-    });
-    wait_for(async || {
-        let Ok(mut stream) = TcpStream::connect(address).await else { return false };
-        let _ = stream.write_all(request_text("probe").as_bytes()).await;
-        read_response(&mut stream).await.is_some_and(|it| it.contains(" 200 "))
-    })
-    .await;
+    let (stop, process) = spawn_thread(settings, &upstream).await;
     let counts = Arc::new(CallerCounts::default());
     let callers: Vec<_> = (0..KEPT_CONNECTIONS)
         .map(|it| tokio::spawn(call_until_gone(address, it, Arc::clone(&counts))))
@@ -245,3 +256,30 @@
     // A request that crosses the close of an idle connection cannot be answered.
     assert!(cut.len() <= 2, "{} cut of {answered}", cut.len());
 }
+
+/// Guards against a response that is cut by the end of the process and looks complete to a caller
+/// that knows no chunks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shut_down_cuts_response_http_1_0() {
+    let upstream = Upstream::start("i1", Behaviour::Endless(EndlessPart::Body)).await;
+    let settings =
+        GatewaySettings { shutdown_grace: Duration::from_millis(2000), ..stop_settings() };
+    let address = settings.listen.callers;
+    let (stop, process) = spawn_thread(settings, &upstream).await;
+    let stopped_at = Instant::now();
+    stop.send(()).unwrap();
+    // The route's timeout is after the end of the process.
+    sleep_until(stopped_at + Duration::from_millis(1100)).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = request_text("id-1").replace("HTTP/1.1", "HTTP/1.0");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut received = vec![0; 65_536];
+    let end = loop {
+        match stream.read(&mut received).await {
+            Ok(1..) => {}
+            end => break end,
+        }
+    };
+    assert!(end.is_err(), "an orderly end");
+    process.join().unwrap();
+}
