Close connections with an incomplete head in a planned stop

Cause: The HTTP library waits without a limit for the rest of a head. One caller that sent a part of a head held up the end of the process until the grace period was over.

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -20,7 +20,7 @@
     net::{TcpListener, TcpStream},
     sync::Notify,
     task::yield_now,
-    time::Instant,
+    time::{Instant, sleep},
 };
 
 use crate::{
@@ -86,6 +86,16 @@
         let receives = |it: Instant| now.saturating_duration_since(it) < RECEIVE_TIMEOUT;
         self.is_busy.get() || self.received_at.get().is_some_and(receives)
     }
+
+    /// Waits until the rest of a request that has begun to arrive is overdue.
+    async fn stalls(&self) {
+        loop {
+            sleep(RECEIVE_TIMEOUT).await;
+            if self.received_at.get().is_some() && !self.is_in_use(Instant::now()) {
+                return;
+            }
+        }
+    }
 }
 
 impl CallerConnections {
@@ -187,7 +197,12 @@
             }
             if !connection.is_in_use(Instant::now()) {
                 serving.as_mut().graceful_shutdown();
-                break serving.await;
+                // The HTTP library waits for the rest of an incomplete head.
+                break tokio::select! {
+                    biased;
+                    res = serving.as_mut() => res,
+                    () = connection.stalls() => Ok(()),
+                };
             }
         };
         if let Err(error) = result {
--- a/crates/gateway/tests/it/shutdown.rs
+++ b/crates/gateway/tests/it/shutdown.rs
@@ -283,3 +283,20 @@
     assert!(end.is_err(), "an orderly end");
     process.join().unwrap();
 }
+
+/// Guards against callers that send a part of a head, and hold up the end of the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shut_down_incomplete_head() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    let settings = stop_settings();
+    let address = settings.listen.callers;
+    let (stop, process) = spawn_thread(settings, &upstream).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(b"GET /read/1 HTTP/1.1\r\nhost").await.unwrap();
+    let stopped_at = Instant::now();
+    stop.send(()).unwrap();
+    let gone = tokio::task::spawn_blocking(move || process.join());
+    gone.await.unwrap().unwrap();
+    let took = stopped_at.elapsed();
+    assert!(took < DRAIN_TIME + Duration::from_millis(1300), "{took:?}");
+}
