Test that a planned stop delivers the refusal of an upload

The caller gets status 401 although it is still sending the body when the response closes the connection.

--- a/crates/gateway/tests/it/shutdown.rs
+++ b/crates/gateway/tests/it/shutdown.rs
@@ -300,3 +300,27 @@
     let took = stopped_at.elapsed();
     assert!(took < DRAIN_TIME + Duration::from_millis(1300), "{took:?}");
 }
+
+/// Guards against a refusal that is lost in a planned stop because the connection is closed while
+/// the caller still sends the body.
+#[tokio::test]
+async fn shut_down_refused_upload() {
+    LocalSet::new()
+        .run_until(async {
+            let upstream = Upstream::start("i1", Behaviour::Echo).await;
+            let (harness, stop) = spawn_stoppable(&upstream).await;
+            stop.send(()).unwrap();
+            sleep(Duration::from_millis(50)).await;
+            let mut stream = TcpStream::connect(harness.listen.callers).await.unwrap();
+            let head =
+                request_text("id-1").replace("good\r\n", "bad\r\ncontent-length: 400000\r\n");
+            stream.write_all(head.as_bytes()).await.unwrap();
+            for _ in 0..8 {
+                stream.write_all(&[7; 50_000]).await.unwrap();
+                sleep(Duration::from_millis(20)).await;
+            }
+            let head = read_response(&mut stream).await;
+            assert!(head.is_some_and(|it| it.contains(" 401 ")));
+        })
+        .await;
+}
