End the crash check of an instance at the request's deadline

Cause: After a connection broke, the process tried to connect to the instance to tell a crash from a lost connection, for up to 400 ms, and the deadline of the request was not watched meanwhile.

Change: The check ends at the deadline.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use kingcupford_steer::{ExchangeOutcome, ExchangeReport, InstanceKey, RequestPlan};
 use kingcupford_telemetry::Event;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     exchange::{ExchangeError, InstanceStatus, UpstreamResponse},
@@ -60,10 +60,11 @@
 }
 
 /// Reports the result of an attempt to steering. Returns the outcome, the response if there is a
-/// usable one, and the text for the request log.
+/// usable one, and the text for the request log. Checks for a crash end at the deadline.
 pub(crate) async fn evaluate_exchange(
     attempt: &Attempt,
     result: Result<UpstreamResponse, ExchangeError>,
+    deadline: Instant,
 ) -> (ExchangeOutcome, Option<UpstreamResponse>, &'static str) {
     let latency = attempt.sent_at.elapsed();
     let (outcome, instance_status, upstream_response, reason) = match result {
@@ -90,7 +91,7 @@
             "instance cannot be reached",
         ),
         Err(ExchangeError::Broken(reason)) => {
-            let crashed = reason == "no response" && refuses_connections(attempt).await;
+            let crashed = reason == "no response" && refuses_connections(attempt, deadline).await;
             (ExchangeOutcome::Broken { crashed }, InstanceStatus::default(), None, reason)
         }
     };
@@ -104,12 +105,12 @@
 }
 
 /// Whether the instance's address refuses connections, as it does after a crash.
-async fn refuses_connections(attempt: &Attempt) -> bool {
+async fn refuses_connections(attempt: &Attempt, deadline: Instant) -> bool {
     let address =
         attempt.state.steering.borrow().instances.address_and_id(attempt.key).map(|it| it.0);
     let Some(address) = address else { return false };
-    match pool::connect(address).await {
-        Ok(_) => false,
-        Err(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+    match timeout_at(deadline, pool::connect(address)).await {
+        Ok(Ok(_)) | Err(_) => false,
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -317,7 +317,7 @@
                     return log_guard.finish_failed(StatusCode::BAD_GATEWAY, "no attempt is left");
                 };
                 let (outcome, upstream_response, reason) =
-                    evaluate_exchange(&attempt, result).await;
+                    evaluate_exchange(&attempt, result, request.deadline).await;
                 log_guard.log.attempts[attempt_index].outcome = reason;
                 let assessment = {
                     let mut steering = state.steering.borrow_mut();
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -4,7 +4,7 @@
 
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     time::{Instant, sleep, timeout},
 };
 
@@ -585,3 +585,41 @@
         .await;
     }
 }
+
+/// Guards against a caller that waits beyond the timeout of the route while the process checks
+/// whether an instance that broke a connection has crashed. The timeout is 800 ms.
+#[tokio::test]
+async fn timeout_of_route_during_crash_check() {
+    with_process(&[], async |harness| {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(1).unwrap();
+        let address = listener.local_addr().unwrap();
+        let instance = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let read = stream.read(&mut [0; 4096]).await.unwrap();
+            assert!(read > 0);
+            sleep(Duration::from_millis(700)).await;
+            // With a full queue the kernel does not answer further connections.
+            let mut queued = Vec::new();
+            for _ in 0..3 {
+                let connecting = TcpStream::connect(address);
+                queued.push(timeout(Duration::from_millis(20), connecting).await);
+            }
+            drop(stream);
+            sleep(Duration::from_secs(5)).await;
+            drop((listener, queued));
+        });
+        harness.store.put("servers/i1", &format!("{address} ready"));
+        sleep(Duration::from_millis(300)).await;
+        let sent_at = Instant::now();
+        let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+        let took = sent_at.elapsed();
+        assert!([502, 504].contains(&response.status().as_u16()), "{response:?}");
+        assert_eq!(response.headers()["kingcupford-outcome"], "unknown");
+        assert!(took > Duration::from_millis(700), "{took:?}");
+        assert!(took < Duration::from_millis(1050), "{took:?}");
+        instance.abort();
+    })
+    .await;
+}
