--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -623,3 +623,23 @@
     })
     .await;
 }
+
+/// Guards against a complete response that looks cut to a caller that knows no chunks.
+#[tokio::test]
+async fn response_complete_http_1_0() {
+    let upstream = Upstream::start("i1", Behaviour::Large).await;
+    with_process(&[&upstream], async |harness| {
+        for at in 0..10 {
+            let mut stream = TcpStream::connect(harness.listen.callers).await.unwrap();
+            let request = format!(
+                "POST /order/1 HTTP/1.0\r\nhost: host.example\r\nx-id: {at}\r\nx-key: good\r\n\r\n"
+            );
+            stream.write_all(request.as_bytes()).await.unwrap();
+            let mut received = Vec::new();
+            stream.read_to_end(&mut received).await.unwrap();
+            let head_length = received.windows(4).position(|it| it == b"\r\n\r\n").unwrap() + 4;
+            assert_eq!(received.len() - head_length, 512 << 10);
+        }
+    })
+    .await;
+}
--- a/crates/gateway/tests/it/upstream.rs
+++ b/crates/gateway/tests/it/upstream.rs
@@ -60,6 +60,8 @@
     OkWith(&'static str),
     /// Responds with this status line and these headers, and with a body.
     Status(&'static str),
+    /// Sends a chunked response of 512 KiB.
+    Large,
     /// Closes the connection gracefully within a chunked response that is larger than what the
     /// process buffers.
     LargeTruncated,
@@ -239,7 +241,7 @@
             Behaviour::Status(text) => {
                 format!("HTTP/1.1 {text}x-id: {id}\r\ncontent-length: 3\r\n\r\nown").into_bytes()
             }
-            Behaviour::LargeTruncated => {
+            Behaviour::Large | Behaviour::LargeTruncated => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n"
                 );
@@ -248,7 +250,10 @@
                 for _ in 0..8 {
                     let _ = stream.write_all(chunk.as_bytes()).await;
                 }
-                return;
+                if behaviour == Behaviour::LargeTruncated {
+                    return;
+                }
+                b"0\r\n\r\n".to_vec()
             }
             Behaviour::ServerError => format!(
                 "HTTP/1.1 500 Failed\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 3\r\n\r\nbad"
