--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -36,6 +36,8 @@
     /// Maximum number of idle connections to keep in the pool for the instance.
     pub(crate) max_idle_connections: usize,
     pub(crate) request_id: Option<HeaderValue>,
+    /// Time by which a response that is being sent to the caller must end.
+    pub(crate) response_ends_by: Option<Instant>,
 }
 
 /// A valid response of the instance to the request.
@@ -49,8 +51,18 @@
 pub(crate) enum UpstreamBody {
     /// The whole body.
     Buffered(Bytes),
-    /// The start of the body, the rest, and the connection on which the rest arrives.
-    Streamed(Bytes, Incoming, Connection),
+    /// A body whose rest is still arriving.
+    Streamed(StreamedBody),
+}
+
+/// A body that is too large to be buffered.
+pub(crate) struct StreamedBody {
+    pub(crate) start: Bytes,
+    pub(crate) rest: Incoming,
+    /// Connection on which the rest arrives.
+    pub(crate) connection: Connection,
+    /// Time by which the body must end.
+    pub(crate) ends_by: Option<Instant>,
 }
 
 /// Status of the instance from the headers of a response.
@@ -101,7 +113,13 @@
     let (head, mut body) = response.into_parts();
     let instance_status = parse_instance_status(&settings.headers, &head.headers);
     validate_response(&settings.headers, &head, upstream_request.request_id.as_ref())?;
-    let not_run = head.headers.contains_key(&settings.headers.not_run);
+    // Every instance rejects a request without an id, so the caller must change it.
+    let is_invalid_request =
+        head.status == StatusCode::BAD_REQUEST && upstream_request.request_id.is_none();
+    // With status 421, the instance at the address is another one than the target, and runs nothing.
+    let not_run = !is_invalid_request
+        && (head.headers.contains_key(&settings.headers.not_run)
+            || head.status == StatusCode::MISDIRECTED_REQUEST);
     let reuse = reuse_timeout(&head.headers);
     let start = read_body_start(&mut body).await?;
     let body = match start {
@@ -118,7 +136,12 @@
             }
             UpstreamBody::Buffered(start)
         }
-        (start, false) => UpstreamBody::Streamed(start, body, connection),
+        (start, false) => UpstreamBody::Streamed(StreamedBody {
+            start,
+            rest: body,
+            connection,
+            ends_by: upstream_request.response_ends_by,
+        }),
     };
     if not_run {
         return Err(ExchangeError::NotRun { status: head.status, instance_status });
@@ -161,14 +184,25 @@
     head: &http::response::Parts,
     request_id: Option<&HeaderValue>,
 ) -> Result<(), ExchangeError> {
-    if request_id.is_some() && head.headers.get(&names.request_id) != request_id {
-        return Err(ExchangeError::Broken("response to another request"));
+    if head.status.is_informational() {
+        return Err(ExchangeError::Broken("no final response"));
+    }
+    if let Some(request_id) = request_id {
+        let mut ids = head.headers.get_all(&names.request_id).iter().peekable();
+        if ids.peek().is_none() || ids.any(|it| it != request_id) {
+            return Err(ExchangeError::Broken("response to another request"));
+        }
     }
     if head.status.is_success() && !head.headers.contains_key(&names.seal) {
         return Err(ExchangeError::Broken("success without a seal"));
     }
-    let encoding = head.headers.get(header::CONTENT_ENCODING);
-    if encoding.is_some_and(|it| it.as_bytes() != b"identity") {
+    let is_encoded = |name, plain: &[u8]| {
+        head.headers.get_all(name).iter().any(|it| !it.as_bytes().eq_ignore_ascii_case(plain))
+    };
+    // The HTTP library decodes chunks only, and the caller does not get the header.
+    if is_encoded(header::CONTENT_ENCODING, b"identity")
+        || is_encoded(header::TRANSFER_ENCODING, b"chunked")
+    {
         return Err(ExchangeError::Broken("encoded body"));
     }
     Ok(())
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -34,6 +34,9 @@
 /// Time after which a refused caller may retry, unless a better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Time beyond the deadline within which a response that is being sent may end.
+const MAX_RESPONSE_OVERRUN: Duration = Duration::from_millis(200);
+
 /// Minimum time until the deadline for which an attempt is still started.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -48,6 +51,8 @@
     body: RequestBody,
     /// Time after which a response is of no use to the caller.
     deadline: Instant,
+    /// Time by which a response that is being sent to the caller must end.
+    response_ends_by: Option<Instant>,
 }
 
 /// A running attempt; resolves to the index of its log entry, the attempt and its result.
@@ -100,8 +105,19 @@
 }
 
 impl RequestLogGuard {
-    /// Finishes with the response of an instance.
+    /// Finishes with the response of an instance, unless the caller would take it for the statement
+    /// that the request did not run, which the instance did not make.
     fn finish_answered(&mut self, upstream_response: UpstreamResponse) -> Response<ResponseBody> {
+        let is_sealed = upstream_response.headers.contains_key(&self.state.settings().headers.seal);
+        let repeat = self.log.plan.as_ref().map(|it| it.route.repeat);
+        if states_not_run(upstream_response.status)
+            && !(is_sealed && repeat == Some(RepeatPolicy::Idempotent))
+        {
+            return self.finish_failed(
+                StatusCode::BAD_GATEWAY,
+                "refused by the instance, which may have run it",
+            );
+        }
         self.end(RequestOutcome::Answered(upstream_response.status));
         response::upstream_response(
             upstream_response.status,
@@ -193,12 +209,20 @@
         state.steering.borrow_mut().refund(&plan);
         return log_guard.finish_refused(StatusCode::PAYLOAD_TOO_LARGE, "body is too large", None);
     }
+    // The HTTP library decodes chunks only, and instances do not get the header.
+    let mut transfer_encodings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
+    if transfer_encodings.any(|it| !it.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+        state.steering.borrow_mut().refund(&plan);
+        drain_body(body);
+        return log_guard.finish_refused(StatusCode::NOT_IMPLEMENTED, "encoded body", None);
+    }
     let caller_timeout = head.headers.get(&names.deadline_ms);
     let caller_timeout = caller_timeout.and_then(|it| it.to_str().ok()?.parse().ok());
     let caller_timeout = caller_timeout.map(Duration::from_millis);
     let timeouts = [caller_timeout, plan.route.timeout];
-    let timeout = timeouts.into_iter().flatten().min().unwrap_or(DEFAULT_TIMEOUT);
-    let deadline = arrived + timeout;
+    let timeout = timeouts.into_iter().flatten().min();
+    let response_ends_by = timeout.map(|it| arrived + it + MAX_RESPONSE_OVERRUN);
+    let deadline = arrived + timeout.unwrap_or(DEFAULT_TIMEOUT);
     let body = match timeout_at(deadline, read_body(body, max_body_bytes)).await {
         Ok(Ok(it)) => it,
         Ok(Err(BodyError::TooLarge)) => {
@@ -233,7 +257,15 @@
     }
     let uri =
         head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |it| Uri::from(it.clone()));
-    let request = ForwardedRequest { method: head.method, uri, headers, id, body, deadline };
+    let request = ForwardedRequest {
+        method: head.method,
+        uri,
+        headers,
+        id,
+        body,
+        deadline,
+        response_ends_by,
+    };
     run_attempts(state, request, plan, log_guard).await
 }
 
@@ -292,7 +324,7 @@
                     return log_guard.finish_failed(StatusCode::BAD_GATEWAY, "no attempt is left");
                 };
                 let (outcome, upstream_response, reason) =
-                    evaluate_exchange(&attempt, result).await;
+                    evaluate_exchange(&attempt, result, request.deadline).await;
                 log_guard.log.attempts[attempt_index].outcome = reason;
                 let assessment = {
                     let mut steering = state.steering.borrow_mut();
@@ -334,7 +366,7 @@
                     && attempts.made < plan.route.max_attempts
                     && state.steering.borrow_mut().may_hedge(&plan, Instant::now());
                 should_start_attempt = allowed;
-                attempts.may_have_run = true;
+                attempts.may_have_run |= allowed;
             }
             () = sleep_until(request.deadline) => {
                 for it in &mut log_guard.log.attempts {
@@ -440,10 +472,12 @@
         body,
         is_body_sent,
         // If the instance closed a pooled connection while the request is being sent, it would be
-        // unknown whether the request ran.
-        needs_new_connection: plan.route.repeat != RepeatPolicy::Idempotent,
+        // unknown whether the request ran. On a pooled connection a late copy of an earlier response
+        // may arrive, which only the id distinguishes from the response to this request.
+        needs_new_connection: plan.route.repeat != RepeatPolicy::Idempotent || request.id.is_none(),
         max_idle_connections,
         request_id: request.id.clone(),
+        response_ends_by: request.response_ends_by,
     };
     let attempt_future = async move {
         let result = exchange(&attempt.state, upstream_request).await;
@@ -522,6 +556,17 @@
     log_guard.finish_refused(status, reason, retry_after)
 }
 
+/// Whether callers take a status for the statement that the request did not run and will not run.
+fn states_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Host name that a request is addressed to, without the port.
 fn request_host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
     let name = headers.get(header::HOST).and_then(|it| it.to_str().ok()).or_else(|| uri.host());
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -4,8 +4,8 @@
 
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::TcpStream,
-    time::{Instant, sleep},
+    net::{TcpSocket, TcpStream},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -361,3 +361,285 @@
     })
     .await;
 }
+
+/// Guards against an instance whose headers hold numbers that overflow and end the caller's
+/// connection without an answer.
+#[tokio::test]
+async fn response_extreme_numbers() {
+    let headers = [
+        "keep-alive: timeout=18446744073709551615\r\n",
+        "keep-alive: timeout=9223372036854775807\r\n",
+        "x-load: 4294967295,4294967295,4294967295\r\n",
+        "x-load: 4294967295,1,0\r\n",
+        "x-cold: 18446744073709551615\r\n",
+    ];
+    for it in headers {
+        let upstream = Upstream::start("i1", Behaviour::OkWith(it)).await;
+        with_process(&[&upstream], async |harness| {
+            for at in 0..2 {
+                let response = harness.request("GET", "/read/1", &format!("id-{at}")).send().await;
+                assert!(response.is_ok(), "{it}: {response:?}");
+            }
+        })
+        .await;
+    }
+}
+
+/// Guards against a request without an id that gets an earlier response which the instance sends
+/// once more.
+#[tokio::test]
+async fn request_without_id_response_duplicated_late() {
+    let upstream = Upstream::start("i1", Behaviour::LateDuplicate).await;
+    with_process(&[&upstream], async |harness| {
+        let url = format!("http://{}/read/1", harness.listen.callers);
+        for at in 0..20 {
+            let first = harness.request("GET", "/read/1", &format!("id-{at}")).body("other");
+            first.send().await.unwrap();
+            let body = format!("own-{at}");
+            let request = harness.client.get(&url).header("host", "host.example");
+            let response = request.header("x-key", "good").body(body.clone()).send().await.unwrap();
+            if response.status() == 200 {
+                assert_eq!(response.text().await.unwrap(), body);
+            }
+        }
+    })
+    .await;
+}
+
+/// Guards against responses that two readers would understand differently, when they are forwarded
+/// as if they were valid: two ids, a second encoding, bytes of another protocol.
+#[tokio::test]
+async fn response_ambiguous() {
+    let responses = [
+        Behaviour::OkWith("x-id: other\r\n"),
+        Behaviour::OkWith("content-encoding: identity\r\ncontent-encoding: gzip\r\n"),
+        Behaviour::OkWith("transfer-encoding: gzip, chunked\r\n"),
+        Behaviour::Status("101 Other\r\nx-seal: s\r\nconnection: upgrade\r\nupgrade: other\r\n"),
+    ];
+    for it in responses {
+        let upstream = Upstream::start("i1", it).await;
+        with_process(&[&upstream], async |harness| {
+            // The body is echoed, and is valid in chunks too.
+            let request = harness.request("POST", "/order/1", "id-1").body("1\r\nx\r\n0\r\n\r\n");
+            let response = request.send().await.unwrap();
+            assert_eq!(response.status(), 502, "{it:?}");
+            assert_eq!(response.headers()["kingcupford-outcome"], "unknown", "{it:?}");
+            harness.request("GET", "/read/1", "id-2").send().await.unwrap();
+        })
+        .await;
+    }
+}
+
+/// Guards against a large response that breaks off and looks complete to a caller that knows no
+/// chunks: its only sign is how the connection ends.
+#[tokio::test]
+async fn response_breaks_off_http_1_0() {
+    let upstream = Upstream::start("i1", Behaviour::LargeTruncated).await;
+    with_process(&[&upstream], async |harness| {
+        for version in ["1.0", "1.1"] {
+            let mut stream = TcpStream::connect(harness.listen.callers).await.unwrap();
+            let request = format!(
+                "POST /order/1 HTTP/{version}\r\nhost: host.example\r\nx-id: 1\r\nx-key: good\r\n\r\n"
+            );
+            stream.write_all(request.as_bytes()).await.unwrap();
+            let mut received = Vec::new();
+            let res = stream.read_to_end(&mut received).await;
+            let is_complete = res.is_ok() && (version == "1.0" || received.ends_with(b"0\r\n\r\n"));
+            assert!(!is_complete, "HTTP/{version}: {} bytes", received.len());
+        }
+    })
+    .await;
+}
+
+/// Guards against a request that ends at an instance which has the address of another one: status
+/// 421 alone states that the request did not run.
+#[tokio::test]
+async fn misdirected_without_header() {
+    let first = Upstream::start("i1", Behaviour::Status("421 No\r\n")).await;
+    with_process(&[&first], async |harness| {
+        let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+        assert_eq!(response.status(), 503);
+        assert_eq!(response.headers()["kingcupford-outcome"], "not-run");
+        let second = Upstream::start("i2", Behaviour::Echo).await;
+        harness.register(&second);
+        wait_for(async || {
+            let response = harness.request("POST", "/order/1", "id-2").send().await.unwrap();
+            response.status() == 200
+        })
+        .await;
+    })
+    .await;
+}
+
+/// Guards against an instance's own status that the caller would take for the statement that the
+/// request did not run: only the header states that.
+#[tokio::test]
+async fn response_status_is_no_promise() {
+    let statuses = [
+        "503 Busy\r\n",
+        "503 Busy\r\nx-seal: s\r\n",
+        "429 Slow\r\n",
+        "429 Slow\r\nx-seal: s\r\n",
+        "408 Late\r\n",
+        "408 Late\r\nx-seal: s\r\n",
+    ];
+    for it in statuses {
+        let upstream = Upstream::start("i1", Behaviour::Status(it)).await;
+        with_process(&[&upstream], async |harness| {
+            let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+            assert_eq!(response.status(), 502, "{it}");
+            assert_eq!(response.headers()["kingcupford-outcome"], "unknown", "{it}");
+            assert!(!response.headers().contains_key("x-seal"), "{it}");
+            assert_eq!(upstream.requests().len(), 1, "{it}");
+            // A request that may run again gets what the instance sealed.
+            let response = harness.request("GET", "/read/1", "id-2").send().await.unwrap();
+            let is_sealed = it.contains("x-seal");
+            let expected = if is_sealed { &it[..3] } else { "502" };
+            assert_eq!(response.status().as_str(), expected, "{it}");
+            assert_eq!(response.headers().contains_key("x-seal"), is_sealed, "{it}");
+        })
+        .await;
+    }
+}
+
+/// Guards against malformed requests of one caller that are sent to every instance, and that count
+/// as failures of the instances which reject them.
+#[tokio::test]
+async fn request_rejected_by_instance() {
+    let rejected = Behaviour::Status("400 No\r\nx-not-run: 1\r\n");
+    let first = Upstream::start("i1", rejected).await;
+    let second = Upstream::start("i2", rejected).await;
+    with_process(&[&first, &second], async |harness| {
+        let url = format!("http://{}/order/1", harness.listen.callers);
+        for at in 1..=30 {
+            let request = harness.client.post(&url).header("host", "host.example");
+            let response = request.header("x-key", "good").send().await.unwrap();
+            assert_eq!(response.status(), 400, "{at}");
+            assert_eq!(first.requests().len() + second.requests().len(), at);
+        }
+        first.set_behaviour(Behaviour::Echo);
+        second.set_behaviour(Behaviour::Echo);
+        for at in 0..10 {
+            let id = format!("id-{at}");
+            let response = harness.request("POST", "/order/1", &id).send().await.unwrap();
+            assert_eq!(response.status(), 200, "{at}");
+        }
+    })
+    .await;
+}
+
+/// Guards against a request that an instance rejected from its queue, and that the caller cannot
+/// repeat because it is called one that may have run.
+#[tokio::test]
+async fn refusal_late_not_run() {
+    let first = Upstream::start("i1", Behaviour::ShedLate).await;
+    with_process(&[&first], async |harness| {
+        let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+        assert_eq!(response.status(), 503);
+        assert_eq!(response.headers()["kingcupford-outcome"], "not-run");
+        let second = Upstream::start("i2", Behaviour::Echo).await;
+        harness.register(&second);
+        for at in 0..6 {
+            let id = format!("id-{at}");
+            let response = harness.request("POST", "/order/1", &id).send().await.unwrap();
+            assert!([200, 503].contains(&response.status().as_u16()), "{at}: {response:?}");
+        }
+        assert!(!second.requests().is_empty());
+    })
+    .await;
+}
+
+/// Guards against a body without end that keeps a caller, or a caller's connection, for ever. The
+/// route's timeout is 800 ms.
+#[tokio::test]
+async fn body_without_end_timeout() {
+    for caller_reads in [true, false] {
+        let upstream = Upstream::start("i1", Behaviour::Endless(EndlessPart::Body)).await;
+        with_process(&[&upstream], async |harness| {
+            let mut stream = TcpStream::connect(harness.listen.callers).await.unwrap();
+            let request = "POST /order/1 HTTP/1.1\r\nhost: host.example\r\nx-id: 1\r\n\
+                           x-key: good\r\n\r\n";
+            stream.write_all(request.as_bytes()).await.unwrap();
+            let sent_at = Instant::now();
+            let mut received = vec![0; 65_536];
+            let mut end = Ok(1);
+            while caller_reads
+                && matches!(end, Ok(1..))
+                && sent_at.elapsed() < Duration::from_secs(3)
+            {
+                end = timeout(Duration::from_secs(2), stream.read(&mut received)).await.unwrap();
+            }
+            if caller_reads {
+                assert!(end.is_err(), "{end:?} after {:?}", sent_at.elapsed());
+            }
+            wait_for(async || upstream.cancelled.load(Ordering::SeqCst) == 1).await;
+            let took = sent_at.elapsed();
+            assert!(took > Duration::from_millis(790), "{took:?}");
+            assert!(took < Duration::from_millis(1300), "{took:?}");
+            if !caller_reads {
+                // Socket buffers hold most of it.
+                let sent_bytes = upstream.endless_bytes.load(Ordering::SeqCst);
+                assert!(sent_bytes < 32 << 20, "{sent_bytes}");
+            }
+        })
+        .await;
+    }
+}
+
+/// Guards against a caller that waits beyond the timeout of the route while the process checks
+/// whether an instance that broke a connection has crashed. The timeout is 800 ms.
+#[tokio::test]
+async fn timeout_of_route_during_crash_check() {
+    with_process(&[], async |harness| {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(1).unwrap();
+        let address = listener.local_addr().unwrap();
+        let instance = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let read = stream.read(&mut [0; 4096]).await.unwrap();
+            assert!(read > 0);
+            sleep(Duration::from_millis(700)).await;
+            // With a full queue the kernel does not answer further connections.
+            let mut queued = Vec::new();
+            for _ in 0..3 {
+                let connecting = TcpStream::connect(address);
+                queued.push(timeout(Duration::from_millis(20), connecting).await);
+            }
+            drop(stream);
+            sleep(Duration::from_secs(5)).await;
+            drop((listener, queued));
+        });
+        harness.store.put("servers/i1", &format!("{address} ready"));
+        sleep(Duration::from_millis(300)).await;
+        let sent_at = Instant::now();
+        let response = harness.request("POST", "/order/1", "id-1").send().await.unwrap();
+        let took = sent_at.elapsed();
+        assert!([502, 504].contains(&response.status().as_u16()), "{response:?}");
+        assert_eq!(response.headers()["kingcupford-outcome"], "unknown");
+        assert!(took > Duration::from_millis(700), "{took:?}");
+        assert!(took < Duration::from_millis(1050), "{took:?}");
+        instance.abort();
+    })
+    .await;
+}
+
+/// Guards against a complete response that looks cut to a caller that knows no chunks.
+#[tokio::test]
+async fn response_complete_http_1_0() {
+    let upstream = Upstream::start("i1", Behaviour::Large).await;
+    with_process(&[&upstream], async |harness| {
+        for at in 0..10 {
+            let mut stream = TcpStream::connect(harness.listen.callers).await.unwrap();
+            let request = format!(
+                "POST /order/1 HTTP/1.0\r\nhost: host.example\r\nx-id: {at}\r\nx-key: good\r\n\r\n"
+            );
+            stream.write_all(request.as_bytes()).await.unwrap();
+            let mut received = Vec::new();
+            stream.read_to_end(&mut received).await.unwrap();
+            let head_length = received.windows(4).position(|it| it == b"\r\n\r\n").unwrap() + 4;
+            assert_eq!(received.len() - head_length, 512 << 10);
+        }
+    })
+    .await;
+}
--- a/crates/gateway/tests/it/upstream.rs
+++ b/crates/gateway/tests/it/upstream.rs
@@ -23,8 +23,12 @@
 pub(crate) enum Behaviour {
     /// Responds with the body of the request.
     Echo,
+    /// Responds with the body of the request after 20 ms.
+    Slow,
     /// Responds that the request did not run.
     Shed,
+    /// Responds after 400 ms that the request did not run.
+    ShedLate,
     /// Responds that the request was meant for another instance.
     Misdirected,
     /// Responds with status 500.
@@ -52,6 +56,15 @@
     EarlyResponse,
     /// Never responds.
     Silent,
+    /// Responds with the body of the request and with more headers.
+    OkWith(&'static str),
+    /// Responds with this status line and these headers, and with a body.
+    Status(&'static str),
+    /// Sends a chunked response of 512 KiB.
+    Large,
+    /// Closes the connection gracefully within a chunked response that is larger than what the
+    /// process buffers.
+    LargeTruncated,
     /// Responds with bytes without end.
     Endless(EndlessPart),
 }
@@ -107,6 +120,8 @@
     requests: Arc<Mutex<Vec<RecordedRequest>>>,
     /// Connections that the peer reset or closed while a request was running.
     pub(crate) cancelled: Arc<AtomicUsize>,
+    /// Bytes of responses without end that were sent.
+    pub(crate) endless_bytes: Arc<AtomicUsize>,
     /// Connections that were opened.
     pub(crate) connections: Arc<AtomicUsize>,
     task: JoinHandle<()>,
@@ -127,6 +142,8 @@
         let requests = Arc::new(Mutex::new(Vec::new()));
         let cancelled = Arc::new(AtomicUsize::new(0));
         let connections = Arc::new(AtomicUsize::new(0));
+        let endless_bytes = Arc::new(AtomicUsize::new(0));
+        let sent_bytes = Arc::clone(&endless_bytes);
         let (shared_behaviour, recorded, cancel_count, open_count) = (
             Arc::clone(&behaviour),
             Arc::clone(&requests),
@@ -136,18 +153,19 @@
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 open_count.fetch_add(1, Ordering::SeqCst);
-                let (shared_behaviour, recorded, cancel_count) = (
+                let (sent_bytes, shared_behaviour, recorded, cancel_count) = (
+                    Arc::clone(&sent_bytes),
                     Arc::clone(&shared_behaviour),
                     Arc::clone(&recorded),
                     Arc::clone(&cancel_count),
                 );
                 tokio::spawn(async move {
-                    serve(stream, &shared_behaviour, &recorded, &cancel_count).await;
+                    serve(stream, &shared_behaviour, &recorded, &cancel_count, &sent_bytes).await;
                 });
             }
         });
         let id = id.to_owned();
-        Self { id, address, behaviour, requests, cancelled, connections, task }
+        Self { id, address, behaviour, requests, cancelled, endless_bytes, connections, task }
     }
 
     pub(crate) fn set_behaviour(&self, behaviour: Behaviour) {
@@ -166,6 +184,7 @@
     behaviour: &Mutex<Behaviour>,
     requests: &Mutex<Vec<RecordedRequest>>,
     cancelled: &AtomicUsize,
+    endless_bytes: &AtomicUsize,
 ) {
     let mut buffer = Vec::new();
     let mut previous: Vec<u8> = Vec::new();
@@ -195,15 +214,22 @@
             res.extend_from_slice(body);
             res
         };
+        if behaviour == Behaviour::ShedLate {
+            sleep(Duration::from_millis(400)).await;
+        }
         let response = match behaviour {
             Behaviour::Echo => ok("", &body),
+            Behaviour::Slow => {
+                sleep(Duration::from_millis(20)).await;
+                ok("", &body)
+            }
             Behaviour::Silent => {
                 if closes_within(&mut stream, 60_000).await {
                     cancelled.fetch_add(1, Ordering::SeqCst);
                 }
                 return;
             }
-            Behaviour::Shed => format!(
+            Behaviour::Shed | Behaviour::ShedLate => format!(
                 "HTTP/1.1 503 Busy\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             )
             .into_bytes(),
@@ -211,6 +237,24 @@
                 "HTTP/1.1 421 No\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             )
             .into_bytes(),
+            Behaviour::OkWith(headers) => ok(headers, &body),
+            Behaviour::Status(text) => {
+                format!("HTTP/1.1 {text}x-id: {id}\r\ncontent-length: 3\r\n\r\nown").into_bytes()
+            }
+            Behaviour::Large | Behaviour::LargeTruncated => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n"
+                );
+                let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x10000));
+                let _ = stream.write_all(head.as_bytes()).await;
+                for _ in 0..8 {
+                    let _ = stream.write_all(chunk.as_bytes()).await;
+                }
+                if behaviour == Behaviour::LargeTruncated {
+                    return;
+                }
+                b"0\r\n\r\n".to_vec()
+            }
             Behaviour::ServerError => format!(
                 "HTTP/1.1 500 Failed\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 3\r\n\r\nbad"
             )
@@ -261,6 +305,7 @@
                 let repeated = repeated.repeat(500);
                 let mut next = start.as_bytes();
                 while stream.write_all(next).await.is_ok() {
+                    endless_bytes.fetch_add(next.len(), Ordering::SeqCst);
                     next = repeated.as_bytes();
                 }
                 cancelled.fetch_add(1, Ordering::SeqCst);
