Keep a restarted instance, and the grace of a second restoration

The copy from which the store was restored may hold the registration of an instance's former process: it replaced the running one, since a restart was no departure. And an instance that was missing in two copies kept the time of the first one and was removed within the grace of the second.

A restart is recorded as the departure of the former process, and a lapse ends at the later of two times. is_outdated_former_process and deregister_lapse_extended failed before and pass.

--- a/crates/steer/src/instance_registry.rs
+++ b/crates/steer/src/instance_registry.rs
@@ -103,7 +103,9 @@
             || old.address != registration.address
             || old.service != registration.service;
         if restarted {
-            self.remove(key);
+            if let Some(it) = self.remove(key) {
+                self.record_departure(&it.registration, now);
+            }
             self.insert(registration, now);
             return RegistrationChange::Started;
         }
@@ -134,7 +136,7 @@
             }
             Lapse::Until(at) => {
                 let instance = self.get_mut(key)?;
-                instance.lapses_at.get_or_insert(at);
+                instance.lapses_at = instance.lapses_at.max(Some(at));
                 None
             }
         }
@@ -173,10 +175,9 @@
             id == registration.id && started_unix_ms == registration.started_unix_ms
         };
         let known = self.key(&registration.id).and_then(|it| self.get(it));
-        if let Some(it) = known.map(|it| &it.registration) {
-            return is_same(&it.id, it.started_unix_ms)
-                && it.state == ServingState::Draining
-                && registration.state == ServingState::Ready;
+        let known = known.map(|it| &it.registration);
+        if let Some(it) = known.filter(|it| is_same(&it.id, it.started_unix_ms)) {
+            return it.state == ServingState::Draining && registration.state == ServingState::Ready;
         }
         let recent = self
             .departures
--- a/crates/steer/tests/it/instance_registry.rs
+++ b/crates/steer/tests/it/instance_registry.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use kingcupford_steer::{InstanceRegistry, Lapse, RegistrationChange, ServingState};
+use kingcupford_steer::{
+    InstanceRegistration, InstanceRegistry, Lapse, RegistrationChange, ServingState,
+};
 use tokio::time::{Instant, advance};
 
 use crate::common::instance;
@@ -69,3 +71,30 @@
     assert_eq!(registry.len(), 3);
     assert_eq!(registry.of_service("svc").count(), 3);
 }
+
+/// Guards against an instance that restarted after the copy from which the platform was restored,
+/// and is replaced by its former process.
+#[tokio::test(start_paused = true)]
+async fn is_outdated_former_process() {
+    let now = Instant::now();
+    let mut registry = InstanceRegistry::default();
+    let started =
+        |unix_ms| InstanceRegistration { started_unix_ms: Some(unix_ms), ..instance("i1", "a1") };
+    registry.register(started(1), now);
+    registry.register(started(2), now);
+    assert!(registry.is_outdated(&started(1), now));
+    assert!(!registry.is_outdated(&started(2), now));
+}
+
+/// Guards against an instance that is removed within the grace of a second restoration.
+#[tokio::test(start_paused = true)]
+async fn deregister_lapse_extended() {
+    let now = Instant::now();
+    let mut registry = InstanceRegistry::default();
+    registry.register(instance("i1", "a1"), now);
+    let after = |ms| now + Duration::from_millis(ms);
+    registry.deregister("i1", Lapse::Until(after(2500)), now);
+    registry.deregister("i1", Lapse::Until(after(4500)), after(2000));
+    assert!(registry.expire(after(2600)).is_empty());
+    assert_eq!(registry.expire(after(4500)).len(), 1);
+}
