Register a host again whose registration was lost unseen

A host that registered just before the store was restored, and whose own watch had not reported the registration yet, waited for a change that never came and stayed unregistered.

When the store has a new era and the host's own registration is not in the copy, the host registers. platform_restored_at_registration failed before (not registered within 10 s) and passes.

--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Whether the copy has an object.
+    pub(crate) fn contains(&self, prefix: &str, name: &str) -> bool {
+        self.prefixes.borrow().get(prefix).is_some_and(|it| it.objects.contains_key(name))
+    }
+
     /// Time from which the copy of a prefix is too old to be served; now if it has none.
     fn stale_at(&self, prefix: &str) -> Instant {
         let stale_at = self.prefixes.borrow().get(prefix).and_then(|it| it.stale_at);
--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -2,6 +2,7 @@
 //! host.
 
 use std::{
+    cell::Cell,
     pin::pin,
     rc::Rc,
     sync::Arc,
@@ -159,6 +160,8 @@
     codec: Rc<C>,
     /// Registration of this host as the platform stores it.
     own_registration: Rc<watch::Sender<OwnRegistration>>,
+    /// Era of the store of the newest list of host registrations, 0 before.
+    host_era: Rc<Cell<u64>>,
     state: Rc<State>,
 }
 
@@ -178,6 +181,7 @@
             source: Rc::clone(&self.source),
             codec: Rc::clone(&self.codec),
             own_registration: Rc::clone(&self.own_registration),
+            host_era: Rc::clone(&self.host_era),
             state: Rc::clone(&self.state),
         }
     }
@@ -190,7 +194,8 @@
         let platform_calls = state.metrics.store_calls.clone();
         let store = Arc::new(RelayedStore::new(store, receiver, platform_calls));
         let own_registration = Rc::new(watch::Sender::new(OwnRegistration::Unknown));
-        Self { store, source: Rc::new(source), codec, own_registration, state }
+        let host_era = Rc::default();
+        Self { store, source: Rc::new(source), codec, own_registration, host_era, state }
     }
 
     /// Switches to the store source that steering chooses from the heartbeats of the other hosts.
@@ -467,6 +472,16 @@
         let stale_at = now + Duration::from_millis(wait_ms) + WATCH_OVERDUE_MARGIN;
         self.state.mirror.record_progress(prefix, progress.revision, progress.as_of, stale_at);
         if prefix == self.codec.object_names().host_prefix {
+            let own = &self.state.settings().steering.own_host.name;
+            let era = progress.revision.era;
+            let former_era = self.host_era.replace(era);
+            if former_era != 0
+                && former_era != era
+                && !self.state.mirror.contains(prefix, &format!("{prefix}{own}"))
+            {
+                // The registration may have been lost before it was reported.
+                self.own_registration.send_replace(OwnRegistration::Absent);
+            }
             self.own_registration.send_if_modified(|it| {
                 let is_first = *it == OwnRegistration::Unknown;
                 if is_first {
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -379,6 +379,21 @@
         .await;
 }
 
+/// Guards against a host that stays unregistered, since the platform lost its registration before
+/// the host's own watch reported it.
+#[tokio::test]
+async fn platform_restored_at_registration() {
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            *store.restore_after_announcement.lock() = Some(store.copy());
+            spawn_process("n1", listen_addresses(), &store);
+            wait_for(async || store.contains("hosts/n1")).await;
+        })
+        .await;
+}
+
 /// Guards against a new process that accepts a revoked key, since the platform was restored from a
 /// copy with an older manifest.
 #[tokio::test]
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -53,7 +53,9 @@
 pub(crate) struct MemoryStore {
     /// Revision of the store, and the objects by name.
     objects: Mutex<StoreCopy>,
-    /// Number of restorations, plus one.
+    /// Copy from which the store is restored right after the next announcement.
+    pub(crate) restore_after_announcement: Mutex<Option<StoreCopy>>,
+    /// Number of restorations.
     era: AtomicU64,
     changed: Notify,
     /// Whether calls fail.
@@ -196,6 +198,9 @@
             return CallOutcome::Unavailable;
         }
         self.put(&format!("hosts/{}", entry.name), &serde_json::to_string(entry).unwrap());
+        if let Some(it) = self.restore_after_announcement.lock().take() {
+            self.restore(it);
+        }
         CallOutcome::Value(())
     }
 }
