Take an era of 0 for a known one

A store that counts its restorations from 0 would have been taken for one without eras, and its first restoration would have passed unnoticed.

restored_first_era_zero failed before (the change after the restoration is not reported) and passes.

--- a/crates/entry/tests/it/platform.rs
+++ b/crates/entry/tests/it/platform.rs
@@ -188,7 +188,7 @@
             "the version of the lost write has the same number in the platform"
         );
         // The watcher lists again after a response of a newer era than that of its revision.
-        let after = StoreRevision { era: 1, number: 1 };
+        let after = StoreRevision { era: 2, number: 1 };
         let watch = store.watch("quota/", after, Duration::ZERO).await;
         let CallOutcome::Value(WatchResponse::Changes { revision, .. }) = watch else {
             anyhow::bail!("no changes: {watch:?}");
--- a/crates/platform/src/dialect.rs
+++ b/crates/platform/src/dialect.rs
@@ -163,6 +163,12 @@
         }
     }
 
+    /// Returns the era of the store from a header that rises with each restoration, 0 if there is no
+    /// such header. The first value of the header may be 0, which is a known era.
+    pub fn era(&self, header: &str) -> u64 {
+        self.header_number(header).map_or(0, |it| it.saturating_add(1))
+    }
+
     /// Returns the value of a header that is a decimal number.
     pub fn header_number(&self, name: &str) -> Option<u64> {
         self.headers.get(name)?.to_str().ok()?.parse().ok()
@@ -363,7 +369,7 @@
 
 /// Returns the era of the store.
 fn store_era(response: &ApiResponse) -> u64 {
-    response.header_number("store-era").unwrap_or(0)
+    response.era("store-era")
 }
 
 /// Returns the object version in the `ETag` header.
--- a/crates/platform/tests/http_store.rs
+++ b/crates/platform/tests/http_store.rs
@@ -17,9 +17,9 @@
     time::sleep,
 };
 
-/// Revision of a store that was not restored.
+/// Revision of a stand-in that was not restored, whose header has the value 1.
 fn at(number: u64) -> StoreRevision {
-    StoreRevision { era: 1, number }
+    StoreRevision { era: 2, number }
 }
 
 const VALUE: Bytes = Bytes::from_static(b"value");
