Do not relay the registration of an instance that left

A reader ignored the registration of an instance that had left after the store's copy, but relayed it: a process that started then knew of no departure and used the instance.

The reader's copy drops such a registration until the instance writes again.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -508,6 +508,11 @@
             self.apply_missing(prefix, &name, &event, until);
             return;
         }
+        if prefix == names.instance_prefix && self.is_outdated_copy(&name, &event) {
+            // Hosts that start do not know that the instance left.
+            self.state.mirror.apply_change(prefix, &event.name, None, event.era);
+            return;
+        }
         if prefix == names.manifest_prefix
             && !self.apply_manifest(&event.name, event.object.as_ref())
         {
@@ -583,6 +588,26 @@
         version >= active_version
     }
 
+    /// Whether the registration of an instance comes from the copy from which the platform was
+    /// restored, and the instance is known to have left or to be draining since.
+    fn is_outdated_copy(&self, id: &str, event: &WatchEvent) -> bool {
+        let is_copied = event.restoration == Restoration::Copied;
+        let Some(object) = event.object.as_ref().filter(|_| is_copied) else { return false };
+        let steering = self.state.steering.borrow();
+        let zone_map = &steering.settings().zone_map;
+        let Ok(registration) = self.codec.decode_instance(id, &object.bytes, zone_map) else {
+            return false;
+        };
+        let is_outdated = steering.instances.is_outdated(&registration, Instant::now());
+        if is_outdated {
+            let version = object.version;
+            Event::InstanceRejected.log(format_args!(
+                "instance={id} object_version={version} reason=\"it left after the platform's copy\""
+            ));
+        }
+        is_outdated
+    }
+
     /// Applies the registration of an instance or the end of it.
     fn apply_instance(&self, id: &str, event: WatchEvent) {
         let now = Instant::now();
@@ -612,15 +637,6 @@
                 return;
             }
         };
-        if event.restoration == Restoration::Copied
-            && steering.instances.is_outdated(&registration, now)
-        {
-            let version = object.version;
-            Event::InstanceRejected.log(format_args!(
-                "instance={id} object_version={version} reason=\"it left after the platform's copy\""
-            ));
-            return;
-        }
         let details = format!(
             "instance={id} service={} address={} version={} slots={} state={} cold_ms={}",
             registration.service,
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -299,10 +299,18 @@
         let before = first.requests().len() + second.requests().len();
         harness.store.restore(copy);
         sleep(Duration::from_millis(500)).await;
-        for at in 0..30 {
-            let request = harness.request("GET", "/read/1", &format!("id-{at}"));
-            let request = request.header("x-object", at.to_string());
-            assert_eq!(request.send().await.unwrap().status(), 200);
+        // A host that starts now knows of the departures only through the reader.
+        let listen = listen_addresses();
+        spawn_process("new", listen, &harness.store);
+        let (store, client) = (Arc::clone(&harness.store), harness.client.clone());
+        let new_host = Harness { store, listen, client };
+        new_host.wait_until_ready().await;
+        for host in [&harness, &new_host] {
+            for at in 0..30 {
+                let request = host.request("GET", "/read/1", &format!("id-{at}"));
+                let request = request.header("x-object", at.to_string());
+                assert_eq!(request.send().await.unwrap().status(), 200);
+            }
         }
         assert_eq!(first.requests().len() + second.requests().len(), before);
         // What an instance writes after the restoration counts.
