Copy the manifest from a peer once at a time

A host whose manifest lags began another transfer from a peer every 0.8 s, also while one was running. A manifest that takes longer than that over the host's link was transferred several times at once, and each transfer made the others slower: the class of fault that kept hosts from a large manifest.

A transfer is begun only when none is running. copy_manifest_overlapping failed before (more than one transfer at once over 5 s, of 100 KB/s each) and passes.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -21,6 +21,7 @@
 use kingcupford_telemetry::Event;
 use tokio::{
     sync::watch,
+    task::JoinHandle,
     time::{Instant, sleep},
 };
 
@@ -337,14 +338,14 @@
     }
 
     /// Applies the newest manifest of another host, also if neither of them reaches the platform. The
-    /// view is not confirmed by that.
-    fn copy_manifest_from_peer(&self) {
+    /// view is not confirmed by that. Returns the task, `None` if no host has a newer manifest.
+    fn copy_manifest_from_peer(&self) -> Option<JoinHandle<()>> {
         let own = self.state.settings().steering.own_host.clone();
         let host = self.state.steering.borrow().members.newest_manifest_host(&own, Instant::now());
-        let Some(host) = host else { return };
+        let host = host?;
         let prefix = self.codec.object_names().manifest_prefix;
         let sync = self.clone();
-        tokio::task::spawn_local(async move {
+        let task = tokio::task::spawn_local(async move {
             let Some(listing) = sync.store.list_copy(host, prefix).await.value() else { return };
             for ListedObject { name, value, .. } in listing.objects {
                 let Some(bytes) = value else { continue };
@@ -355,6 +356,7 @@
                 }
             }
         });
+        Some(task)
     }
 
     /// Registers this host and keeps the registration up to date; an equal registration is not
@@ -428,6 +430,7 @@
         let seed = self.state.settings().steering.seed;
         let mut watcher = Watcher::start(Arc::clone(&self.store), settings, seed);
         let mut hung = pin!(self.manifest_watch_hung());
+        let mut copy: Option<JoinHandle<()>> = None;
         loop {
             tokio::select! {
                 biased;
@@ -445,7 +448,10 @@
                 }
                 () = &mut hung, if is_manifest => {
                     watcher.check_for_changes();
-                    self.copy_manifest_from_peer();
+                    // Transfers that overlap on a slow link would delay each other.
+                    if copy.as_ref().is_none_or(JoinHandle::is_finished) {
+                        copy = self.copy_manifest_from_peer();
+                    }
                     hung.set(self.manifest_watch_hung());
                 }
                 Ok(()) = watcher.reachability.changed() => {
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -1,6 +1,13 @@
 //! Tests of following the platform: manifests, instances, readers and outages.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering::Relaxed},
+    },
+    time::Duration,
+};
 
 use kingcupford_steer::{Heartbeat, HostState, PROTOCOL_VERSION};
 use reqwest::Client;
@@ -366,6 +373,50 @@
         .await;
 }
 
+/// Guards against transfers of a large manifest from a peer that overlap and slow each other down.
+#[tokio::test]
+async fn copy_manifest_overlapping() {
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let listen = listen_addresses();
+            spawn_process_in("z1", "n1", listen, &store);
+            let client = Client::builder().no_proxy().build().unwrap();
+            let host = Harness { store, listen, client };
+            host.wait_until_ready().await;
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let (running, most) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+            let most_running = Arc::clone(&most);
+            tokio::spawn(async move {
+                loop {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    let (running, most) = (Arc::clone(&running), Arc::clone(&most));
+                    tokio::spawn(async move {
+                        let mut request = [0; 4096];
+                        let length = stream.read(&mut request).await.unwrap_or(0);
+                        let is_copy =
+                            String::from_utf8_lossy(&request[..length]).contains("any_age=true");
+                        let count = usize::from(is_copy);
+                        most.fetch_max(running.fetch_add(count, Relaxed) + count, Relaxed);
+                        let head = "HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n";
+                        let _ = stream.write_all(head.as_bytes()).await;
+                        for _ in 0..30 {
+                            let _ = stream.write_all(&[0; 20_000]).await;
+                            sleep(Duration::from_millis(200)).await;
+                        }
+                        running.fetch_sub(count, Relaxed);
+                    });
+                }
+            });
+            spawn_heartbeats(&host, address, 2).await;
+            sleep(Duration::from_secs(5)).await;
+            assert_eq!(most_running.load(Relaxed), 1);
+        })
+        .await;
+}
+
 /// Guards against hosts that refuse all requests for the whole of a platform outage, because it began
 /// when only one of them had got the newest manifest.
 #[tokio::test]
