Take over another final state of a rollout instead of overwriting it

Callers could have both sides of a rollout stopped under them: a host that knew a final state which the platform lost in a restoration wrote it again over the other final state that another host had written since, and the other host did the same.

A final state is now replaced by another one that the platform stores, and is written again only over none or over a running one.

--- a/crates/steer/src/canary.rs
+++ b/crates/steer/src/canary.rs
@@ -213,11 +213,14 @@
         self.stored_state = None;
     }
 
-    /// Records the state that the platform stores. A final state does not change any more; it is
-    /// written again if the platform stores another one.
+    /// Records the state that the platform stores. A final state is replaced only by another final
+    /// one, which a host wrote after the platform had lost the first one; it is written again if the
+    /// platform stores none.
     pub fn set_state(&mut self, state: RolloutState) {
         self.stored_state = Some(state);
-        if matches!(self.state, None | Some(RolloutState::Running)) {
+        if state != RolloutState::Running
+            || matches!(self.state, None | Some(RolloutState::Running))
+        {
             self.state = Some(state);
         }
     }
--- a/crates/steer/tests/it/canary.rs
+++ b/crates/steer/tests/it/canary.rs
@@ -216,3 +216,16 @@
         assert_eq!(canary.due_status_write(0, Instant::now()), None);
     }
 }
+
+/// Guards against hosts that overwrite each other's final states for ever, because the one that only
+/// some of them knew was lost in a restoration and the other one was written since.
+#[tokio::test(start_paused = true)]
+async fn set_state_other_final_state() {
+    let now = Instant::now();
+    let mut canary = canary(now);
+    canary.set_state(RolloutState::Completed);
+    canary.set_state(RolloutState::RolledBack);
+    assert_eq!(canary.due_status_write(0, now), None);
+    assert_eq!(canary.state(), Some(RolloutState::RolledBack));
+    assert_eq!(canary.new_version_share(now), 0.0);
+}
