Relay at once that a restored platform lacks an object

Hosts that follow a reader went on sending requests to an instance that the platform lost in a restoration and that did not register again; evacuations and rollouts are kept in the same way. The reader relayed the object until the grace ended, and the deletion then got a revision which followers had passed already, so that no watch returned it, not even with the next change.

The reader now relays from the start what the copy lacks, and each follower keeps it for its own grace.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -544,6 +544,10 @@
     /// may write it again until `until`, so that it is not treated as deleted before.
     fn apply_missing(&self, prefix: &str, name: &str, event: &WatchEvent, until: Instant) {
         let names = self.codec.object_names();
+        if prefix != names.manifest_prefix {
+            // Hosts that follow this one learn from the copy that the object is missing.
+            self.state.mirror.apply_change(prefix, &event.name, None, event.era);
+        }
         if prefix == names.instance_prefix {
             let lapse = Lapse::Until(until);
             let now = Instant::now();
@@ -551,12 +555,10 @@
             Event::InstanceGone.log(format_args!("instance={name} lapse=\"{lapse:?}\""));
         } else if prefix == names.rollout_prefix {
             self.state.rollout_object_versions.borrow_mut().remove(name);
-        } else if prefix == names.host_prefix {
-            // The host that registered learns from the copy that it has to do so again.
-            self.state.mirror.apply_change(prefix, &event.name, None, event.era);
-            if name == self.state.settings().steering.own_host.name {
-                self.own_registration.send_replace(OwnRegistration::Absent);
-            }
+        } else if prefix == names.host_prefix
+            && name == self.state.settings().steering.own_host.name
+        {
+            self.own_registration.send_replace(OwnRegistration::Absent);
         }
     }
 
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -488,6 +488,44 @@
         .await;
 }
 
+/// Guards against an instance that stays in use at hosts that follow a reader, although the platform
+/// lost its registration in a restoration and it did not register again.
+#[tokio::test]
+async fn platform_restored_instance_lost() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let client = Client::builder().no_proxy().build().unwrap();
+            let names = ["n1", "n2", "n3"];
+            let hosts = names.map(|name| {
+                let listen = listen_addresses();
+                spawn_process(name, listen, &store);
+                Harness { store: Arc::clone(&store), listen, client: client.clone() }
+            });
+            for host in &hosts {
+                host.wait_until_ready().await;
+            }
+            wait_for(async || names.iter().all(|it| store.contains(&format!("hosts/{it}")))).await;
+            sleep(Duration::from_secs(1)).await;
+            let copy = store.copy();
+            hosts[0].register(&upstream);
+            for host in &hosts {
+                host.wait_for_status("/open/1", 200).await;
+            }
+            store.restore(copy);
+            sleep(Duration::from_secs(5)).await;
+            store.put("servers/i2", "127.0.0.1:9 draining");
+            sleep(Duration::from_secs(1)).await;
+            for (host, name) in hosts.iter().zip(names) {
+                let response = host.request("GET", "/open/1", "id").send().await.unwrap();
+                assert_eq!(response.status(), 503, "{name}");
+            }
+        })
+        .await;
+}
+
 /// Registers a host `n2` at `address` and sends heartbeats from there: it reads the platform and has
 /// a version of the manifest.
 async fn spawn_heartbeats(host: &Harness, address: SocketAddr, manifest_version: u64) {
