Remember which orders of rollouts were superseded

A rollout that the operator had removed began again after a restoration of the platform, until the operator removed it a second time. A new order that was written between the restoration and the first list was ignored, because any order of the copy that differed from the known one counted as an old one.

Hosts now remember the orders that were replaced or removed, and ignore only these when a copy lists them again.

is_superseded_restored does not compile on the code before, which has no such memory.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -696,8 +696,8 @@
         let mut steering = self.state.steering.borrow_mut();
         let settings = steering.settings().canary;
         let known_order = steering.versions.rollout(service).map(Canary::order);
-        if event.restoration == Restoration::Copied && known_order.is_some_and(|it| *it != order) {
-            // The operator writes the newer order again. Until then no status is written.
+        if event.restoration == Restoration::Copied && steering.versions.is_superseded(&order) {
+            // The operator changes it again. Until then no status is written.
             self.state.rollout_object_versions.borrow_mut().remove(service);
             return;
         }
--- a/crates/steer/src/versions.rs
+++ b/crates/steer/src/versions.rs
@@ -1,13 +1,18 @@
 //! Active versions of the services and their rollouts.
 
+use std::collections::VecDeque;
+
 use kingcupford_rollout::{LatencyHistogram, VersionSample};
 use tokio::time::Instant;
 
 use crate::{
-    canary::{Canary, RolloutState},
+    canary::{Canary, RolloutOrder, RolloutState},
     instance_registry::{Instance, InstanceRegistry},
 };
 
+/// Number of superseded orders that are remembered.
+const MAX_SUPERSEDED_ORDERS: usize = 64;
+
 /// Latencies retained for each route of a service; beyond it, older ones lose weight.
 const MAX_RETAINED_LATENCIES: u64 = 4000;
 
@@ -28,6 +33,8 @@
     active_versions: Vec<(String, String)>,
     /// Rollouts sorted by service.
     rollouts: Vec<Canary>,
+    /// Orders that were replaced or removed, oldest first.
+    superseded_orders: VecDeque<RolloutOrder>,
     /// Latencies of each service's routes for uncached and for cached keys, sorted by service and
     /// hash of the route's name.
     latencies: Vec<((String, u32), [LatencyHistogram; 2])>,
@@ -97,8 +104,12 @@
                 canary.add_old_latencies(*route_hash, latencies);
             }
         }
+        self.superseded_orders.retain(|it| it != canary.order());
         match self.position(&canary.order().service) {
-            Ok(at) => self.rollouts[at] = canary,
+            Ok(at) => {
+                let former = std::mem::replace(&mut self.rollouts[at], canary);
+                self.record_superseded(former.order().clone());
+            }
             Err(at) => self.rollouts.insert(at, canary),
         }
     }
@@ -111,6 +122,20 @@
         if canary.state() == Some(RolloutState::Completed) {
             self.set_active_version(service, canary.order().target_version.clone());
         }
+        self.record_superseded(canary.order().clone());
+    }
+
+    /// Whether the operator has replaced or removed an order, which a copy from which the platform
+    /// was restored may still contain.
+    pub fn is_superseded(&self, order: &RolloutOrder) -> bool {
+        self.superseded_orders.contains(order)
+    }
+
+    fn record_superseded(&mut self, order: RolloutOrder) {
+        if self.superseded_orders.len() >= MAX_SUPERSEDED_ORDERS {
+            self.superseded_orders.pop_front();
+        }
+        self.superseded_orders.push_back(order);
     }
 
     /// Sets the active version of each service to the most common version of its instances, unless
--- a/crates/steer/tests/it/canary.rs
+++ b/crates/steer/tests/it/canary.rs
@@ -229,3 +229,27 @@
     assert_eq!(canary.state(), Some(RolloutState::RolledBack));
     assert_eq!(canary.new_version_share(now), 0.0);
 }
+
+/// Guards against a new order that is ignored since it was written between a restoration of the
+/// platform and its first list, and against a replaced or removed one that begins again.
+#[tokio::test(start_paused = true)]
+async fn is_superseded_restored() {
+    let now = Instant::now();
+    let first = canary(now).order().clone();
+    let second = RolloutOrder { target_version: "v3".to_owned(), ..first.clone() };
+    let third = RolloutOrder { target_version: "v4".to_owned(), ..first.clone() };
+    let mut versions = ServiceVersions::default();
+    for order in [&first, &second] {
+        assert!(!versions.is_superseded(order));
+        let canary =
+            Canary::new(order.clone(), CanarySettings { exposure_share: 0.1 }, Duration::ZERO, now);
+        versions.insert_rollout(canary);
+    }
+    assert!(versions.is_superseded(&first));
+    assert!(!versions.is_superseded(&second));
+    assert!(!versions.is_superseded(&third));
+    versions.remove_rollout("svc");
+    assert!(versions.is_superseded(&second));
+    versions.insert_rollout(canary(now));
+    assert!(!versions.is_superseded(&first));
+}
