Shift a region's whole expected excess from the first request on

Three quarters of the expected excess were shifted at the first request, and at most 0.55. The rest queued at uncached instances until they refused, so that the region's share of the runs fell faster than the share of shifted keys may rise. Now all of it is shifted, up to the bound of the share.

initial_share_covers_excess_demand failed before (share 0.417: 0.292 of the demand stays at 0.222 of the slots) and passes.

--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -28,13 +28,6 @@
 /// region within 2 s, including spilled requests.
 const SHIFT_SHARE_RATE_PER_S: f64 = 0.035;
 
-/// Fraction of the expected excess demand that is shifted from the first request on. The rest
-/// follows once the excess is observed.
-const INITIAL_EXCESS_FRACTION: f64 = 0.75;
-
-/// Upper bound for the share at the first request.
-const MAX_INITIAL_SHIFT_SHARE: f64 = 0.55;
-
 /// Upper bound for a share.
 const MAX_SHIFT_SHARE: f64 = 0.7;
 
@@ -230,7 +223,7 @@
         }
         let demand_fraction = members.region_fraction(own);
         let excess = 1.0 - slots_fraction / demand_fraction.max(f64::MIN_POSITIVE);
-        (excess * INITIAL_EXCESS_FRACTION).clamp(0.0, MAX_INITIAL_SHIFT_SHARE)
+        excess.clamp(0.0, MAX_SHIFT_SHARE)
     }
 
     /// Moves the share by the utilization here and in other regions, and toward the shares of the
--- a/crates/steer/tests/it/shift.rs
+++ b/crates/steer/tests/it/shift.rs
@@ -241,3 +241,25 @@
     let adopted = steering.selector.shift_state("svc").unwrap().0;
     assert!((adopted - 0.1).abs() < 1e-6, "{adopted}");
 }
+
+/// Guards against a region that serves its excess demand for the first seconds and moves it later:
+/// deployments allow 0.15 of a region's requests to change their region within 2 s.
+#[tokio::test(start_paused = true)]
+async fn initial_share_covers_excess_demand() {
+    // The region has half of the hosts, and so of the demand.
+    let demand_fraction = 0.5;
+    for (local, remote) in [(2, 7), (2, 10), (3, 5), (4, 4), (5, 3)] {
+        let now = Instant::now();
+        let mut steering = two_regions(local, remote, now);
+        steering.tick(now);
+        let share = steering.selector.shift_state("svc").unwrap().0;
+        let slots_fraction = local as f64 / (local + remote) as f64;
+        let local_demand = demand_fraction * (1.0 - share);
+        let expected = slots_fraction.min(demand_fraction);
+        assert!(
+            (local_demand - expected).abs() < 0.01,
+            "{local} of {} instances, share {share}: {local_demand} of the demand stays",
+            local + remote
+        );
+    }
+}
