Name a rollout by its generation and its start

After the platform came back from a copy, operators saw a rollout that they had just started send no request to its new version, or be rolled back at once: hosts had stopped a rollout that the platform lost, and the next one got the same generation. Stops, evidence, version picks, assessments, leases of the controller and the time since the start were all kept for a generation.

They are now kept for a RolloutKey, the generation with the Unix time of the start. Every object of a rollout holds both from its first write on and no write changes them, so all hosts, those of earlier versions included, agree on the name without a new field in the stored form. kingcupford-ctl recognizes its own write by the same key.

Messages between hosts append the start behind the known fields.

The tests name rollouts by the key of their object instead of the bare generation; stop_lasts_for_generation also checks that a stop of another start has no effect.

--- a/crates/ctl/src/rollout_edit.rs
+++ b/crates/ctl/src/rollout_edit.rs
@@ -115,9 +115,8 @@
     if current.write_id == own_write.write_id {
         return true;
     }
-    let is_same_rollout = current.generation == own_write.generation
+    let is_same_rollout = current.key() == own_write.key()
         && current.to == own_write.to
-        && current.started_unix_ms == own_write.started_unix_ms
         && current.duration_ms == own_write.duration_ms;
     let is_rolled_back = |it: &Rollout| matches!(it.state, State::RollingBack | State::RolledBack);
     is_same_rollout
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -168,15 +168,13 @@
                 Vec::new()
             }
             Message::RolloutEvidence(it) => {
-                self.rollouts.merge_evidence(&it, now);
+                self.rollouts.merge_evidence(it, now);
                 Vec::new()
             }
             Message::RolloutStop(it) => {
-                if !self.rollouts.apply_stop(&it) {
-                    return Vec::new();
-                }
+                let Some(stop) = self.rollouts.apply_stop(it) else { return Vec::new() };
                 self.install_caps(now);
-                self.broadcast(&Message::RolloutStop(it))
+                self.broadcast(&Message::RolloutStop(stop))
             }
         }
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -20,7 +20,7 @@
     engine::{Engine, EngineSettings, Health, Status},
     events::EngineEvent,
     lookup::{LookupAnswer, LookupHost, LookupQuery},
-    message::{Envelope, Message},
+    message::{Envelope, Message, RolloutStop},
     reports::{InstanceReport, POLL_INTERVAL, PollTarget},
     request::{
         Admission, Attempt, AttemptResult, FinishOutcome, PresentedKey, Refusal, RefusalReason,
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -3,9 +3,11 @@
 use bincode::{
     Decode, Encode,
     config::{Configuration, Limit, LittleEndian, Varint},
+    de::Decoder,
+    enc::Encoder,
     error::{DecodeError, EncodeError},
 };
-use kingcupford_rollout::{Evidence, Reason};
+use kingcupford_rollout::{Evidence, Reason, RolloutKey};
 
 use crate::reports::InstanceReport;
 
@@ -44,16 +46,32 @@
 }
 
 /// Notification that a host stopped sending requests to the new version of a service.
-#[derive(Debug, Clone, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RolloutStop {
     /// Name of the service.
     pub service: String,
-    /// Generation of the rollout that was stopped.
-    pub generation: u64,
+    /// Rollout that was stopped.
+    pub rollout: RolloutKey,
     /// Reason for the stop, on which the sender acted.
     pub reason: Reason,
 }
 
+// Earlier versions of the system end a message before the start of the rollout.
+impl Encode for RolloutStop {
+    fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
+        let RolloutKey { generation, started_unix_ms } = self.rollout;
+        (&self.service, generation, &self.reason, started_unix_ms).encode(encoder)
+    }
+}
+
+impl<Context> Decode<Context> for RolloutStop {
+    fn decode<D: Decoder<Context = Context>>(decoder: &mut D) -> Result<Self, DecodeError> {
+        let (service, generation, reason) = Decode::decode(decoder)?;
+        let rollout = RolloutKey::decode_start(generation, decoder)?;
+        Ok(Self { service, rollout, reason })
+    }
+}
+
 impl Message {
     /// Returns the number of the kind in frames, which is fixed for all versions of the system.
     pub fn kind(&self) -> u16 {
--- a/crates/engine/src/rollouts.rs
+++ b/crates/engine/src/rollouts.rs
@@ -167,16 +167,16 @@
     pub(crate) fn tick(&mut self, now: Instant, unix_ms: u64) -> RolloutTick {
         let mut res = RolloutTick::default();
         for state in &mut self.services {
-            let Some(generation) = state.rollout.as_ref().map(|it| it.generation) else { continue };
+            let Some(rollout) = state.rollout.as_ref().map(Rollout::key) else { continue };
             let previous_share = state.splitter.share_percent();
             let fault = state.fault_detector.verdict(now).and_then(|it: Verdict| it.reason());
             let stop_reason = match fault {
-                Some(reason) => state.splitter.stop(generation, reason.clone()).then_some(reason),
+                Some(reason) => state.splitter.stop(rollout, reason.clone()).then_some(reason),
                 None => state.splitter.check_deadline(now, unix_ms),
             };
             if let Some(reason) = stop_reason {
                 let service = state.name.clone();
-                res.stops.push(RolloutStop { service, generation, reason });
+                res.stops.push(RolloutStop { service, rollout, reason });
             }
             state.splitter.set_control_sample(state.fault_detector.needs_control_sample(now));
             res.shares_changed |= previous_share != state.splitter.share_percent();
@@ -191,23 +191,27 @@
             let rollout = it.rollout.as_ref().filter(|it| !it.state.is_final())?;
             Some(RolloutStop {
                 service: it.name.clone(),
-                generation: rollout.generation,
+                rollout: rollout.key(),
                 reason: it.splitter.stop_reason()?.clone(),
             })
         });
         stops.collect()
     }
 
-    /// Applies the stop of a peer. Returns whether it is new to this host.
-    pub(crate) fn apply_stop(&mut self, stop: &RolloutStop) -> bool {
-        let state = self.services.iter_mut().find(|it| it.name == stop.service);
-        state.is_some_and(|it| it.splitter.stop(stop.generation, stop.reason.clone()))
+    /// Applies the stop of a peer. Returns the stop if it is new to this host.
+    pub(crate) fn apply_stop(&mut self, mut stop: RolloutStop) -> Option<RolloutStop> {
+        let state = self.services.iter_mut().find(|it| it.name == stop.service)?;
+        stop.rollout = stop.rollout.or_start_of(state.rollout.as_ref()?.key());
+        state.splitter.stop(stop.rollout, stop.reason.clone()).then_some(stop)
     }
 
     /// Adds the request counters of a peer.
-    pub(crate) fn merge_evidence(&mut self, evidence: &Evidence, now: Instant) {
-        if let Some(it) = self.services.iter_mut().find(|it| it.name == evidence.service) {
-            it.fault_detector.merge(evidence, now);
+    pub(crate) fn merge_evidence(&mut self, mut evidence: Evidence, now: Instant) {
+        if let Some(state) = self.services.iter_mut().find(|it| it.name == evidence.service)
+            && let Some(rollout) = &state.rollout
+        {
+            evidence.rollout = evidence.rollout.or_start_of(rollout.key());
+            state.fault_detector.merge(&evidence, now);
         }
     }
 
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -4,11 +4,12 @@
 
 use kingcupford_config::{CallerKey, ConfigVersion, Declarations, KeyDecl, Snapshot};
 use kingcupford_engine::{
-    Admission, AttemptResult, Engine, EngineSettings, FinishOutcome, PresentedKey, RefusalReason,
-    RequestHead, StartOutcome,
+    Admission, AttemptResult, Engine, EngineSettings, FinishOutcome, Message, PresentedKey,
+    RefusalReason, RequestHead, RolloutStop, StartOutcome,
 };
 use kingcupford_fleet::HostIdentity;
 use kingcupford_quota::WriteOutcome;
+use kingcupford_rollout::{MIN_DURATION_MS, Reason, RolloutKey, StartRequest, start};
 use kingcupford_route::{AttemptOutcome, Outcome};
 use tokio::time::Instant;
 
@@ -235,3 +236,30 @@
     }
     assert_eq!(host.engine.in_flight(), 0);
 }
+
+/// Guards against the stop of a peer for a rollout that the platform lost in a restoration, and
+/// against stops of peers of earlier versions that are ignored.
+#[test]
+fn receive_stop_of_lost_rollout() {
+    let mut host = TestHost::new();
+    let request = StartRequest {
+        service: "katalog".to_owned(),
+        from: "v1".to_owned(),
+        to: "v2".to_owned(),
+        now_unix_ms: 1_000_000,
+        deadline_unix_ms: 1_000_000 + MIN_DURATION_MS,
+        write_id: 1,
+    };
+    let rollout = start(None, &request).expect("valid");
+    let bytes = serde_json::to_vec(&rollout).expect("serializable");
+    host.engine.apply_platform_document("rollout/katalog", 1, &bytes, host.now);
+    let mut receive = |rollout| {
+        let stop = RolloutStop { service: "katalog".to_owned(), rollout, reason: Reason::Unproven };
+        host.engine.receive("entry-2", Message::RolloutStop(stop), host.now);
+        host.engine.status(host.now).stopped_rollouts.len()
+    };
+    let lost = RolloutKey { started_unix_ms: 995_000, ..rollout.key() };
+    assert_eq!(receive(lost), 0);
+    assert_eq!(receive(RolloutKey { generation: 2, started_unix_ms: 0 }), 0);
+    assert_eq!(receive(RolloutKey { started_unix_ms: 0, ..rollout.key() }), 1);
+}
--- a/crates/engine/tests/message.rs
+++ b/crates/engine/tests/message.rs
@@ -1,6 +1,7 @@
 //! Decoding of messages between hosts.
 
-use kingcupford_engine::Message;
+use kingcupford_engine::{Message, RolloutStop};
+use kingcupford_rollout::{Evidence, Reason, RolloutKey, RouteEvidence, Tally};
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed},
@@ -46,3 +47,40 @@
         prop_assert!(matches!(Message::decode(60_000, &payload), Ok(None)));
     }
 }
+
+/// Guards against stops and evidence that hosts of earlier versions, which name a rollout by its
+/// generation only, cannot exchange with hosts of this version.
+#[test]
+fn decode_rollout_without_start() {
+    let config = bincode::config::standard();
+    let rollout = RolloutKey { generation: 3, started_unix_ms: 1_000_000 };
+    let without_start = RolloutKey { started_unix_ms: 0, ..rollout };
+    let (service, reason) = ("katalog".to_owned(), Reason::Unproven);
+
+    let earlier = bincode::encode_to_vec((&service, 3u64, &reason), config).expect("encodes");
+    let stop = RolloutStop { service: service.clone(), rollout, reason };
+    let message = Message::RolloutStop(stop.clone());
+    let payload = message.encode().expect("encodes");
+    assert!(payload.starts_with(&earlier));
+    for (payload, rollout) in [(payload, rollout), (earlier, without_start)] {
+        let decoded = Message::decode(message.kind(), &payload).expect("decodes");
+        let Some(Message::RolloutStop(decoded)) = decoded else { panic!("{decoded:?}") };
+        assert_eq!(decoded, RolloutStop { rollout, ..stop.clone() });
+    }
+
+    let host = "entry-1".to_owned();
+    let old = Tally { requests: 300, ..Tally::default() };
+    let new = Tally { requests: 3, failures: 1, ..Tally::default() };
+    let routes = vec![RouteEvidence { route: "/".to_owned(), share_percent: 1, old, new }];
+    let fields = (&host, 7u64, &service, 3u64, &routes);
+    let earlier = bincode::encode_to_vec(fields, config).expect("encodes");
+    let evidence = Evidence { host, incarnation: 7, service, rollout, routes };
+    let message = Message::RolloutEvidence(evidence.clone());
+    let payload = message.encode().expect("encodes");
+    assert!(payload.starts_with(&earlier));
+    for (payload, rollout) in [(payload, rollout), (earlier, without_start)] {
+        let decoded = Message::decode(message.kind(), &payload).expect("decodes");
+        let Some(Message::RolloutEvidence(decoded)) = decoded else { panic!("{decoded:?}") };
+        assert_eq!(decoded, Evidence { rollout, ..evidence.clone() });
+    }
+}
--- a/crates/rollout/src/comparison.rs
+++ b/crates/rollout/src/comparison.rs
@@ -1,4 +1,4 @@
-//! Tests of all routes in one generation of a rollout.
+//! Tests of all routes in one rollout.
 
 use tokio::time::Instant;
 
@@ -6,7 +6,7 @@
     anomaly::{AnomalyDetector, MAX_SLOW_LOG_EVIDENCE_PER_S, RecentTally},
     evidence::{Evidence, TalliesByShare, TallyPair},
     fault_detector::{FalseAlarmBudget, Verdict},
-    rollout::{FaultKind, RouteExposure, State},
+    rollout::{FaultKind, RolloutKey, RouteExposure, State},
     sequential::{Hypotheses, SequentialTest},
     slow_threshold::SlowThreshold,
     stage::Stage,
@@ -26,11 +26,11 @@
 /// Weight of the nominal share against the counted one, as a number of requests.
 const SHARE_PRIOR_REQUESTS: f64 = 50.0;
 
-/// Comparison of the two versions in one generation.
+/// Comparison of the two versions in one rollout.
 #[derive(Debug)]
 pub(crate) struct Comparison {
     pub(crate) service: String,
-    pub(crate) generation: u64,
+    pub(crate) rollout: RolloutKey,
     pub(crate) duration_ms: u64,
     pub(crate) stage: Stage,
     pub(crate) state: State,
@@ -199,7 +199,7 @@
     pub(crate) slow_anomaly: AnomalyDetector,
     /// Responses of the new version in the last one to two minutes.
     pub(crate) recent: RecentTally,
-    /// First fault detected in this generation.
+    /// First fault detected in this rollout.
     pub(crate) fault: Option<FaultKind>,
 }
 impl RouteComparison {
--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     fault_detector::Assessment,
-    rollout::{Reason, Rollout, RouteExposure, State},
+    rollout::{Reason, Rollout, RolloutKey, RouteExposure, State},
     timeline::ElapsedTime,
     transition,
 };
@@ -42,8 +42,8 @@
     /// Newest known object, which can be newer than the one that a watch delivered.
     known: Option<KnownRollout>,
     elapsed: Option<ElapsedTime>,
-    /// Generation and expiry of the lease that this process holds.
-    held_lease: Option<(u64, Instant)>,
+    /// Rollout and expiry of the lease that this process holds.
+    held_lease: Option<(RolloutKey, Instant)>,
     last_write_at: Option<Instant>,
     /// Write whose effect is not known yet.
     pending_write: Option<PendingWrite>,
@@ -217,10 +217,10 @@
     /// Whether this process holds the lease at `now`; after a pause longer than the lease it does
     /// not.
     pub fn holds_lease(&self, now: Instant) -> bool {
-        let Some((generation, until)) = self.held_lease else { return false };
+        let Some((rollout, until)) = self.held_lease else { return false };
         self.known.as_ref().is_some_and(|it| {
             now < until
-                && it.rollout.generation == generation
+                && it.rollout.key() == rollout
                 && it.rollout.controller.as_ref() == Some(&self.host)
         })
     }
@@ -230,7 +230,7 @@
         let is_unchanged = match &mut self.known {
             Some(known) if version < known.version => return,
             Some(known) => {
-                let write_key = |it: &Rollout| (it.generation, it.renewal, it.write_id);
+                let write_key = |it: &Rollout| (it.key(), it.renewal, it.write_id);
                 let is_unchanged = write_key(&known.rollout) == write_key(rollout);
                 known.version = version;
                 is_unchanged
@@ -295,7 +295,7 @@
         let rollout = pending.write.rollout;
         // A host that reports its stop without holding the lease does not acquire it.
         if rollout.controller.as_ref() == Some(&self.host) {
-            self.held_lease = Some((rollout.generation, pending.first_sent_at + LEASE_DURATION));
+            self.held_lease = Some((rollout.key(), pending.first_sent_at + LEASE_DURATION));
         }
         self.last_write_at = Some(pending.first_sent_at);
         self.update_known(&rollout, version, now);
@@ -313,7 +313,7 @@
         rollout.renewal += 1;
         rollout.write_id = self.rng.random();
         if let Some(it) = input.assessment
-            && it.generation == rollout.generation
+            && it.rollout == rollout.key()
         {
             raise_exposure_counters(&mut rollout.exposure, &it.exposure);
         }
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -1,12 +1,19 @@
 //! Request counters of a running rollout that hosts exchange.
 
-use bincode::{Decode, Encode};
+use bincode::{
+    Decode, Encode,
+    de::Decoder,
+    enc::Encoder,
+    error::{DecodeError, EncodeError},
+};
+
+use crate::rollout::RolloutKey;
 
 /// Counters of a rollout from one process of a host; within an incarnation they only increase.
 ///
 /// A receiver keeps the largest value of each counter, so it tolerates duplicate and reordered
 /// messages.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Evidence {
     /// Name of the host that counted.
     pub host: String,
@@ -14,12 +21,29 @@
     pub incarnation: u64,
     /// Name of the service that is rolled out.
     pub service: String,
-    /// Generation of the rollout that the counters belong to.
-    pub generation: u64,
+    /// Rollout that the counters belong to.
+    pub rollout: RolloutKey,
     /// Counters by route and by share of the new version.
     pub routes: Vec<RouteEvidence>,
 }
 
+// Earlier versions of the system end a message before the start of the rollout.
+impl Encode for Evidence {
+    fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
+        let RolloutKey { generation, started_unix_ms } = self.rollout;
+        (&self.host, self.incarnation, &self.service, generation, &self.routes).encode(encoder)?;
+        started_unix_ms.encode(encoder)
+    }
+}
+
+impl<Context> Decode<Context> for Evidence {
+    fn decode<D: Decoder<Context = Context>>(decoder: &mut D) -> Result<Self, DecodeError> {
+        let (host, incarnation, service, generation, routes) = Decode::decode(decoder)?;
+        let rollout = RolloutKey::decode_start(generation, decoder)?;
+        Ok(Self { host, incarnation, service, rollout, routes })
+    }
+}
+
 /// Counters of one route at one share of the new version.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct RouteEvidence {
--- a/crates/rollout/src/fault_detector.rs
+++ b/crates/rollout/src/fault_detector.rs
@@ -8,7 +8,7 @@
 use crate::{
     comparison::{Comparison, PeerTallies, RouteComparison, TestScope},
     evidence::{Evidence, RouteEvidence, Tally, TallyPair},
-    rollout::{FaultKind, Reason, Rollout, RouteExposure, State},
+    rollout::{FaultKind, Reason, Rollout, RolloutKey, RouteExposure, State},
     sequential::{Hypotheses, SequentialTest},
     splitter::{Side, VersionPick},
     stage::Stage,
@@ -22,7 +22,7 @@
     budget: FalseAlarmBudget,
     /// Names of the service's routes, sorted by id.
     route_names: Vec<(RouteId, String)>,
-    /// Comparison in the current generation, `None` without a rollout.
+    /// Comparison in the current rollout, `None` without a rollout.
     comparison: Option<Comparison>,
 }
 
@@ -52,7 +52,7 @@
     /// unresolved anomaly.
     Healthy,
     /// The new version is worse than the old one; this verdict holds for the rest of the
-    /// generation.
+    /// rollout.
     Faulty {
         /// Path prefix of the route to which the fault was attributed.
         route: String,
@@ -72,8 +72,8 @@
 /// Result of the comparison that a controller decides on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Assessment {
-    /// Generation of the rollout that was compared.
-    pub generation: u64,
+    /// Rollout that was compared.
+    pub rollout: RolloutKey,
     /// Stage whose required requests were checked.
     pub stage: Stage,
     /// Conclusion for `stage`.
@@ -106,14 +106,14 @@
         self.route_names.sort_by_key(|it| it.0);
     }
 
-    /// Applies the newest object; another generation starts without evidence.
+    /// Applies the newest object; another rollout starts without evidence.
     pub fn update_rollout(&mut self, rollout: Option<&Rollout>, now: Instant) {
         let Some(rollout) = rollout else {
             self.comparison = None;
             return;
         };
         if let Some(comparison) = &mut self.comparison
-            && comparison.generation == rollout.generation
+            && comparison.rollout == rollout.key()
         {
             comparison.stage = rollout.stage;
             comparison.state = rollout.state;
@@ -123,7 +123,7 @@
         let duration_ms = rollout.duration_ms;
         let mut comparison = Comparison {
             service: rollout.service.clone(),
-            generation: rollout.generation,
+            rollout: rollout.key(),
             duration_ms,
             stage: rollout.stage,
             state: rollout.state,
@@ -163,7 +163,7 @@
         now: Instant,
     ) {
         let Some(comparison) = &mut self.comparison else { return };
-        if pick.generation != comparison.generation {
+        if pick.rollout != Some(comparison.rollout) {
             return;
         }
         let Ok(name_index) = self.route_names.binary_search_by_key(&route, |it| it.0) else {
@@ -206,7 +206,7 @@
     /// Adds the counters of a peer. Returns whether they contained an increase.
     pub fn merge(&mut self, evidence: &Evidence, now: Instant) -> bool {
         let Some(comparison) = &mut self.comparison else { return false };
-        if evidence.generation != comparison.generation
+        if evidence.rollout != comparison.rollout
             || evidence.service != comparison.service
             || evidence.host == self.host
         {
@@ -265,7 +265,7 @@
             host: self.host.clone(),
             incarnation: self.incarnation,
             service: comparison.service.clone(),
-            generation: comparison.generation,
+            rollout: comparison.rollout,
             routes,
         })
     }
@@ -291,7 +291,7 @@
     pub fn assessment(&self, now: Instant) -> Option<Assessment> {
         let comparison = self.comparison.as_ref()?;
         Some(Assessment {
-            generation: comparison.generation,
+            rollout: comparison.rollout,
             stage: comparison.stage,
             verdict: comparison.verdict(now),
             has_unresolved_anomaly: comparison
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -29,7 +29,7 @@
     evidence::{Evidence, RouteEvidence, Tally},
     fault_detector::{Assessment, FalseAlarmBudget, FaultDetector, RequestOutcome, Verdict},
     operator::{RollBackError, StartError, StartRequest, roll_back, start},
-    rollout::{FORMAT_VERSION, FaultKind, Reason, Rollout, RouteExposure, State},
+    rollout::{FORMAT_VERSION, FaultKind, Reason, Rollout, RolloutKey, RouteExposure, State},
     route_test::RouteTest,
     sequential::{Hypotheses, SequentialTest},
     splitter::{RouteRequestCounts, Side, TrafficSplitter, VersionPick},
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -1,6 +1,6 @@
 //! Rollout object as stored by the platform.
 
-use bincode::{Decode, Encode};
+use bincode::{Decode, Encode, de::Decoder, error::DecodeError};
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
@@ -26,7 +26,7 @@
     pub started_unix_ms: u64,
     /// Time from the start to the deadline.
     pub duration_ms: u64,
-    /// Time since the start as known at the last write, never decreasing within a generation.
+    /// Time since the start as known at the last write, never decreasing within a rollout.
     ///
     /// A controller adds its own monotonic time and uses the Unix clock when that is ahead, so a
     /// clock that is behind cannot delay a rollback.
@@ -63,7 +63,43 @@
     pub thin_routes: Vec<String>,
 }
 
+/// Names one rollout of a service for as long as any process remembers it.
+///
+/// A platform that was restored from a copy gives the generation of a rollout that it lost to the
+/// next one, so the start belongs to the name. Neither changes after the start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RolloutKey {
+    /// Sequence number of the service's rollout, increased by each start.
+    pub generation: u64,
+    /// Unix time of the start by the operator's clock; 0 in messages of earlier versions of the
+    /// system, which name the generation only.
+    pub started_unix_ms: u64,
+}
+
+impl RolloutKey {
+    /// Decodes the start, which messages of earlier versions of the system lack, from the end of a
+    /// message.
+    pub fn decode_start<D: Decoder>(generation: u64, decoder: &mut D) -> Result<Self, DecodeError> {
+        let started_unix_ms = match u64::decode(decoder) {
+            Err(DecodeError::UnexpectedEnd { .. }) => 0,
+            other => other?,
+        };
+        Ok(Self { generation, started_unix_ms })
+    }
+
+    /// Returns the key with the start of `known` if a message did not name the start.
+    pub fn or_start_of(self, known: Self) -> Self {
+        let is_named = self.started_unix_ms != 0 || self.generation != known.generation;
+        if is_named { self } else { known }
+    }
+}
+
 impl Rollout {
+    /// Returns the name of the rollout, which all its objects have in common.
+    pub fn key(&self) -> RolloutKey {
+        RolloutKey { generation: self.generation, started_unix_ms: self.started_unix_ms }
+    }
+
     /// Returns the Unix time of the deadline.
     pub fn deadline_unix_ms(&self) -> u64 {
         self.started_unix_ms.saturating_add(self.duration_ms)
@@ -98,7 +134,7 @@
 }
 
 impl State {
-    /// Whether the state can no longer change within the generation.
+    /// Whether the state of the rollout can no longer change.
     pub fn is_final(self) -> bool {
         matches!(self, Self::Done | Self::RolledBack)
     }
--- a/crates/rollout/src/splitter.rs
+++ b/crates/rollout/src/splitter.rs
@@ -4,7 +4,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    rollout::{Reason, Rollout, State},
+    rollout::{Reason, Rollout, RolloutKey, State},
     stage::Stage,
     timeline::{CLOCK_MARGIN_MS, ElapsedTime, Timeline},
 };
@@ -16,7 +16,7 @@
     seed: u64,
     rollout: Option<Rollout>,
     document_version: u64,
-    /// Why this host sends no more requests to the new version in this generation.
+    /// Why this host sends no more requests to the new version in this rollout.
     stop_reason: Option<Reason>,
     control_sample_active: bool,
     elapsed: Option<ElapsedTime>,
@@ -41,11 +41,11 @@
     pub side: Side,
     /// Share of the new version in percent when the version was chosen.
     pub share_percent: u8,
-    /// Generation of the rollout, 0 without a rollout.
-    pub generation: u64,
+    /// The rollout, `None` without one.
+    pub rollout: Option<RolloutKey>,
 }
 
-/// Numbers of requests that this host sent on one route in the current generation.
+/// Numbers of requests that this host sent on one route in the current rollout.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RouteRequestCounts {
     /// Route that the requests belong to.
@@ -85,8 +85,7 @@
         if document_version < self.document_version {
             return false;
         }
-        let generation = rollout.map(|it| it.generation);
-        if self.rollout.as_ref().map(|it| it.generation) != generation {
+        if self.key() != rollout.map(Rollout::key) {
             self.stop_reason = None;
             self.control_sample_active = false;
             self.elapsed = None;
@@ -103,7 +102,8 @@
     /// route's requests were sent, plus one.
     pub fn pick(&mut self, route: RouteId) -> VersionPick {
         let share_percent = self.share_percent();
-        let generation = self.generation();
+        let rollout = self.key();
+        let generation = rollout.map_or(0, |it| it.generation);
         let index = route.index();
         while self.routes.len() <= index {
             let new_index = self.routes.len() as u64;
@@ -124,15 +124,15 @@
             split.old_requests += 1;
             Side::Old
         };
-        VersionPick { side, share_percent, generation }
+        VersionPick { side, share_percent, rollout }
     }
 
-    /// Stops sending requests to the new version for the rest of the given generation.
+    /// Stops sending requests to the new version for the rest of a rollout.
     ///
     /// Returns whether the stop is new, in which case the host must report it to its peers.
-    pub fn stop(&mut self, generation: u64, reason: Reason) -> bool {
+    pub fn stop(&mut self, rollout: RolloutKey, reason: Reason) -> bool {
         let is_active = self.rollout.as_ref().is_some_and(|it| {
-            it.generation == generation && matches!(it.state, State::Running | State::Watching)
+            it.key() == rollout && matches!(it.state, State::Running | State::Watching)
         });
         if !is_active || self.stop_reason.is_some() {
             return false;
@@ -155,8 +155,8 @@
         if rollout.state != State::Running || elapsed_ms <= stop_after_ms {
             return None;
         }
-        let generation = rollout.generation;
-        self.stop(generation, Reason::DeadlineOutOfReach).then_some(Reason::DeadlineOutOfReach)
+        let key = rollout.key();
+        self.stop(key, Reason::DeadlineOutOfReach).then_some(Reason::DeadlineOutOfReach)
     }
 
     /// Sets whether half of the traffic goes to the old version for comparison while the new
@@ -169,7 +169,7 @@
     /// is done.
     pub fn share_percent(&self) -> u8 {
         let Some(rollout) = &self.rollout else { return 0 };
-        // A stop holds until the rollout is rolled back or another generation starts. A rollout
+        // A stop holds until the rollout is rolled back or another one starts. A rollout
         // that is done nevertheless was completed by a controller that knew more hosts.
         if self.stop_reason.is_some() && rollout.state != State::Done {
             return 0;
@@ -206,9 +206,8 @@
         })
     }
 
-    /// Returns the current generation, 0 without a rollout.
-    fn generation(&self) -> u64 {
-        self.rollout.as_ref().map_or(0, |it| it.generation)
+    fn key(&self) -> Option<RolloutKey> {
+        self.rollout.as_ref().map(Rollout::key)
     }
 }
 
--- a/crates/rollout/src/timeline.rs
+++ b/crates/rollout/src/timeline.rs
@@ -3,7 +3,10 @@
 
 use tokio::time::Instant;
 
-use crate::{rollout::Rollout, stage::Stage};
+use crate::{
+    rollout::{Rollout, RolloutKey},
+    stage::Stage,
+};
 
 /// Largest error of a host's Unix clock with which a rollout still meets its deadline.
 pub const CLOCK_MARGIN_MS: u64 = 5_000;
@@ -69,7 +72,7 @@
 /// Time since a rollout's start as known to one process.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ElapsedTime {
-    generation: u64,
+    rollout: RolloutKey,
     /// Time since the start as of `updated_at`.
     base_ms: u64,
     updated_at: Instant,
@@ -77,7 +80,7 @@
 
 impl ElapsedTime {
     pub(crate) fn new(rollout: &Rollout, now: Instant) -> Self {
-        Self { generation: rollout.generation, base_ms: rollout.elapsed_ms, updated_at: now }
+        Self { rollout: rollout.key(), base_ms: rollout.elapsed_ms, updated_at: now }
     }
 
     /// Updates the time from a newer object and from both clocks, and returns the time since the
@@ -85,7 +88,7 @@
     ///
     /// Monotonic time since the last update counts even if the Unix clock is behind.
     pub(crate) fn update(&mut self, rollout: &Rollout, now: Instant, unix_ms: u64) -> u64 {
-        if self.generation != rollout.generation {
+        if self.rollout != rollout.key() {
             *self = Self::new(rollout, now);
         }
         let passed_ms = now.saturating_duration_since(self.updated_at).as_millis() as u64;
--- a/crates/rollout/src/transition.rs
+++ b/crates/rollout/src/transition.rs
@@ -9,7 +9,7 @@
 
 /// Returns the object that follows at `elapsed_ms`, `None` if nothing changes.
 ///
-/// An `assessment` of another generation or stage is ignored. Without an assessment, only a stop,
+/// An `assessment` of another rollout or stage is ignored. Without an assessment, only a stop,
 /// the deadline and the end of a rollback cause a transition.
 pub(crate) fn next_rollout(
     rollout: &Rollout,
@@ -18,7 +18,7 @@
     stop_reason: Option<&Reason>,
 ) -> Option<Rollout> {
     let assessment =
-        assessment.filter(|it| it.generation == rollout.generation && it.stage == rollout.stage);
+        assessment.filter(|it| it.rollout == rollout.key() && it.stage == rollout.stage);
     let rollback_reason =
         stop_reason.cloned().or_else(|| assessment.and_then(|it| it.verdict.reason()));
     let timeline = Timeline::new(rollout.duration_ms);
--- a/crates/rollout/tests/fault_detector.rs
+++ b/crates/rollout/tests/fault_detector.rs
@@ -4,8 +4,8 @@
 
 use kingcupford_config::RouteId;
 use kingcupford_rollout::{
-    Evidence, FalseAlarmBudget, FaultDetector, FaultKind, RequestOutcome, Rollout, Side,
-    StartRequest, Verdict, VersionPick, start,
+    Evidence, FalseAlarmBudget, FaultDetector, FaultKind, RequestOutcome, Rollout, RolloutKey,
+    Side, StartRequest, Verdict, VersionPick, start,
 };
 use rand::{SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 use tokio::time::Instant;
@@ -37,7 +37,7 @@
     let old = (0..old).map(|_| (Side::Old, RequestOutcome::Success));
     let new = (0..new).map(|_| (Side::New, RequestOutcome::Failure));
     for (side, outcome) in old.chain(new) {
-        let pick = VersionPick { side, share_percent: 1, generation: 1 };
+        let pick = VersionPick { side, share_percent: 1, rollout: Some(running().key()) };
         detector.observe(RouteId(route), pick, outcome, Duration::from_millis(20), now);
     }
 }
@@ -111,11 +111,30 @@
     let mut peer = detector("host-1", 1, now);
     observe_requests(&mut peer, 0, 990, 50, now);
     let evidence = peer.evidence().expect("requests were counted");
-    assert!(!own.merge(&Evidence { generation: 2, ..evidence.clone() }, now));
+    let rollout = RolloutKey { generation: 2, ..evidence.rollout };
+    assert!(!own.merge(&Evidence { rollout, ..evidence.clone() }, now));
     assert!(!own.merge(&Evidence { service: "akten".into(), ..evidence }, now));
     assert!(!is_faulty(&own, now));
 }
 
+/// Guards against a fault of a rollout that the platform lost in a restoration, which stops the
+/// next one because that got the same generation.
+#[test]
+fn fault_ends_with_lost_rollout() {
+    let now = Instant::now();
+    let mut own = detector("host-0", 1, now);
+    let mut peer = detector("host-1", 1, now);
+    observe_requests(&mut own, 0, 990, 50, now);
+    observe_requests(&mut peer, 0, 990, 50, now);
+    assert!(is_faulty(&own, now));
+    let lost = running();
+    let started_unix_ms = lost.started_unix_ms + 5_000;
+    own.update_rollout(Some(&Rollout { started_unix_ms, ..lost }), now);
+    assert!(!is_faulty(&own, now));
+    assert!(!own.merge(&peer.evidence().expect("requests were counted"), now));
+    assert!(!is_faulty(&own, now));
+}
+
 /// Guards against evidence that a peer cannot decode.
 #[test]
 fn evidence_round_trip() {
@@ -137,7 +156,7 @@
     let mut own = detector("host-0", 1, now);
     for index in 0..20_000u64 {
         let side = if index % 100 == 99 { Side::New } else { Side::Old };
-        let pick = VersionPick { side, share_percent: 1, generation: 1 };
+        let pick = VersionPick { side, share_percent: 1, rollout: Some(running().key()) };
         let now = now + Duration::from_millis(10 * index);
         own.observe(RouteId(0), pick, RequestOutcome::Failure, Duration::from_millis(20), now);
         assert!(!is_faulty(&own, now), "after {index} requests");
@@ -156,7 +175,7 @@
         let pick = VersionPick {
             side: if is_new { Side::New } else { Side::Old },
             share_percent: 1,
-            generation: 1,
+            rollout: Some(running().key()),
         };
         let is_failure = index % 331 == 0 || is_new && index > 50_000;
         let outcome = if is_failure { RequestOutcome::Failure } else { RequestOutcome::Success };
@@ -179,7 +198,7 @@
         let now = now + Duration::from_millis(10 * index);
         let is_new = index % 100 == 99;
         let side = if is_new { Side::New } else { Side::Old };
-        let pick = VersionPick { side, share_percent: 1, generation: 1 };
+        let pick = VersionPick { side, share_percent: 1, rollout: Some(running().key()) };
         // Latencies between 10 ms and 30 ms, in an order that does not depend on the version.
         let latency_us = (10_000 + index * 7_919 % 20_000) * if is_new { 11 } else { 10 } / 10;
         let latency = Duration::from_micros(latency_us);
--- a/crates/rollout/tests/sim/mod.rs
+++ b/crates/rollout/tests/sim/mod.rs
@@ -267,7 +267,8 @@
                 continue;
             }
             let side = if it.is_new { Side::New } else { Side::Old };
-            let pick = VersionPick { side, share_percent: it.share_percent, generation: 1 };
+            let rollout = Some(object.key());
+            let pick = VersionPick { side, share_percent: it.share_percent, rollout };
             let outcome = if it.failed { RequestOutcome::Failure } else { RequestOutcome::Success };
             let latency = Duration::from_micros(it.latency_us);
             let route = RouteId(it.route as u32);
@@ -304,14 +305,14 @@
                 host.detector.merge(evidence, now);
             }
             for reason in &received_stops {
-                host.splitter.stop(1, reason.clone());
+                host.splitter.stop(object.key(), reason.clone());
             }
             if let Some(reason) = &baseline_stop {
-                host.splitter.stop(1, reason.clone());
+                host.splitter.stop(object.key(), reason.clone());
             }
             host.splitter.check_deadline(now, unix_ms);
             if let Some(reason) = host.detector.verdict(now).and_then(|it| it.reason())
-                && host.splitter.stop(1, reason.clone())
+                && host.splitter.stop(object.key(), reason.clone())
             {
                 sent_stops.push((now_ms, reason));
             }
--- a/crates/rollout/tests/splitter.rs
+++ b/crates/rollout/tests/splitter.rs
@@ -4,8 +4,8 @@
 
 use kingcupford_config::RouteId;
 use kingcupford_rollout::{
-    MIN_DURATION_MS, Reason, Rollout, Side, Stage, StartRequest, State, TrafficSplitter, roll_back,
-    start,
+    MIN_DURATION_MS, Reason, Rollout, RolloutKey, Side, Stage, StartRequest, State,
+    TrafficSplitter, roll_back, start,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 use tokio::time::Instant;
@@ -70,9 +70,13 @@
     let mut splitter = TrafficSplitter::new(1);
     let object = running(Stage::Fifty);
     splitter.update_rollout(Some(&object), 1);
-    assert!(!splitter.stop(object.generation + 1, Reason::Unproven));
-    assert!(splitter.stop(object.generation, Reason::Unproven));
-    assert!(!splitter.stop(object.generation, Reason::DeadlineOutOfReach));
+    let key = object.key();
+    let other_generation = RolloutKey { generation: key.generation + 1, ..key };
+    let other_start = RolloutKey { started_unix_ms: key.started_unix_ms + 1, ..key };
+    assert!(!splitter.stop(other_generation, Reason::Unproven));
+    assert!(!splitter.stop(other_start, Reason::Unproven));
+    assert!(splitter.stop(key, Reason::Unproven));
+    assert!(!splitter.stop(key, Reason::DeadlineOutOfReach));
     splitter.update_rollout(Some(&Rollout { stage: Stage::All, ..object.clone() }), 2);
     assert_eq!(splitter.share_percent(), 0);
     assert!((0..200).all(|_| splitter.pick(RouteId(0)).side == Side::Old));
@@ -88,13 +92,30 @@
     let mut splitter = TrafficSplitter::new(1);
     let lost = running(Stage::Fifty);
     splitter.update_rollout(Some(&lost), 1);
-    assert!(splitter.stop(lost.generation, Reason::Unproven));
+    assert!(splitter.stop(lost.key(), Reason::Unproven));
     let started_unix_ms = lost.started_unix_ms + 5_000;
     let next = Rollout { to: "v3".to_owned(), started_unix_ms, ..lost };
     splitter.update_rollout(Some(&next), 2);
     assert_eq!(splitter.share_percent(), 50);
 }
 
+/// Guards against a deadline that counts the time since the start of a rollout that the platform
+/// lost in a restoration.
+#[test]
+fn deadline_ends_with_lost_rollout() {
+    let mut splitter = TrafficSplitter::new(1);
+    let lost = running(Stage::Fifty);
+    splitter.update_rollout(Some(&lost), 1);
+    let now = Instant::now();
+    assert_eq!(splitter.check_deadline(now, lost.started_unix_ms), None);
+    let passed_ms = lost.duration_ms - 20_000;
+    let late = now + Duration::from_millis(passed_ms);
+    let started_unix_ms = lost.started_unix_ms + passed_ms;
+    splitter.update_rollout(Some(&Rollout { started_unix_ms, ..lost }), 2);
+    assert_eq!(splitter.check_deadline(late, started_unix_ms), None);
+    assert_eq!(splitter.share_percent(), 50);
+}
+
 /// Guards against an older object that restores the share of a version that is being rolled back.
 #[test]
 fn update_rollout_ignores_older_object() {
--- a/crates/rollout/tests/state_machine.rs
+++ b/crates/rollout/tests/state_machine.rs
@@ -113,7 +113,7 @@
                 _ => Verdict::Healthy,
             };
             let assessment = Assessment {
-                generation: object.generation,
+                rollout: object.key(),
                 stage: object.stage,
                 verdict,
                 has_unresolved_anomaly: event.has_unresolved_anomaly,
