Keep a rollback that a restored platform has lost

A version that operators or hosts had rolled back got requests again after the platform came back from a copy, until somebody rolled it back a second time. A host that knew of the rollback only from the object took the share of the restored object, because the object of a newer era replaces the known one; only hosts that had stopped on evidence of their own remembered it.

The state of a rollout never returns from a rollback to a share of the new version, so a host that reads this from a newer object knows that the platform was restored. It now stops the rollout with the reason of the lost rollback, and as after every stop it tells its peers and has the rollback written again. Another rollout of the service begins without the stop.

rollback_outlasts_restoration failed before with a share of 50 and no reason instead of 0 and the operator's.

--- a/crates/rollout/src/splitter.rs
+++ b/crates/rollout/src/splitter.rs
@@ -90,6 +90,12 @@
             self.control_sample_active = false;
             self.elapsed = None;
             self.routes.clear();
+        } else if let (Some(known), Some(rollout)) = (&self.rollout, rollout)
+            && matches!(known.state, State::RollingBack | State::RolledBack)
+            && matches!(rollout.state, State::Running | State::Watching)
+        {
+            // Only a restored platform returns to an earlier state of a rollout.
+            self.stop_reason = known.reason.clone();
         }
         self.document_version = document_version;
         self.rollout = rollout.cloned();
--- a/crates/rollout/tests/splitter.rs
+++ b/crates/rollout/tests/splitter.rs
@@ -116,6 +116,24 @@
     assert_eq!(splitter.share_percent(), 50);
 }
 
+/// Guards against a version that gets requests again after its rollback because the platform lost
+/// the rollback in a restoration.
+#[test]
+fn rollback_outlasts_restoration() {
+    let object = running(Stage::Fifty);
+    let rolling_back = roll_back(&object, "errors seen", 1_010_000, 8).expect("rollout is running");
+    let rolled_back = Rollout { state: State::RolledBack, ..rolling_back.clone() };
+    for lost in [rolling_back, rolled_back] {
+        let mut splitter = TrafficSplitter::new(1);
+        splitter.update_rollout(Some(&lost), 5);
+        assert!(splitter.update_rollout(Some(&object), 6));
+        assert_eq!((splitter.share_percent(), splitter.stop_reason()), (0, lost.reason.as_ref()));
+        let next = Rollout { started_unix_ms: object.started_unix_ms + 60_000, ..object.clone() };
+        splitter.update_rollout(Some(&next), 7);
+        assert_eq!((splitter.share_percent(), splitter.stop_reason()), (50, None));
+    }
+}
+
 /// Guards against an older object that restores the share of a version that is being rolled back.
 #[test]
 fn update_rollout_ignores_older_object() {
