Confirm a change of a rollout only while the platform holds it

kingcupford-ctl told operators that a host had taken over their rollout or their rollback when the platform had lost it in a restoration: it waited for a higher renewal counter, whichever rollout the object held by then, and controllers of the restored object raise that counter as well.

The change now counts as taken over only when the object also includes it, by the check that finds the command's own write after a lost answer: the same rollout and, for a rollback, still rolled back for the same reason. Otherwise the command ends with exit code 7, and it prints no other rollout than its own.

change_lost_in_restoration_is_not_confirmed failed before with exit code 0 and "taken over by entry-1 after 251 ms".

--- a/crates/ctl/src/rollout.rs
+++ b/crates/ctl/src/rollout.rs
@@ -15,7 +15,7 @@
     console::{CommandError, Console},
     exit::ExitStatus,
     flags::{RolloutRollback, RolloutStart},
-    rollout_edit::{RolloutEditOutcome, edit_rollout},
+    rollout_edit::{RolloutEditOutcome, edit_rollout, includes_write},
     rollout_view::{RolloutView, read_rollouts, rollout_table},
     session::{Session, unix_ms},
 };
@@ -245,11 +245,14 @@
     let mut confirmed_by = None;
     while session.confirm_timeout.is_some() {
         if let Ok(Some((_, it))) = session.read_json::<Rollout>(&place).await {
-            // A controller increases the renewal counter when it writes the object.
-            if it.renewal > written.renewal {
+            // A controller increases the renewal counter when it writes the object. A platform that
+            // was restored may have another rollout, or the same one without the change.
+            if it.renewal > written.renewal && includes_write(&it, &written) {
                 confirmed_by = it.controller.clone();
             }
-            rollout = it;
+            if it.key() == written.key() {
+                rollout = it;
+            }
         }
         if confirmed_by.is_some() || started.elapsed() + CONFIRM_POLL_INTERVAL > limit {
             break;
--- a/crates/ctl/src/rollout_edit.rs
+++ b/crates/ctl/src/rollout_edit.rs
@@ -111,7 +111,7 @@
 
 /// Returns whether `current` is `own_write` or a later state of the same rollout that keeps the
 /// effect of `own_write`.
-fn includes_write(current: &Rollout, own_write: &Rollout) -> bool {
+pub(crate) fn includes_write(current: &Rollout, own_write: &Rollout) -> bool {
     if current.write_id == own_write.write_id {
         return true;
     }
--- a/crates/ctl/tests/it/harness.rs
+++ b/crates/ctl/tests/it/harness.rs
@@ -156,6 +156,20 @@
         serde_json::from_slice(&object.bytes).unwrap()
     }
 
+    /// Waits until the rollout of the service in [`DECLARATIONS`] has a state, and returns it.
+    pub(crate) async fn wait_for_rollout(&self, state: &str) -> Value {
+        for _ in 0..4000 {
+            if let CallOutcome::Value(Some(object)) = self.store.read("rollout/katalog").await {
+                let rollout: Value = serde_json::from_slice(&object.bytes).unwrap();
+                if rollout["state"] == state {
+                    return rollout;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        panic!("the rollout was not {state}");
+    }
+
     /// Waits until the platform's call counts satisfy a condition. Panics if they do not after 4000
     /// checks, which take at least 8 s.
     pub(crate) async fn wait_for_calls(
--- a/crates/ctl/tests/it/rollouts.rs
+++ b/crates/ctl/tests/it/rollouts.rs
@@ -94,6 +94,35 @@
     "#]].assert_eq(&run.normalized());
 }
 
+/// Guards against a start or a rollback that counts as confirmed because a controller writes
+/// another rollout, or the same one without the rollback, after the platform was restored.
+#[tokio::test]
+async fn change_lost_in_restoration_is_not_confirmed() {
+    let harness = Harness::with_config().await;
+    let take_over = |state: &'static str, renewal: u64, started_unix_ms: Option<u64>| {
+        let harness = &harness;
+        async move {
+            let mut rollout = harness.wait_for_rollout(state).await;
+            rollout["state"] = json!("running");
+            rollout["reason"] = json!(null);
+            rollout["controller"] = json!("entry-1");
+            rollout["renewal"] = json!(renewal);
+            rollout["write_id"] = json!(renewal);
+            if let Some(started_unix_ms) = started_unix_ms {
+                rollout["started_unix_ms"] = json!(started_unix_ms);
+            }
+            harness.write_json("rollout/katalog", &rollout).await;
+        }
+    };
+    let start = [&["--confirm-s", "2"], &START_ARGS[1..]].concat();
+    let (run, ()) = tokio::join!(harness.ctl(&start), take_over("running", 5, Some(1_000)));
+    assert_eq!((run.code, run.out.contains("taken over")), (7, false), "{run:?}");
+    let rollback = ["--confirm-s", "2", "rollout", "rollback", "--service", "katalog"];
+    let rollback = [&rollback[..], &["--note", "errors seen"]].concat();
+    let (run, ()) = tokio::join!(harness.ctl(&rollback), take_over("rolling-back", 9, None));
+    assert_eq!((run.code, run.out.contains("taken over")), (7, false), "{run:?}");
+}
+
 /// Guards against a watch that does not show the end, the reason or the exposure of a rollout.
 #[tokio::test]
 async fn watch_reports_done_and_rolled_back() {
