Give no version of a lost configuration out again

Operators saw a change reported as applied that hosts ignored: a key revoked after a restoration of the store was served on, because the revocation had the version of a configuration that the store had lost and that hosts had already.

Cause: a configuration was numbered after the stored head only, and the store comes back with an older head.

The versions of each era of the store begin above all of the earlier ones. The era comes from the list of the archived heads, which a change now reads first. Neighbours in the archive are found in this list, since versions have gaps: the successor of a planned version, the heads whose chunks are retained, and the heads that are deleted.

Versions of an era cannot meet those of another one with fewer than 10^9 changes in an era, and hosts take the higher version. Stored heads keep their format.

--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -12,13 +12,14 @@
 use tokio::time::Instant;
 
 use crate::{
+    archive::{Archive, archive_head, read_archived_head_once},
     backoff::Backoff,
     change::{
         ChangeOutcome, ChangeRequest, Edit, LostRace, differing_places, validation_error,
         with_chunks_not_in,
     },
     chunk_store::{ChunkError, ChunkStore},
-    head_write::{HeadWriteOutcome, archive_head, history_name, read_head_once, write_head},
+    head_write::{HeadWriteOutcome, read_head_once, write_head},
     object::{CallOutcome, ObjectStore},
     retention::delete_unused,
 };
@@ -141,6 +142,9 @@
         // or the head is no longer archived.
         let mut planned: Option<Option<Head>> = None;
         loop {
+            let Some(archive) = Archive::list(&*self.store, &mut backoff).await else {
+                return ChangeOutcome::Unavailable;
+            };
             let base = match self.read_current_head(&mut backoff).await {
                 Ok(it) => it,
                 Err(it) => return it,
@@ -152,7 +156,8 @@
             if planned.is_none() {
                 planned = Some(match expected_version {
                     Some(it) if current.map(|it| it.version) != Some(it) => {
-                        match self.read_planned_head(it, change_id, &mut backoff).await {
+                        let planned = self.read_planned_head(it, change_id, &archive, &mut backoff);
+                        match planned.await {
                             Ok(it) => it,
                             Err(it) => return it,
                         }
@@ -163,14 +168,16 @@
             if let (Some(planned), Some(current)) = (&planned, current)
                 && planned.as_ref() != Some(current)
             {
-                match self.detect_lost_race(edit, planned.as_ref(), current, &mut chunk_store).await
-                {
+                let lost_race =
+                    self.detect_lost_race(edit, planned.as_ref(), current, &mut chunk_store);
+                match lost_race.await {
                     Ok(None) => {}
                     Ok(Some(it)) => return ChangeOutcome::LostRace(it),
                     Err(_) => return ChangeOutcome::Unavailable,
                 }
             }
-            let result = self.apply_edit(edit, current, change_id, &mut chunk_store).await;
+            let result =
+                self.apply_edit(edit, current, &archive, change_id, &mut chunk_store).await;
             let (next, next_chunks) = match result {
                 Ok(EditResult::Changed(next, next_chunks)) => (next, next_chunks),
                 Ok(EditResult::Unchanged) => {
@@ -242,11 +249,14 @@
         &self,
         version: u64,
         change_id: &str,
+        archive: &Archive,
         backoff: &mut Backoff,
     ) -> Result<Option<Head>, ChangeOutcome> {
-        let successor = self.read_archived_head(version + 1, backoff).await?;
-        if successor.is_some_and(|it| it.change_id == change_id) {
-            return Err(ChangeOutcome::Applied { version: version + 1 });
+        if let Some(next_version) = archive.version_after(version) {
+            let successor = self.read_archived_head(next_version, backoff).await?;
+            if successor.is_some_and(|it| it.change_id == change_id) {
+                return Err(ChangeOutcome::Applied { version: next_version });
+            }
         }
         self.read_archived_head(version, backoff).await
     }
@@ -258,8 +268,8 @@
         backoff: &mut Backoff,
     ) -> Result<Option<Head>, ChangeOutcome> {
         loop {
-            let min_delay_ms = match self.store.read(&history_name(version)).await {
-                CallOutcome::Value(it) => return Ok(it.and_then(|it| parse_head(&it.bytes))),
+            let min_delay_ms = match read_archived_head_once(&*self.store, version).await {
+                CallOutcome::Value(it) => return Ok(it),
                 CallOutcome::Unavailable => 0,
                 CallOutcome::Throttled { retry_after_ms } => retry_after_ms,
             };
@@ -295,7 +305,9 @@
             return Ok(None);
         }
         if let Edit::ReplaceDeclarations { declarations, .. } = edit {
-            let (head, head_chunks) = match build_head(declarations, Some(planned), "", "") {
+            let version = planned.version + 1;
+            let built = build_head(declarations, Some(planned), version, "", "");
+            let (head, head_chunks) = match built {
                 Ok(it) => it,
                 Err(_) => return Ok(Some(lost_race)),
             };
@@ -312,17 +324,20 @@
         &self,
         edit: Edit<'_>,
         current: Option<&Head>,
+        archive: &Archive,
         change_id: &str,
         chunk_store: &mut ChunkStore<S>,
     ) -> Result<EditResult, ChangeOutcome> {
+        let version = archive.next_version(current);
         if let Edit::ReplaceDeclarations { declarations, source_revision } = edit {
             let mut merged = declarations.clone();
             merged.keys = match current {
                 Some(it) => read_kinds(it, &[ChunkKind::Keys], chunk_store).await?.keys,
                 None => Vec::new(),
             };
-            let (next, next_chunks) = build_head(&merged, current, source_revision, change_id)
-                .map_err(ChangeOutcome::Rejected)?;
+            let (next, next_chunks) =
+                build_head(&merged, current, version, source_revision, change_id)
+                    .map_err(ChangeOutcome::Rejected)?;
             let is_unchanged = current.is_some_and(|it| {
                 it.chunks == next.chunks && it.source_revision == next.source_revision
             });
@@ -336,11 +351,7 @@
             let hint = "apply a folder of declarations first";
             return Err(rejected("config", "no configuration was accepted yet", hint));
         };
-        let mut next = Head {
-            version: current.version + 1,
-            change_id: change_id.to_owned(),
-            ..current.clone()
-        };
+        let mut next = Head { version, change_id: change_id.to_owned(), ..current.clone() };
         let mut subset = read_kinds(
             current,
             &[ChunkKind::Teams, ChunkKind::Keys, ChunkKind::Presets],
@@ -398,6 +409,7 @@
 fn build_head(
     declarations: &Declarations,
     current: Option<&Head>,
+    version: u64,
     source_revision: &str,
     change_id: &str,
 ) -> Result<(Head, Vec<Chunk>), Vec<ValidationError>> {
@@ -425,7 +437,7 @@
     };
     let chunks = split_into_chunks(declarations).map_err(|it| vec![split_error(&it)])?;
     let head = Head {
-        version: current.map_or(0, |it| it.version) + 1,
+        version,
         change_id: change_id.to_owned(),
         source_revision: source_revision.to_owned(),
         active_preset: active_preset.clone(),
--- a/crates/platform/src/head_write.rs
+++ b/crates/platform/src/head_write.rs
@@ -4,14 +4,12 @@
 use kingcupford_config::Head;
 
 use crate::{
+    archive::read_archived_head_once,
     backoff::Backoff,
     config_store::{HEAD_NAME, HeadRead, StoredHead, parse_head},
     object::{CallOutcome, Condition, ObjectStore, WriteOutcome},
 };
 
-/// Prefix of the names of archived heads.
-pub(crate) const HISTORY_PREFIX: &str = "history/head/";
-
 /// Outcome of a replacement of the head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum HeadWriteOutcome {
@@ -27,11 +25,6 @@
     TooLarge,
 }
 
-/// Returns the name of an archived head; names sort by version.
-pub(crate) fn history_name(version: u64) -> String {
-    format!("{HISTORY_PREFIX}{version:012}")
-}
-
 /// Reads the head without retries.
 pub(crate) async fn read_head_once<S: ObjectStore>(store: &S) -> CallOutcome<HeadRead> {
     store.read(HEAD_NAME).await.map(|it| match it {
@@ -46,33 +39,6 @@
     })
 }
 
-/// Archives the head that is about to be replaced; returns `false` if the deadline passed.
-///
-/// From the archive a writer learns whether its change took effect although another change has
-/// replaced it since.
-pub(crate) async fn archive_head<S: ObjectStore>(
-    store: &S,
-    base: &StoredHead,
-    backoff: &mut Backoff,
-) -> bool {
-    let name = history_name(base.head.version);
-    loop {
-        let min_delay_ms = match store.write(&name, base.bytes.clone(), Condition::Absent).await {
-            WriteOutcome::Written { .. } | WriteOutcome::Conflict { .. } => return true,
-            WriteOutcome::Throttled { retry_after_ms } => retry_after_ms,
-            WriteOutcome::Unknown => match store.read(&name).await {
-                CallOutcome::Value(Some(_)) => return true,
-                CallOutcome::Throttled { retry_after_ms } => retry_after_ms,
-                CallOutcome::Value(None) | CallOutcome::Unavailable => 0,
-            },
-            WriteOutcome::Unavailable | WriteOutcome::TooLarge => 0,
-        };
-        if !backoff.wait(min_delay_ms).await {
-            return false;
-        }
-    }
-}
-
 /// Replaces `base` with `next`.
 ///
 /// The write can be repeated without harm, because its condition holds for at most one attempt.
@@ -140,9 +106,8 @@
                 }
                 // Every writer archives the head that it replaces, so the head with the version of
                 // `next` is in the archive.
-                match store.read(&history_name(next.version)).await {
-                    CallOutcome::Value(object) => {
-                        let archived = object.and_then(|it| parse_head(&it.bytes));
+                match read_archived_head_once(store, next.version).await {
+                    CallOutcome::Value(archived) => {
                         return Some(match archived {
                             Some(it) if it.change_id == next.change_id => HeadWriteOutcome::Applied,
                             Some(_) => HeadWriteOutcome::LostRace,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The platform is an external object store with conditional writes, watches and a host list.
 
+mod archive;
 mod backoff;
 mod change;
 mod chunk_store;
--- a/crates/platform/src/retention.rs
+++ b/crates/platform/src/retention.rs
@@ -3,19 +3,19 @@
 use kingcupford_config::Head;
 
 use crate::{
+    archive::{Archive, read_archived_head_once},
     chunk_store::{CHUNK_PREFIX, chunk_name},
-    config_store::{StoredHead, parse_head},
-    head_write::{HISTORY_PREFIX, history_name},
+    config_store::StoredHead,
     object::{CallOutcome, Condition, ObjectStore, WriteOutcome},
 };
 
 /// Number of heads, including the current one, whose chunks are retained for hosts that are still
 /// fetching them.
-const HEADS_WITH_CHUNKS: u64 = 3;
+const HEADS_WITH_CHUNKS: usize = 3;
 
 /// Number of archived heads that are retained, so that a slow writer can still determine whether
 /// its change took effect.
-const ARCHIVED_HEADS: u64 = 16;
+const ARCHIVED_HEADS: usize = 16;
 
 /// Maximum number of deletions after one change, which bounds its calls; later changes delete the
 /// remaining objects.
@@ -32,16 +32,15 @@
     base: Option<&StoredHead>,
     unused_chunk_retention_ms: u64,
 ) -> usize {
-    let Some(needed) = needed_chunk_names(store, current, base).await else { return 0 };
+    let CallOutcome::Value(archive) = Archive::list_once(store).await else { return 0 };
+    let Some(needed) = needed_chunk_names(store, current, base, &archive).await else { return 0 };
     let CallOutcome::Value(chunks) = store.list(CHUNK_PREFIX).await else { return 0 };
     let mut unused: Vec<_> = chunks.objects;
     unused.retain(|it| {
         it.age_ms >= unused_chunk_retention_ms && needed.binary_search(&it.name).is_err()
     });
-    if let CallOutcome::Value(history) = store.list(HISTORY_PREFIX).await {
-        let oldest_retained = history_name(current.version.saturating_sub(ARCHIVED_HEADS));
-        unused.extend(history.objects.into_iter().filter(|it| it.name < oldest_retained));
-    }
+    let outdated_count = archive.heads.len().saturating_sub(ARCHIVED_HEADS);
+    unused.extend(archive.heads.into_iter().take(outdated_count).map(|it| it.object));
     let mut deleted = 0;
     for object in unused.iter().take(MAX_DELETIONS_PER_CHANGE) {
         match store.delete(&object.name, Condition::Version(object.version)).await {
@@ -59,15 +58,18 @@
     store: &S,
     current: &Head,
     base: Option<&StoredHead>,
+    archive: &Archive,
 ) -> Option<Vec<String>> {
     let mut heads = vec![current.clone()];
     heads.extend(base.map(|it| it.head.clone()));
-    let oldest = (current.version + 1).saturating_sub(HEADS_WITH_CHUNKS).max(1);
-    for version in oldest..current.version.saturating_sub(1) {
-        let CallOutcome::Value(archived) = store.read(&history_name(version)).await else {
+    let base_version = base.map_or(0, |it| it.head.version);
+    let older = archive.heads.iter().rev().filter(|it| it.version < base_version);
+    for archived in older.take(HEADS_WITH_CHUNKS - 2) {
+        let CallOutcome::Value(head) = read_archived_head_once(store, archived.version).await
+        else {
             return None;
         };
-        heads.push(parse_head(&archived?.bytes)?);
+        heads.push(head?);
     }
     let chunks = heads.iter().flat_map(|it| &it.chunks);
     let mut res: Vec<String> = chunks.map(|it| chunk_name(&it.sha256)).collect();
