Number a restored configuration again when it is applied unchanged

Hosts kept the configuration that the store had lost, for example another preset.

Cause: an edit that changes nothing compared to the stored head made no new version. After a restoration, what hosts have may differ from the stored head.

A head of an earlier era now gets a new version in any case.

Within an era a repeated folder makes no version, as before.

--- a/crates/platform/src/archive.rs
+++ b/crates/platform/src/archive.rs
@@ -76,6 +76,11 @@
         (current.map_or(0, |it| it.version) + 1).max(self.first_version())
     }
 
+    /// Whether a configuration of this version was written in the current era.
+    pub(crate) fn is_of_current_era(&self, version: u64) -> bool {
+        version >= self.first_version()
+    }
+
     /// Returns the lowest archived version above `version`.
     pub(crate) fn version_after(&self, version: u64) -> Option<u64> {
         let index = self.heads.partition_point(|it| it.version <= version);
--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -320,6 +320,9 @@
     }
 
     /// Builds the head that results from applying an edit to the current head.
+    ///
+    /// A head of an earlier era gets a new version even if the edit changes nothing, because hosts
+    /// may have another configuration, which the store lost.
     async fn apply_edit(
         &self,
         edit: Edit<'_>,
@@ -329,6 +332,7 @@
         chunk_store: &mut ChunkStore<S>,
     ) -> Result<EditResult, ChangeOutcome> {
         let version = archive.next_version(current);
+        let is_of_current_era = current.is_some_and(|it| archive.is_of_current_era(it.version));
         if let Edit::ReplaceDeclarations { declarations, source_revision } = edit {
             let mut merged = declarations.clone();
             merged.keys = match current {
@@ -341,7 +345,7 @@
             let is_unchanged = current.is_some_and(|it| {
                 it.chunks == next.chunks && it.source_revision == next.source_revision
             });
-            return Ok(if is_unchanged {
+            return Ok(if is_unchanged && is_of_current_era {
                 EditResult::Unchanged
             } else {
                 EditResult::Changed(next, next_chunks)
@@ -368,7 +372,7 @@
                     return Err(rejected(&format!("keys.{id}"), "no such key is issued", hint));
                 }
             }
-            Edit::SwitchPreset(name) if current.active_preset == name => {
+            Edit::SwitchPreset(name) if current.active_preset == name && is_of_current_era => {
                 return Ok(EditResult::Unchanged);
             }
             Edit::SwitchPreset(name) => {
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -574,3 +574,29 @@
     let ChangeOutcome::Applied { version } = outcome else { panic!("{outcome:?}") };
     assert!(version > 2, "version {version} was given to a lost configuration");
 }
+
+/// Guards against a repeated folder or preset that gets no new version after a restoration, so that
+/// hosts keep the configuration that the platform lost.
+#[tokio::test]
+async fn apply_restored_unchanged() {
+    let platform = start_platform().await;
+    let store = config_store(object_store(&platform), 1);
+    store.apply(&declarations(), &change_request("base")).await;
+    wait_until_copied().await;
+    assert_eq!(store.switch_preset("peak", "lost").await, applied(2));
+    platform.restore(COPY_AGE_MS).unwrap();
+    let mut newest_version = 2;
+    for round in 0..2 {
+        let base_again =
+            |id: &str| ChangeRequest { id: format!("{id}-{round}"), ..change_request("base") };
+        let outcome = store.apply(&declarations(), &base_again("first")).await;
+        let ChangeOutcome::Applied { version } = outcome else { panic!("{outcome:?}") };
+        assert!(version > newest_version, "version {version} after {newest_version}");
+        assert_eq!(store.apply(&declarations(), &base_again("second")).await, outcome);
+        newest_version = version;
+        platform.restore(0).unwrap();
+    }
+    let outcome = store.switch_preset("ordinary", "preset").await;
+    let ChangeOutcome::Applied { version } = outcome else { panic!("{outcome:?}") };
+    assert!(version > newest_version, "version {version} after {newest_version}");
+}
