Count a change as applied only in the era in which it began

Operators saw a change reported as applied that no host could load: its chunks had been written before a restoration of the store and were lost, the head was written after it, on a version that the copy still had. A head that was lost before its response arrived was reported as applied as well.

Cause: a change concluded from responses of two eras. What it had read or written in the former one may be gone.

A change lists the archived heads, and with them the era, before its first read and again before it reports an outcome. If the era differs it is applied again, now with the era's version. Its own head of an earlier era is replaced as well. Chunks to which a head of an earlier era refers are listed, and those that the store lacks are written again from what the change has read. A key that an earlier attempt of the same change issued or revoked is no error. The outcome is undetermined instead of unavailable once an attempt may have taken effect.

A change costs one list more.

--- a/crates/platform/src/chunk_store.rs
+++ b/crates/platform/src/chunk_store.rs
@@ -46,21 +46,37 @@
         Self { store, deadline, backoff_seed, cache: BTreeMap::new() }
     }
 
-    /// Writes the chunks that `base` does not refer to.
+    /// Writes `chunks`, except those that `base` refers to, and ensures that all chunks of `head`
+    /// are stored.
+    ///
+    /// `is_base_stored` specifies whether the chunks of `base` are known to be stored. Otherwise
+    /// they are listed, and those that the store lacks are written again if their content is known.
     pub(crate) async fn write(
         &mut self,
+        head: &Head,
         chunks: Vec<Chunk>,
         base: Option<&Head>,
+        is_base_stored: bool,
     ) -> Result<(), ChunkError> {
+        let stored_names = if is_base_stored { None } else { Some(self.list_names().await?) };
         let mut missing = Vec::new();
         for chunk in chunks {
-            let is_stored = base.is_some_and(|it| it.chunks.contains(&chunk.reference));
             let bytes = Bytes::from(chunk.bytes);
-            if !is_stored {
+            if !base.is_some_and(|it| it.chunks.contains(&chunk.reference)) {
                 missing.push((chunk.reference.sha256.clone(), bytes.clone()));
             }
             self.cache.insert(chunk.reference.sha256, bytes);
         }
+        if let (Some(stored_names), Some(base)) = (stored_names, base) {
+            let is_lost = |it: &&ChunkRef| {
+                base.chunks.contains(it)
+                    && stored_names.binary_search(&chunk_name(&it.sha256)).is_err()
+            };
+            for reference in head.chunks.iter().filter(is_lost) {
+                let bytes = self.cache.get(&reference.sha256).ok_or(ChunkError::Missing)?;
+                missing.push((reference.sha256.clone(), bytes.clone()));
+            }
+        }
         for batch in missing.chunks(MAX_CONCURRENT_TRANSFERS) {
             let mut tasks = JoinSet::new();
             for (hash, bytes) in batch.iter().cloned() {
@@ -74,6 +90,25 @@
         Ok(())
     }
 
+    /// Lists the sorted names of the stored chunks.
+    async fn list_names(&mut self) -> Result<Vec<String>, ChunkError> {
+        let mut backoff = self.new_backoff();
+        loop {
+            let min_delay_ms = match self.store.list(CHUNK_PREFIX).await {
+                CallOutcome::Value(it) => {
+                    let mut res: Vec<String> = it.objects.into_iter().map(|it| it.name).collect();
+                    res.sort();
+                    return Ok(res);
+                }
+                CallOutcome::Unavailable => 0,
+                CallOutcome::Throttled { retry_after_ms } => retry_after_ms,
+            };
+            if !backoff.wait(min_delay_ms).await {
+                return Err(ChunkError::Unavailable);
+            }
+        }
+    }
+
     /// Caches chunks without writing them.
     pub(crate) fn cache_chunks(&mut self, chunks: Vec<Chunk>) {
         let chunks = chunks.into_iter().map(|it| (it.reference.sha256, Bytes::from(it.bytes)));
--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -74,6 +74,34 @@
     rng: Mutex<SmallRng>,
 }
 
+/// An edit with the identity of the change.
+#[derive(Clone, Copy)]
+struct EditRequest<'a> {
+    edit: Edit<'a>,
+    change_id: &'a str,
+    /// Configuration version against which the change was planned, `None` for the current one.
+    expected_version: Option<u64>,
+}
+
+/// State of a change over its attempts.
+#[derive(Default)]
+struct Progress {
+    /// Head against which the change was planned. The inner value is `None` if there was no head or
+    /// the head is no longer archived.
+    planned: Option<Option<Head>>,
+    /// Whether an earlier attempt may have taken effect.
+    may_be_applied: bool,
+    /// Head that the newest attempt wrote, and the head that it replaced.
+    written: Option<(Head, Option<StoredHead>)>,
+}
+
+impl Progress {
+    /// Returns the outcome of the change if the platform is unavailable until the deadline.
+    fn unavailable_outcome(&self) -> ChangeOutcome {
+        if self.may_be_applied { ChangeOutcome::Undetermined } else { ChangeOutcome::Unavailable }
+    }
+}
+
 /// Result of applying an edit to the current head.
 enum EditResult {
     /// The next head, with chunks of which some may not be stored yet.
@@ -131,6 +159,10 @@
 
     /// Applies an edit to the current head, and again after each lost race against a change that
     /// does not conflict with the edit.
+    ///
+    /// A restored store may lack chunks of the change, and a condition on a version that it gave out
+    /// again may hold by chance. The outcome of an attempt therefore counts only if the store was
+    /// not restored since its beginning.
     async fn change(
         &self,
         edit: Edit<'_>,
@@ -138,77 +170,117 @@
         expected_version: Option<u64>,
     ) -> ChangeOutcome {
         let (mut chunk_store, mut backoff) = self.begin_operation();
-        // Head against which the change was planned. The inner value is `None` if there was no head
-        // or the head is no longer archived.
-        let mut planned: Option<Option<Head>> = None;
+        let request = EditRequest { edit, change_id, expected_version };
+        let mut progress = Progress::default();
         loop {
             let Some(archive) = Archive::list(&*self.store, &mut backoff).await else {
-                return ChangeOutcome::Unavailable;
+                return progress.unavailable_outcome();
             };
-            let base = match self.read_current_head(&mut backoff).await {
-                Ok(it) => it,
-                Err(it) => return it,
+            let attempt =
+                self.attempt(request, &archive, &mut progress, &mut chunk_store, &mut backoff);
+            let outcome = match attempt.await {
+                Ok(Some(version)) => ChangeOutcome::Applied { version },
+                Ok(None) if backoff.wait(0).await => continue,
+                Ok(None) | Err(ChangeOutcome::Unavailable) => {
+                    return progress.unavailable_outcome();
+                }
+                Err(it) => it,
+            };
+            let Some(archive_after) = Archive::list(&*self.store, &mut backoff).await else {
+                return match outcome {
+                    ChangeOutcome::Undetermined => outcome,
+                    _ => progress.unavailable_outcome(),
+                };
             };
-            let current = base.as_ref().map(|it| &it.head);
-            if let Some(it) = current.filter(|it| it.change_id == change_id) {
-                return ChangeOutcome::Applied { version: it.version };
+            if archive_after.era != archive.era {
+                log::warn!("platform was restored during change {change_id}, which is repeated");
+                if !backoff.wait(0).await {
+                    return progress.unavailable_outcome();
+                }
+                continue;
+            }
+            if let (ChangeOutcome::Applied { .. }, Some((head, base))) =
+                (&outcome, &progress.written)
+            {
+                let retention_ms = self.settings.unused_chunk_retention_ms;
+                delete_unused(&*self.store, head, base.as_ref(), retention_ms).await;
             }
-            if planned.is_none() {
-                planned = Some(match expected_version {
+            return outcome;
+        }
+    }
+
+    /// Applies an edit to the current head once. Returns the configuration version of the change,
+    /// `None` if the attempt lost a race.
+    async fn attempt(
+        &self,
+        EditRequest { edit, change_id, expected_version }: EditRequest<'_>,
+        archive: &Archive,
+        progress: &mut Progress,
+        chunk_store: &mut ChunkStore<S>,
+        backoff: &mut Backoff,
+    ) -> Result<Option<u64>, ChangeOutcome> {
+        progress.written = None;
+        let base = self.read_current_head(backoff).await?;
+        let current = base.as_ref().map(|it| &it.head);
+        // A head that an earlier attempt wrote before or during a restoration is replaced, because
+        // its version and its chunks may belong to what the store has lost.
+        let is_own = current.is_some_and(|it| it.change_id == change_id);
+        let is_of_current_era = current.is_some_and(|it| archive.is_of_current_era(it.version));
+        if is_own && is_of_current_era {
+            return Ok(current.map(|it| it.version));
+        }
+        if is_own {
+            progress.may_be_applied = true;
+        } else {
+            if progress.planned.is_none() {
+                progress.planned = Some(match expected_version {
                     Some(it) if current.map(|it| it.version) != Some(it) => {
-                        let planned = self.read_planned_head(it, change_id, &archive, &mut backoff);
-                        match planned.await {
-                            Ok(it) => it,
-                            Err(it) => return it,
-                        }
+                        self.read_planned_head(it, change_id, archive, backoff).await?
                     }
                     _ => current.cloned(),
                 });
             }
-            if let (Some(planned), Some(current)) = (&planned, current)
+            if let (Some(planned), Some(current)) = (&progress.planned, current)
                 && planned.as_ref() != Some(current)
             {
-                let lost_race =
-                    self.detect_lost_race(edit, planned.as_ref(), current, &mut chunk_store);
-                match lost_race.await {
+                let planned = planned.as_ref();
+                match self.detect_lost_race(edit, planned, current, chunk_store).await {
                     Ok(None) => {}
-                    Ok(Some(it)) => return ChangeOutcome::LostRace(it),
-                    Err(_) => return ChangeOutcome::Unavailable,
+                    Ok(Some(it)) => return Err(ChangeOutcome::LostRace(it)),
+                    Err(_) => return Err(ChangeOutcome::Unavailable),
                 }
             }
-            let result =
-                self.apply_edit(edit, current, &archive, change_id, &mut chunk_store).await;
-            let (next, next_chunks) = match result {
-                Ok(EditResult::Changed(next, next_chunks)) => (next, next_chunks),
-                Ok(EditResult::Unchanged) => {
-                    let version = current.map_or(0, |it| it.version);
-                    return ChangeOutcome::Applied { version };
-                }
-                Err(it) => return it,
-            };
-            if let Err(it) = chunk_store.write(next_chunks, current).await {
-                return chunk_error_outcome(it);
-            }
-            if let Some(base) = &base
-                && !archive_head(&*self.store, base, &mut backoff).await
-            {
-                return ChangeOutcome::Unavailable;
+        }
+        let is_repeated = progress.may_be_applied;
+        let rejection = |it| if is_own { ChangeOutcome::Undetermined } else { it };
+        let result =
+            self.apply_edit(edit, current, archive, change_id, is_repeated, chunk_store).await;
+        let (next, next_chunks) = match result.map_err(rejection)? {
+            EditResult::Changed(next, next_chunks) => (next, next_chunks),
+            EditResult::Unchanged => return Ok(Some(current.map_or(0, |it| it.version))),
+        };
+        let is_base_stored = current.is_none() || is_of_current_era;
+        let written = chunk_store.write(&next, next_chunks, current, is_base_stored).await;
+        written.map_err(chunk_error_outcome).map_err(rejection)?;
+        if let Some(base) = &base
+            && !archive_head(&*self.store, base, backoff).await
+        {
+            return Err(ChangeOutcome::Unavailable);
+        }
+        let version = next.version;
+        match write_head(&*self.store, base.as_ref(), &next, backoff).await {
+            HeadWriteOutcome::Applied => {
+                progress.may_be_applied = true;
+                progress.written = Some((next, base));
+                Ok(Some(version))
             }
-            match write_head(&*self.store, base.as_ref(), &next, &mut backoff).await {
-                HeadWriteOutcome::Applied => {
-                    let retention_ms = self.settings.unused_chunk_retention_ms;
-                    delete_unused(&*self.store, &next, base.as_ref(), retention_ms).await;
-                    return ChangeOutcome::Applied { version: next.version };
-                }
-                HeadWriteOutcome::Undetermined => return ChangeOutcome::Undetermined,
-                HeadWriteOutcome::Unavailable => return ChangeOutcome::Unavailable,
-                HeadWriteOutcome::TooLarge => return chunk_error_outcome(ChunkError::TooLarge),
-                HeadWriteOutcome::LostRace => {
-                    if !backoff.wait(0).await {
-                        return ChangeOutcome::Unavailable;
-                    }
-                }
+            HeadWriteOutcome::Undetermined => {
+                progress.may_be_applied = true;
+                Err(ChangeOutcome::Undetermined)
             }
+            HeadWriteOutcome::Unavailable => Err(ChangeOutcome::Unavailable),
+            HeadWriteOutcome::TooLarge => Err(rejection(chunk_error_outcome(ChunkError::TooLarge))),
+            HeadWriteOutcome::LostRace => Ok(None),
         }
     }
 
@@ -322,13 +394,15 @@
     /// Builds the head that results from applying an edit to the current head.
     ///
     /// A head of an earlier era gets a new version even if the edit changes nothing, because hosts
-    /// may have another configuration, which the store lost.
+    /// may have another configuration, which the store lost. `is_repeated` specifies whether the
+    /// current head may already contain the edit.
     async fn apply_edit(
         &self,
         edit: Edit<'_>,
         current: Option<&Head>,
         archive: &Archive,
         change_id: &str,
+        is_repeated: bool,
         chunk_store: &mut ChunkStore<S>,
     ) -> Result<EditResult, ChangeOutcome> {
         let version = archive.next_version(current);
@@ -363,11 +437,20 @@
         )
         .await?;
         match edit {
+            Edit::IssueKey(key) if is_repeated && subset.keys.contains(key) => {
+                if is_of_current_era {
+                    return Ok(EditResult::Unchanged);
+                }
+            }
             Edit::IssueKey(key) => subset.keys.push(key.clone()),
             Edit::RevokeKey(id) => {
                 let key_count = subset.keys.len();
                 subset.keys.retain(|it| it.id != id);
-                if subset.keys.len() == key_count {
+                let is_issued = subset.keys.len() < key_count;
+                if !is_issued && is_repeated && is_of_current_era {
+                    return Ok(EditResult::Unchanged);
+                }
+                if !is_issued && !is_repeated {
                     let hint = "list the keys; the key may already be revoked";
                     return Err(rejected(&format!("keys.{id}"), "no such key is issued", hint));
                 }
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -46,6 +46,9 @@
     /// The platform is restored from a copy of [`COPY_AGE_MS`] before the write, whose response is
     /// not lost.
     RestoreBefore(Arc<PlatformStandin>),
+    /// The write takes effect and the platform is restored from a copy of this age; its response is
+    /// not lost.
+    RestoreAfter(Arc<PlatformStandin>, u64),
     /// As [`RestoreBefore`](Self::RestoreBefore), and then another operator issues a key.
     RestoreAndIssueBefore(Arc<PlatformStandin>),
 }
@@ -97,6 +100,11 @@
                 platform.restore(COPY_AGE_MS).unwrap();
                 return self.inner.write(name, value, condition).await;
             }
+            Interference::RestoreAfter(platform, age_ms) => {
+                let outcome = self.inner.write(name, value, condition).await;
+                platform.restore(*age_ms).unwrap();
+                return outcome;
+            }
             Interference::RestoreAndIssueBefore(platform) => {
                 platform.restore(COPY_AGE_MS).unwrap();
                 let outcome = self.other_operator.issue_key(&key("other"), "other").await;
@@ -600,3 +608,30 @@
     let ChangeOutcome::Applied { version } = outcome else { panic!("{outcome:?}") };
     assert!(version > newest_version, "version {version} after {newest_version}");
 }
+
+/// Guards against a change that is reported as applied although the platform lost it before the
+/// response, and against one that is applied twice because the platform did not lose it.
+#[tokio::test]
+async fn change_restored_after_head() {
+    for age_ms in [0, COPY_AGE_MS] {
+        let platform = Arc::new(start_platform().await);
+        let inner = object_store(&platform);
+        let base = config_store(inner.clone(), 1);
+        base.apply(&declarations(), &change_request("base")).await;
+        base.issue_key(&key("k1"), "base-key").await;
+        wait_until_copied().await;
+        let interfering = || {
+            let interference = Interference::RestoreAfter(Arc::clone(&platform), age_ms);
+            config_store(InterferingStore::new(inner.clone(), interference), 2)
+        };
+        let issued = interfering().issue_key(&key("k2"), "issue").await;
+        assert!(matches!(issued, ChangeOutcome::Applied { .. }), "{issued:?}");
+        wait_until_copied().await;
+        let revoked = interfering().revoke_key("k1", "revoke").await;
+        assert!(matches!(revoked, ChangeOutcome::Applied { .. }), "{revoked:?}");
+        let head = read_head(&base).await;
+        assert_eq!(revoked, applied(head.version), "copy of {age_ms} ms");
+        let stored = base.read_declarations(&head).await.unwrap();
+        assert_eq!(stored.keys, [key("k2")], "copy of {age_ms} ms");
+    }
+}
