--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -12,13 +12,14 @@
 use tokio::time::Instant;
 
 use crate::{
+    archive::{Archive, archive_head, read_archived_head_once},
     backoff::Backoff,
     change::{
         ChangeOutcome, ChangeRequest, Edit, LostRace, differing_places, validation_error,
         with_chunks_not_in,
     },
     chunk_store::{ChunkError, ChunkStore},
-    head_write::{HeadWriteOutcome, archive_head, history_name, read_head_once, write_head},
+    head_write::{HeadWriteOutcome, read_head_once, write_head},
     object::{CallOutcome, ObjectStore},
     retention::delete_unused,
 };
@@ -73,6 +74,34 @@
     rng: Mutex<SmallRng>,
 }
 
+/// An edit with the identity of the change.
+#[derive(Clone, Copy)]
+struct EditRequest<'a> {
+    edit: Edit<'a>,
+    change_id: &'a str,
+    /// Configuration version against which the change was planned, `None` for the current one.
+    expected_version: Option<u64>,
+}
+
+/// State of a change over its attempts.
+#[derive(Default)]
+struct Progress {
+    /// Head against which the change was planned. The inner value is `None` if there was no head or
+    /// the head is no longer archived.
+    planned: Option<Option<Head>>,
+    /// Whether an earlier attempt may have taken effect.
+    may_be_applied: bool,
+    /// Head that the newest attempt wrote, and the head that it replaced.
+    written: Option<(Head, Option<StoredHead>)>,
+}
+
+impl Progress {
+    /// Returns the outcome of the change if the platform is unavailable until the deadline.
+    fn unavailable_outcome(&self) -> ChangeOutcome {
+        if self.may_be_applied { ChangeOutcome::Undetermined } else { ChangeOutcome::Unavailable }
+    }
+}
+
 /// Result of applying an edit to the current head.
 enum EditResult {
     /// The next head, with chunks of which some may not be stored yet.
@@ -130,6 +159,10 @@
 
     /// Applies an edit to the current head, and again after each lost race against a change that
     /// does not conflict with the edit.
+    ///
+    /// A restored store may lack chunks of the change, and a condition on a version that it gave out
+    /// again may hold by chance. The outcome of an attempt therefore counts only if the store was
+    /// not restored since its beginning.
     async fn change(
         &self,
         edit: Edit<'_>,
@@ -137,71 +170,117 @@
         expected_version: Option<u64>,
     ) -> ChangeOutcome {
         let (mut chunk_store, mut backoff) = self.begin_operation();
-        // Head against which the change was planned. The inner value is `None` if there was no head
-        // or the head is no longer archived.
-        let mut planned: Option<Option<Head>> = None;
+        let request = EditRequest { edit, change_id, expected_version };
+        let mut progress = Progress::default();
         loop {
-            let base = match self.read_current_head(&mut backoff).await {
-                Ok(it) => it,
-                Err(it) => return it,
+            let Some(archive) = Archive::list(&*self.store, &mut backoff).await else {
+                return progress.unavailable_outcome();
             };
-            let current = base.as_ref().map(|it| &it.head);
-            if let Some(it) = current.filter(|it| it.change_id == change_id) {
-                return ChangeOutcome::Applied { version: it.version };
+            let attempt =
+                self.attempt(request, &archive, &mut progress, &mut chunk_store, &mut backoff);
+            let outcome = match attempt.await {
+                Ok(Some(version)) => ChangeOutcome::Applied { version },
+                Ok(None) if backoff.wait(0).await => continue,
+                Ok(None) | Err(ChangeOutcome::Unavailable) => {
+                    return progress.unavailable_outcome();
+                }
+                Err(it) => it,
+            };
+            let Some(archive_after) = Archive::list(&*self.store, &mut backoff).await else {
+                return match outcome {
+                    ChangeOutcome::Undetermined => outcome,
+                    _ => progress.unavailable_outcome(),
+                };
+            };
+            if archive_after.era != archive.era {
+                log::warn!("platform was restored during change {change_id}, which is repeated");
+                if !backoff.wait(0).await {
+                    return progress.unavailable_outcome();
+                }
+                continue;
+            }
+            if let (ChangeOutcome::Applied { .. }, Some((head, base))) =
+                (&outcome, &progress.written)
+            {
+                let retention_ms = self.settings.unused_chunk_retention_ms;
+                delete_unused(&*self.store, head, base.as_ref(), retention_ms).await;
             }
-            if planned.is_none() {
-                planned = Some(match expected_version {
+            return outcome;
+        }
+    }
+
+    /// Applies an edit to the current head once. Returns the configuration version of the change,
+    /// `None` if the attempt lost a race.
+    async fn attempt(
+        &self,
+        EditRequest { edit, change_id, expected_version }: EditRequest<'_>,
+        archive: &Archive,
+        progress: &mut Progress,
+        chunk_store: &mut ChunkStore<S>,
+        backoff: &mut Backoff,
+    ) -> Result<Option<u64>, ChangeOutcome> {
+        progress.written = None;
+        let base = self.read_current_head(backoff).await?;
+        let current = base.as_ref().map(|it| &it.head);
+        // A head that an earlier attempt wrote before or during a restoration is replaced, because
+        // its version and its chunks may belong to what the store has lost.
+        let is_own = current.is_some_and(|it| it.change_id == change_id);
+        let is_of_current_era = current.is_some_and(|it| archive.is_of_current_era(it.version));
+        if is_own && is_of_current_era {
+            return Ok(current.map(|it| it.version));
+        }
+        if is_own {
+            progress.may_be_applied = true;
+        } else {
+            if progress.planned.is_none() {
+                progress.planned = Some(match expected_version {
                     Some(it) if current.map(|it| it.version) != Some(it) => {
-                        match self.read_planned_head(it, change_id, &mut backoff).await {
-                            Ok(it) => it,
-                            Err(it) => return it,
-                        }
+                        self.read_planned_head(it, change_id, archive, backoff).await?
                     }
                     _ => current.cloned(),
                 });
             }
-            if let (Some(planned), Some(current)) = (&planned, current)
+            if let (Some(planned), Some(current)) = (&progress.planned, current)
                 && planned.as_ref() != Some(current)
             {
-                match self.detect_lost_race(edit, planned.as_ref(), current, &mut chunk_store).await
-                {
+                let planned = planned.as_ref();
+                match self.detect_lost_race(edit, planned, current, chunk_store).await {
                     Ok(None) => {}
-                    Ok(Some(it)) => return ChangeOutcome::LostRace(it),
-                    Err(_) => return ChangeOutcome::Unavailable,
+                    Ok(Some(it)) => return Err(ChangeOutcome::LostRace(it)),
+                    Err(_) => return Err(ChangeOutcome::Unavailable),
                 }
             }
-            let result = self.apply_edit(edit, current, change_id, &mut chunk_store).await;
-            let (next, next_chunks) = match result {
-                Ok(EditResult::Changed(next, next_chunks)) => (next, next_chunks),
-                Ok(EditResult::Unchanged) => {
-                    let version = current.map_or(0, |it| it.version);
-                    return ChangeOutcome::Applied { version };
-                }
-                Err(it) => return it,
-            };
-            if let Err(it) = chunk_store.write(next_chunks, current).await {
-                return chunk_error_outcome(it);
+        }
+        let is_repeated = progress.may_be_applied;
+        let rejection = |it| if is_own { ChangeOutcome::Undetermined } else { it };
+        let result =
+            self.apply_edit(edit, current, archive, change_id, is_repeated, chunk_store).await;
+        let (next, next_chunks) = match result.map_err(rejection)? {
+            EditResult::Changed(next, next_chunks) => (next, next_chunks),
+            EditResult::Unchanged => return Ok(Some(current.map_or(0, |it| it.version))),
+        };
+        let is_base_stored = current.is_none() || is_of_current_era;
+        let written = chunk_store.write(&next, next_chunks, current, is_base_stored).await;
+        written.map_err(chunk_error_outcome).map_err(rejection)?;
+        if let Some(base) = &base
+            && !archive_head(&*self.store, base, backoff).await
+        {
+            return Err(ChangeOutcome::Unavailable);
+        }
+        let version = next.version;
+        match write_head(&*self.store, base.as_ref(), &next, backoff).await {
+            HeadWriteOutcome::Applied => {
+                progress.may_be_applied = true;
+                progress.written = Some((next, base));
+                Ok(Some(version))
             }
-            if let Some(base) = &base
-                && !archive_head(&*self.store, base, &mut backoff).await
-            {
-                return ChangeOutcome::Unavailable;
-            }
-            match write_head(&*self.store, base.as_ref(), &next, &mut backoff).await {
-                HeadWriteOutcome::Applied => {
-                    let retention_ms = self.settings.unused_chunk_retention_ms;
-                    delete_unused(&*self.store, &next, base.as_ref(), retention_ms).await;
-                    return ChangeOutcome::Applied { version: next.version };
-                }
-                HeadWriteOutcome::Undetermined => return ChangeOutcome::Undetermined,
-                HeadWriteOutcome::Unavailable => return ChangeOutcome::Unavailable,
-                HeadWriteOutcome::TooLarge => return chunk_error_outcome(ChunkError::TooLarge),
-                HeadWriteOutcome::LostRace => {
-                    if !backoff.wait(0).await {
-                        return ChangeOutcome::Unavailable;
-                    }
-                }
+            HeadWriteOutcome::Undetermined => {
+                progress.may_be_applied = true;
+                Err(ChangeOutcome::Undetermined)
             }
+            HeadWriteOutcome::Unavailable => Err(ChangeOutcome::Unavailable),
+            HeadWriteOutcome::TooLarge => Err(rejection(chunk_error_outcome(ChunkError::TooLarge))),
+            HeadWriteOutcome::LostRace => Ok(None),
         }
     }
 
@@ -242,11 +321,14 @@
         &self,
         version: u64,
         change_id: &str,
+        archive: &Archive,
         backoff: &mut Backoff,
     ) -> Result<Option<Head>, ChangeOutcome> {
-        let successor = self.read_archived_head(version + 1, backoff).await?;
-        if successor.is_some_and(|it| it.change_id == change_id) {
-            return Err(ChangeOutcome::Applied { version: version + 1 });
+        if let Some(next_version) = archive.version_after(version) {
+            let successor = self.read_archived_head(next_version, backoff).await?;
+            if successor.is_some_and(|it| it.change_id == change_id) {
+                return Err(ChangeOutcome::Applied { version: next_version });
+            }
         }
         self.read_archived_head(version, backoff).await
     }
@@ -258,8 +340,8 @@
         backoff: &mut Backoff,
     ) -> Result<Option<Head>, ChangeOutcome> {
         loop {
-            let min_delay_ms = match self.store.read(&history_name(version)).await {
-                CallOutcome::Value(it) => return Ok(it.and_then(|it| parse_head(&it.bytes))),
+            let min_delay_ms = match read_archived_head_once(&*self.store, version).await {
+                CallOutcome::Value(it) => return Ok(it),
                 CallOutcome::Unavailable => 0,
                 CallOutcome::Throttled { retry_after_ms } => retry_after_ms,
             };
@@ -295,7 +377,9 @@
             return Ok(None);
         }
         if let Edit::ReplaceDeclarations { declarations, .. } = edit {
-            let (head, head_chunks) = match build_head(declarations, Some(planned), "", "") {
+            let version = planned.version + 1;
+            let built = build_head(declarations, Some(planned), version, "", "");
+            let (head, head_chunks) = match built {
                 Ok(it) => it,
                 Err(_) => return Ok(Some(lost_race)),
             };
@@ -308,25 +392,34 @@
     }
 
     /// Builds the head that results from applying an edit to the current head.
+    ///
+    /// A head of an earlier era gets a new version even if the edit changes nothing, because hosts
+    /// may have another configuration, which the store lost. `is_repeated` specifies whether the
+    /// current head may already contain the edit.
     async fn apply_edit(
         &self,
         edit: Edit<'_>,
         current: Option<&Head>,
+        archive: &Archive,
         change_id: &str,
+        is_repeated: bool,
         chunk_store: &mut ChunkStore<S>,
     ) -> Result<EditResult, ChangeOutcome> {
+        let version = archive.next_version(current);
+        let is_of_current_era = current.is_some_and(|it| archive.is_of_current_era(it.version));
         if let Edit::ReplaceDeclarations { declarations, source_revision } = edit {
             let mut merged = declarations.clone();
             merged.keys = match current {
                 Some(it) => read_kinds(it, &[ChunkKind::Keys], chunk_store).await?.keys,
                 None => Vec::new(),
             };
-            let (next, next_chunks) = build_head(&merged, current, source_revision, change_id)
-                .map_err(ChangeOutcome::Rejected)?;
+            let (next, next_chunks) =
+                build_head(&merged, current, version, source_revision, change_id)
+                    .map_err(ChangeOutcome::Rejected)?;
             let is_unchanged = current.is_some_and(|it| {
                 it.chunks == next.chunks && it.source_revision == next.source_revision
             });
-            return Ok(if is_unchanged {
+            return Ok(if is_unchanged && is_of_current_era {
                 EditResult::Unchanged
             } else {
                 EditResult::Changed(next, next_chunks)
@@ -336,11 +429,7 @@
             let hint = "apply a folder of declarations first";
             return Err(rejected("config", "no configuration was accepted yet", hint));
         };
-        let mut next = Head {
-            version: current.version + 1,
-            change_id: change_id.to_owned(),
-            ..current.clone()
-        };
+        let mut next = Head { version, change_id: change_id.to_owned(), ..current.clone() };
         let mut subset = read_kinds(
             current,
             &[ChunkKind::Teams, ChunkKind::Keys, ChunkKind::Presets],
@@ -348,16 +437,25 @@
         )
         .await?;
         match edit {
+            Edit::IssueKey(key) if is_repeated && subset.keys.contains(key) => {
+                if is_of_current_era {
+                    return Ok(EditResult::Unchanged);
+                }
+            }
             Edit::IssueKey(key) => subset.keys.push(key.clone()),
             Edit::RevokeKey(id) => {
                 let key_count = subset.keys.len();
                 subset.keys.retain(|it| it.id != id);
-                if subset.keys.len() == key_count {
+                let is_issued = subset.keys.len() < key_count;
+                if !is_issued && is_repeated && is_of_current_era {
+                    return Ok(EditResult::Unchanged);
+                }
+                if !is_issued && !is_repeated {
                     let hint = "list the keys; the key may already be revoked";
                     return Err(rejected(&format!("keys.{id}"), "no such key is issued", hint));
                 }
             }
-            Edit::SwitchPreset(name) if current.active_preset == name => {
+            Edit::SwitchPreset(name) if current.active_preset == name && is_of_current_era => {
                 return Ok(EditResult::Unchanged);
             }
             Edit::SwitchPreset(name) => {
@@ -398,6 +496,7 @@
 fn build_head(
     declarations: &Declarations,
     current: Option<&Head>,
+    version: u64,
     source_revision: &str,
     change_id: &str,
 ) -> Result<(Head, Vec<Chunk>), Vec<ValidationError>> {
@@ -425,7 +524,7 @@
     };
     let chunks = split_into_chunks(declarations).map_err(|it| vec![split_error(&it)])?;
     let head = Head {
-        version: current.map_or(0, |it| it.version) + 1,
+        version,
         change_id: change_id.to_owned(),
         source_revision: source_revision.to_owned(),
         active_preset: active_preset.clone(),
