Await a response that arrives while the reader changes

A host whose reader changed dropped the running transfer of the manifest and began the list again at the new reader.

The store's calls now tell whether their response is arriving. A transfer that has begun goes on when the reader changes; the receiver checks the era and the staleness of what it gets. A call without a response goes on to the new reader at once, for the rest of the watch's wait, and to each host once at most, so that changes cannot prolong it without end. Before, such a call went to the fallbacks of the former reader.

reader_changes_during_list (a list of 1.5 s, another reader every 0.7 s) got no manifest within 10 s before. After the change it passes, the test ending after 2.7 s.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use kingcupford_platform::{
-    Announcement, ApiRequest, ApiResponse, CallOutcome, Condition, Dialect, HostEntry,
+    Announcement, ApiRequest, ApiResponse, Arrival, CallOutcome, Condition, Dialect, HostEntry,
     HttpObjectStore, HttpStoreSettings, ListPage, ListedObject, Listing, Object, ObjectChange,
     ObjectStore, StoreRevision, WatchResponse, WriteOutcome,
 };
@@ -155,17 +155,23 @@
     async fn ask_readers<T, F: Future<Output = CallOutcome<T>>>(
         &self,
         prefix: &str,
+        arrival: &Arrival,
         ask: impl Fn(HttpObjectStore<RelayDialect>, ReaderKind) -> F,
     ) -> Option<CallOutcome<T>> {
-        let StoreSource::Host { address: host, is_reader, fallbacks } =
-            self.source.borrow().clone()
-        else {
-            return None;
-        };
-        let mut value = tokio::select! {
-            it = async { ask(self.reader_client(host)?, ReaderKind::Primary).await.value() } => it,
-            // A host that is no longer followed may return old data.
-            () = self.source_changed_from(host) => None,
+        let mut asked_hosts = Vec::new();
+        let (mut value, is_reader, fallbacks) = loop {
+            let StoreSource::Host { address: host, is_reader, fallbacks } =
+                self.source.borrow().clone()
+            else {
+                return None;
+            };
+            asked_hosts.push(host);
+            let value = tokio::select! {
+                biased;
+                it = async { ask(self.reader_client(host)?, ReaderKind::Primary).await.value() } => it,
+                () = self.source_changed_from(&asked_hosts, arrival) => continue,
+            };
+            break (value, is_reader, fallbacks);
         };
         for it in fallbacks {
             if value.is_some() {
@@ -220,14 +226,24 @@
         }
     }
 
-    /// Waits until a source other than this host is followed.
-    async fn source_changed_from(&self, host: SocketAddr) {
+    /// Waits until a source that was not asked yet is followed. The asked host may have old data
+    /// then, but a response that is arriving is awaited: a long transfer would never end if each
+    /// change began it again, and the receiver checks the age of the data.
+    async fn source_changed_from(&self, asked_hosts: &[SocketAddr], arrival: &Arrival) {
         let mut source = self.source.clone();
-        let is_other =
-            |it: &StoreSource| !matches!(it, StoreSource::Host { address: it, .. } if *it == host);
-        if source.wait_for(is_other).await.is_err() {
-            // Without a sender the source cannot change any more.
-            std::future::pending::<()>().await;
+        let is_other = |it: &StoreSource| match it {
+            StoreSource::Platform => true,
+            StoreSource::Host { address, .. } => !asked_hosts.contains(address),
+        };
+        loop {
+            if source.wait_for(is_other).await.is_err() {
+                // Without a sender the source cannot change any more.
+                std::future::pending::<()>().await;
+            }
+            if !arrival.is_arriving() {
+                return;
+            }
+            arrival.wait_for(false).await;
         }
     }
 }
@@ -252,15 +268,17 @@
     }
 
     async fn list(&self, prefix: &str) -> CallOutcome<Listing> {
-        let name = prefix.to_owned();
-        let ask = move |client: HttpObjectStore<RelayDialect>, _| {
-            let name = name.clone();
-            async move { client.list(&name).await }
+        self.list_with_arrival(prefix, &Arrival::default()).await
+    }
+
+    async fn list_with_arrival(&self, prefix: &str, arrival: &Arrival) -> CallOutcome<Listing> {
+        let ask = |client: HttpObjectStore<RelayDialect>, _| async move {
+            client.list_with_arrival(prefix, arrival).await
         };
-        if let Some(it) = self.ask_readers(prefix, ask).await {
+        if let Some(it) = self.ask_readers(prefix, arrival, ask).await {
             return it;
         }
-        let res = self.platform.list(prefix).await;
+        let res = self.platform.list_with_arrival(prefix, arrival).await;
         self.record_platform_call("list", prefix, res.is_value());
         res
     }
@@ -271,22 +289,33 @@
         after: StoreRevision,
         wait: Duration,
     ) -> CallOutcome<WatchResponse> {
-        let name = prefix.to_owned();
-        let ask = move |client: HttpObjectStore<RelayDialect>, reader_kind| {
-            let name = name.clone();
+        self.watch_with_arrival(prefix, after, wait, &Arrival::default()).await
+    }
+
+    async fn watch_with_arrival(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+        arrival: &Arrival,
+    ) -> CallOutcome<WatchResponse> {
+        let until = Instant::now() + wait;
+        let ask = |client: HttpObjectStore<RelayDialect>, reader_kind| {
             let wait = match reader_kind {
-                ReaderKind::Primary => wait,
+                ReaderKind::Primary => until.saturating_duration_since(Instant::now()),
                 // A fallback reports missed changes at once and does not wait for new ones.
                 ReaderKind::Fallback => Duration::ZERO,
             };
-            async move { client.watch(&name, after, wait).await }
+            async move { client.watch_with_arrival(prefix, after, wait, arrival).await }
         };
-        if let Some(it) = self.ask_readers(prefix, ask).await {
+        if let Some(it) = self.ask_readers(prefix, arrival, ask).await {
             return it;
         }
-        let follows_platform = *self.source.borrow() == StoreSource::Platform;
-        let wait = if follows_platform { wait } else { Duration::ZERO };
-        let res = self.platform.watch(prefix, after, wait).await;
+        let wait = match *self.source.borrow() {
+            StoreSource::Platform => until.saturating_duration_since(Instant::now()),
+            StoreSource::Host { .. } => Duration::ZERO,
+        };
+        let res = self.platform.watch_with_arrival(prefix, after, wait, arrival).await;
         self.record_platform_call("watch", prefix, res.is_value());
         res
     }
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering::Relaxed},
+        atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed},
     },
     time::Duration,
 };
@@ -373,6 +373,42 @@
         .await;
 }
 
+/// Guards against a transfer of a large manifest that begins from its start whenever another host is
+/// elected as reader, and never ends while the readers alternate.
+#[tokio::test]
+async fn reader_changes_during_list() {
+    LocalSet::new()
+        .run_until(async {
+            let (host, listeners) = host_and_reader_listeners().await;
+            let leads = [true, false].map(|it| Arc::new(AtomicBool::new(it)));
+            for ((name, listener), is_reader) in ["n2", "n3"].into_iter().zip(listeners).zip(&leads)
+            {
+                let address = listener.local_addr().unwrap();
+                spawn_heartbeats_of(name, Arc::clone(is_reader), &host, address, 1).await;
+                let keys: Vec<String> = (0..30_000).map(|it| format!("k{it}")).collect();
+                let value = format!("2 good,{}", keys.join(","));
+                let response = relayed_manifest(1, 100, &value);
+                // A list takes 1.5 s.
+                spawn_reader(listener, Duration::from_millis(150), move |request| {
+                    if request.contains("/list") { response.clone() } else { UNAVAILABLE.to_vec() }
+                });
+            }
+            sleep(Duration::from_millis(500)).await;
+            *host.store.is_unavailable.lock() = true;
+            let alternating = leads.clone();
+            tokio::spawn(async move {
+                loop {
+                    sleep(Duration::from_millis(700)).await;
+                    alternating.iter().for_each(|it| {
+                        it.fetch_xor(true, Relaxed);
+                    });
+                }
+            });
+            wait_for(async || config_version(&host).await == 2).await;
+        })
+        .await;
+}
+
 /// Guards against transfers of a large manifest from a peer that overlap and slow each other down.
 #[tokio::test]
 async fn copy_manifest_overlapping() {
@@ -529,18 +565,30 @@
 /// Registers a host `n2` at `address` and sends heartbeats from there: it reads the platform and has
 /// a version of the manifest.
 async fn spawn_heartbeats(host: &Harness, address: SocketAddr, manifest_version: u64) {
+    let is_reader = Arc::new(AtomicBool::new(true));
+    spawn_heartbeats_of("n2", is_reader, host, address, manifest_version).await;
+}
+
+/// Like [`spawn_heartbeats`], for a host that reads the platform only while `is_reader` is set.
+async fn spawn_heartbeats_of(
+    name: &'static str,
+    is_reader: Arc<AtomicBool>,
+    host: &Harness,
+    address: SocketAddr,
+    manifest_version: u64,
+) {
     let socket = UdpSocket::bind(address).await.unwrap();
     let entry = serde_json::json!({
-        "name": "n2", "zone": "z1", "peer_address": address,
+        "name": name, "zone": "z1", "peer_address": address,
         "public_addresses": [address], "state": "live",
     });
-    host.store.put("hosts/n2", &entry.to_string());
+    host.store.put(&format!("hosts/{name}"), &entry.to_string());
     let receiver = host.listen.peers;
     tokio::spawn(async move {
         for sequence in 1.. {
             let heartbeat = Heartbeat {
                 protocol_version: PROTOCOL_VERSION,
-                sender: "n2".to_owned(),
+                sender: name.to_owned(),
                 incarnation: 1,
                 sequence,
                 ack: None,
@@ -548,7 +596,7 @@
                 link_mbps: 1000,
                 manifest_version,
                 view_age_ms: Some(0),
-                platform_age_ms: Some(0),
+                platform_age_ms: is_reader.load(Relaxed).then_some(0),
                 team_demand: Vec::new(),
                 service_loads: Vec::new(),
                 rollout_tallies: Vec::new(),
@@ -561,6 +609,74 @@
     });
 }
 
+/// Starts a process `n1` that has the first manifest, and returns it with two listeners for readers.
+async fn host_and_reader_listeners() -> (Harness, [TcpListener; 2]) {
+    let store = Arc::new(MemoryStore::default());
+    store.put("config/main", "1 good");
+    let listen = listen_addresses();
+    spawn_process_in("z1", "n1", listen, &store);
+    let client = Client::builder().no_proxy().build().unwrap();
+    let host = Harness { store, listen, client };
+    host.wait_until_ready().await;
+    let bind = async || TcpListener::bind("127.0.0.1:0").await.unwrap();
+    (host, [bind().await, bind().await])
+}
+
+/// Response to a list or watch of the manifest, as a reader encodes it.
+fn relayed_manifest(era: u64, version: u64, value: &str) -> Vec<u8> {
+    let object = ("config/main".to_owned(), Some(version), value.as_bytes().to_vec());
+    let body = bincode::encode_to_vec((version, 0u64, vec![object]), bincode::config::standard());
+    let body = body.unwrap();
+    let head =
+        format!("HTTP/1.1 200 OK\r\nstore-era: {era}\r\ncontent-length: {}\r\n\r\n", body.len());
+    [head.into_bytes(), body].concat()
+}
+
+const UNAVAILABLE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+
+/// Responds to lists and watches of the manifest; all other calls of a host fail. Each response is
+/// sent in pieces of 20 KB, one in `pace`.
+fn spawn_reader(
+    listener: TcpListener,
+    pace: Duration,
+    respond: impl Fn(&str) -> Vec<u8> + Send + Sync + 'static,
+) {
+    let respond = Arc::new(respond);
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let respond = Arc::clone(&respond);
+            tokio::spawn(async move {
+                let mut request = [0; 4096];
+                while let Ok(length) = stream.read(&mut request).await
+                    && length > 0
+                {
+                    let text = String::from_utf8_lossy(&request[..length]);
+                    let response = if text.contains("prefix=config") {
+                        respond(&text)
+                    } else {
+                        UNAVAILABLE.to_vec()
+                    };
+                    for it in response.chunks(20_000) {
+                        if stream.write_all(it).await.is_err() {
+                            return;
+                        }
+                        sleep(pace).await;
+                    }
+                }
+            });
+        }
+    });
+}
+
+/// Version of the active manifest.
+async fn config_version(host: &Harness) -> u64 {
+    let url = format!("http://{}/metrics", host.listen.metrics);
+    let text = host.client.get(&url).send().await.unwrap().text().await.unwrap();
+    let line = text.lines().find_map(|it| it.strip_prefix("kingcupford_config_version "));
+    line.unwrap().parse().unwrap()
+}
+
 /// Starts two hosts in different regions, each with a store of its own. Each host registers in its
 /// own store only, so the other host's registration is added here.
 async fn two_hosts_with_own_stores() -> Vec<Harness> {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -11,7 +11,7 @@
 use crate::{
     dialect::{Announcement, ApiRequest, ApiResponse, Dialect, PlainDialect},
     object::{
-        CallOutcome, Condition, HostEntry, Listing, Object, ObjectStore, StoreRevision,
+        Arrival, CallOutcome, Condition, HostEntry, Listing, Object, ObjectStore, StoreRevision,
         WatchResponse, WriteOutcome,
     },
 };
@@ -112,6 +112,7 @@
         &self,
         request: ApiRequest,
         timeout: Duration,
+        arrival: &Arrival,
     ) -> Result<ApiResponse, RequestError> {
         let deadline = Instant::now() + timeout;
         let path = request.path.join("/");
@@ -147,7 +148,9 @@
         };
         let (status, headers) = (response.status(), response.headers().clone());
         let mut received = BytesMut::new();
+        arrival.set(true);
         let is_complete = read_body(response, &mut received).await;
+        arrival.set(false);
         if !is_complete {
             log::warn!("response to {path} is incomplete: {} bytes received", received.len());
         }
@@ -159,8 +162,9 @@
         &self,
         request: ApiRequest,
         timeout: Duration,
+        arrival: &Arrival,
     ) -> CallOutcome<ApiResponse> {
-        match self.send(request, timeout).await {
+        match self.send(request, timeout, arrival).await {
             Ok(it) if it.status == StatusCode::TOO_MANY_REQUESTS => {
                 CallOutcome::Throttled { retry_after_ms: it.retry_after_ms() }
             }
@@ -172,7 +176,7 @@
     /// Sends a write or a deletion.
     async fn send_write(&self, request: ApiRequest) -> Result<ApiResponse, WriteOutcome> {
         let timeout = Duration::from_millis(self.settings.write_timeout_ms);
-        match self.send(request, timeout).await {
+        match self.send(request, timeout, &Arrival::default()).await {
             Ok(it) if it.status == StatusCode::TOO_MANY_REQUESTS => {
                 Err(WriteOutcome::Throttled { retry_after_ms: it.retry_after_ms() })
             }
@@ -189,8 +193,9 @@
 
 impl<D: Dialect> ObjectStore for HttpObjectStore<D> {
     async fn read(&self, name: &str) -> CallOutcome<Option<Object>> {
+        let request = self.dialect.encode_read(name);
         let response =
-            self.send_repeatable(self.dialect.encode_read(name), self.read_timeout()).await;
+            self.send_repeatable(request, self.read_timeout(), &Arrival::default()).await;
         response.and_then(|it| self.dialect.decode_read(&it))
     }
 
@@ -219,11 +224,15 @@
     }
 
     async fn list(&self, prefix: &str) -> CallOutcome<Listing> {
+        self.list_with_arrival(prefix, &Arrival::default()).await
+    }
+
+    async fn list_with_arrival(&self, prefix: &str, arrival: &Arrival) -> CallOutcome<Listing> {
         let mut res: Option<Listing> = None;
         let mut after: Option<String> = None;
         for _ in 0..MAX_LIST_PAGES {
             let request = self.dialect.encode_list(prefix, after.as_deref());
-            let response = self.send_repeatable(request, self.read_timeout()).await;
+            let response = self.send_repeatable(request, self.read_timeout(), arrival).await;
             let page = match response.and_then(|it| self.dialect.decode_list(prefix, &it)) {
                 CallOutcome::Value(it) => it,
                 CallOutcome::Unavailable => return CallOutcome::Unavailable,
@@ -260,16 +269,27 @@
         prefix: &str,
         after: StoreRevision,
         wait: Duration,
+    ) -> CallOutcome<WatchResponse> {
+        self.watch_with_arrival(prefix, after, wait, &Arrival::default()).await
+    }
+
+    async fn watch_with_arrival(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+        arrival: &Arrival,
     ) -> CallOutcome<WatchResponse> {
         let timeout = wait + Duration::from_millis(self.settings.watch_margin_ms);
-        let response =
-            self.send_repeatable(self.dialect.encode_watch(prefix, after, wait), timeout).await;
+        let request = self.dialect.encode_watch(prefix, after, wait);
+        let response = self.send_repeatable(request, timeout, arrival).await;
         response.and_then(|it| self.dialect.decode_watch(prefix, &it))
     }
 
     async fn list_hosts(&self) -> CallOutcome<Vec<HostEntry>> {
+        let request = self.dialect.encode_list_hosts();
         let response =
-            self.send_repeatable(self.dialect.encode_list_hosts(), self.read_timeout()).await;
+            self.send_repeatable(request, self.read_timeout(), &Arrival::default()).await;
         response.and_then(|it| self.dialect.decode_list_hosts(&it))
     }
 
@@ -296,7 +316,9 @@
                 };
             }
         };
-        self.send_repeatable(request, self.read_timeout()).await.and_then(|response| {
+        let response =
+            self.send_repeatable(request, self.read_timeout(), &Arrival::default()).await;
+        response.and_then(|response| {
             if response.status.is_success() {
                 return CallOutcome::Value(());
             }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,7 +19,7 @@
     dialect::{Announcement, ApiRequest, ApiResponse, Dialect, ListPage, PlainDialect},
     http::{HttpObjectStore, HttpStoreSettings},
     object::{
-        CallOutcome, Condition, HostEntry, ListedHostState, ListedObject, Listing, Object,
+        Arrival, CallOutcome, Condition, HostEntry, ListedHostState, ListedObject, Listing, Object,
         ObjectChange, ObjectStore, StoreRevision, WatchResponse, WriteOutcome,
     },
     watcher::{
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
+use tokio::sync::watch;
 
 /// The platform's object store and host list. Implementations bound the time of every call.
 pub trait ObjectStore: Send + Sync + 'static {
@@ -35,6 +36,28 @@
         wait: Duration,
     ) -> impl Future<Output = CallOutcome<WatchResponse>> + Send;
 
+    /// Like [`list`](Self::list); `arrival` tells whether the response is arriving.
+    fn list_with_arrival(
+        &self,
+        prefix: &str,
+        arrival: &Arrival,
+    ) -> impl Future<Output = CallOutcome<Listing>> + Send {
+        let _ = arrival;
+        self.list(prefix)
+    }
+
+    /// Like [`watch`](Self::watch); `arrival` tells whether the response is arriving.
+    fn watch_with_arrival(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+        arrival: &Arrival,
+    ) -> impl Future<Output = CallOutcome<WatchResponse>> + Send {
+        let _ = arrival;
+        self.watch(prefix, after, wait)
+    }
+
     /// Lists the announced hosts. The list is eventually consistent with the announcements.
     fn list_hosts(&self) -> impl Future<Output = CallOutcome<Vec<HostEntry>>> + Send;
 
@@ -42,6 +65,29 @@
     fn announce(&self, entry: &HostEntry) -> impl Future<Output = CallOutcome<()>> + Send;
 }
 
+/// Whether the response to a call is arriving: its head was received, but not all of its body. Such a
+/// call should go on, since a long transfer that is begun again and again never ends.
+#[derive(Debug, Default)]
+pub struct Arrival(watch::Sender<bool>);
+
+impl Arrival {
+    /// Records whether the response is arriving.
+    pub fn set(&self, is_arriving: bool) {
+        self.0.send_replace(is_arriving);
+    }
+
+    /// Whether the response is arriving.
+    pub fn is_arriving(&self) -> bool {
+        *self.0.borrow()
+    }
+
+    /// Waits until the response is arriving, or until it is not.
+    pub async fn wait_for(&self, is_arriving: bool) {
+        // The sender is not dropped during the wait.
+        let _ = self.0.subscribe().wait_for(|it| *it == is_arriving).await;
+    }
+}
+
 /// Outcome of a call that can be repeated without harm: a read, a list, a watch or an announcement.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallOutcome<T> {
