Do not list beside a watch whose response is arriving

A host whose peers had a newer manifest listed it after 0.8 s, also while the response to its watch was arriving. Over a slow link the two transfers of the same manifest halved each other's speed, so that the host lagged for longer.

A check now has no effect while the response to the watch is arriving. When the list was requested before, the response that begins to arrive first is received and the other call is given up. A response without changes arrives at once, so that a slow list is still not given up for a watch that ends.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -148,9 +148,9 @@
         };
         let (status, headers) = (response.status(), response.headers().clone());
         let mut received = BytesMut::new();
-        arrival.set(true);
+        let arriving = arrival.begin();
         let is_complete = read_body(response, &mut received).await;
-        arrival.set(false);
+        drop(arriving);
         if !is_complete {
             log::warn!("response to {path} is incomplete: {} bytes received", received.len());
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,8 +19,8 @@
     dialect::{Announcement, ApiRequest, ApiResponse, Dialect, ListPage, PlainDialect},
     http::{HttpObjectStore, HttpStoreSettings},
     object::{
-        Arrival, CallOutcome, Condition, HostEntry, ListedHostState, ListedObject, Listing, Object,
-        ObjectChange, ObjectStore, StoreRevision, WatchResponse, WriteOutcome,
+        Arrival, ArrivalGuard, CallOutcome, Condition, HostEntry, ListedHostState, ListedObject,
+        Listing, Object, ObjectChange, ObjectStore, StoreRevision, WatchResponse, WriteOutcome,
     },
     watcher::{
         Outage, Reachability, Restoration, WatchEvent, WatchProgress, Watcher, WatcherSettings,
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -70,10 +70,21 @@
 #[derive(Debug, Default)]
 pub struct Arrival(watch::Sender<bool>);
 
+/// Guard of a response that is arriving, until it is dropped.
+#[derive(Debug)]
+pub struct ArrivalGuard<'a>(&'a Arrival);
+
+impl Drop for ArrivalGuard<'_> {
+    fn drop(&mut self) {
+        self.0.0.send_replace(false);
+    }
+}
+
 impl Arrival {
-    /// Records whether the response is arriving.
-    pub fn set(&self, is_arriving: bool) {
-        self.0.send_replace(is_arriving);
+    /// Records that the response is arriving as long as the guard exists.
+    pub fn begin(&self) -> ArrivalGuard<'_> {
+        self.0.send_replace(true);
+        ArrivalGuard(self)
     }
 
     /// Whether the response is arriving.
--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     backoff::{Backoff, MAX_BACKOFF_MS},
-    object::{CallOutcome, Listing, Object, ObjectStore, StoreRevision, WatchResponse},
+    object::{Arrival, CallOutcome, Listing, Object, ObjectStore, StoreRevision, WatchResponse},
 };
 
 /// Maximum number of events that wait for the receiver.
@@ -157,7 +157,8 @@
     }
 
     /// Lists the objects beside the pending watch, which may hang. Has no effect during a list, so
-    /// that repeated calls cannot keep a slow one from ending.
+    /// that repeated calls cannot keep a slow one from ending, and while the response to the watch
+    /// is arriving.
     pub fn check_for_changes(&self) {
         self.check.notify_waiters();
     }
@@ -230,7 +231,8 @@
     /// revision from which to watch.
     async fn list_and_report(&mut self) -> Result<StoreRevision, Interruption> {
         let sent_at = Instant::now();
-        let outcome = list_all(Arc::clone(&self.store), self.settings.prefixes.clone()).await;
+        let (store, prefixes) = (Arc::clone(&self.store), self.settings.prefixes.clone());
+        let outcome = list_all(store, prefixes, &Arrival::default()).await;
         let outcome = outcome.and_then(|it| self.reject_outdated(it.revision, it));
         let listing = self.record_outcome(outcome)?;
         self.report_listing(listing, sent_at).await
@@ -408,22 +410,30 @@
     }
 
     /// Watches, and lists beside it when a check is requested. The watch goes on during the list; a
-    /// watch that ends without changes waits for a list that has begun.
+    /// watch that ends without changes waits for a list that has begun. Only one of the responses is
+    /// received if both take a while to arrive, as they would slow each other down.
     async fn next_response(
         &self,
         prefix: &str,
         after: StoreRevision,
         wait: Duration,
     ) -> NextResponse {
-        let mut watch = pin!(self.store.watch(prefix, after, wait));
+        let watch_arrival = Arrival::default();
+        let mut watch =
+            Box::pin(self.store.watch_with_arrival(prefix, after, wait, &watch_arrival));
         loop {
             tokio::select! {
                 it = &mut watch => return NextResponse::Watch(it),
                 () = self.check.notified() => {}
             }
+            if watch_arrival.is_arriving() {
+                continue;
+            }
             let sent_at = Instant::now();
-            let mut list = pin!(self.list_from(after));
+            let list_arrival = Arrival::default();
+            let mut list = pin!(self.list_from(after, &list_arrival));
             let listing = tokio::select! {
+                biased;
                 it = &mut list => it,
                 response = &mut watch => {
                     if has_changes(&response) {
@@ -434,6 +444,16 @@
                         None => NextResponse::Watch(response),
                     };
                 }
+                is_list_first = both_arrive(&list_arrival, &watch_arrival) => {
+                    if !is_list_first {
+                        continue;
+                    }
+                    drop(watch);
+                    return match list.await {
+                        Some(it) => NextResponse::List(it, sent_at),
+                        None => NextResponse::Watch(CallOutcome::Unavailable),
+                    };
+                }
             };
             if let Some(it) = listing {
                 return NextResponse::List(it, sent_at);
@@ -443,9 +463,9 @@
 
     /// Lists the objects; `None` if that fails or if the list is from before `after`, as one of
     /// another host's copy may be.
-    async fn list_from(&self, after: StoreRevision) -> Option<Listing> {
+    async fn list_from(&self, after: StoreRevision, arrival: &Arrival) -> Option<Listing> {
         let prefixes = self.settings.prefixes.clone();
-        let outcome = list_all(Arc::clone(&self.store), prefixes).await;
+        let outcome = list_all(Arc::clone(&self.store), prefixes, arrival).await;
         outcome.value().filter(|it| !it.revision.is_before(after))
     }
 
@@ -571,6 +591,15 @@
     }
 }
 
+/// Waits until the responses to a list and to a watch are both arriving; returns whether the one to
+/// the list was first.
+async fn both_arrive(list: &Arrival, watch: &Arrival) -> bool {
+    list.wait_for(true).await;
+    let is_list_first = !watch.is_arriving();
+    watch.wait_for(true).await;
+    is_list_first
+}
+
 /// Whether a response to a watch reports changes or that changes were missed.
 fn has_changes(response: &CallOutcome<WatchResponse>) -> bool {
     match response {
@@ -582,10 +611,14 @@
 
 /// Lists the objects with any of the prefixes. The revision is that of the first list, since later
 /// ones may already contain changes that a watch from there returns again.
-async fn list_all<S: ObjectStore>(store: Arc<S>, prefixes: Vec<String>) -> CallOutcome<Listing> {
+async fn list_all<S: ObjectStore>(
+    store: Arc<S>,
+    prefixes: Vec<String>,
+    arrival: &Arrival,
+) -> CallOutcome<Listing> {
     let mut res: Option<Listing> = None;
     for prefix in prefixes {
-        let listing = match store.list(&prefix).await {
+        let listing = match store.list_with_arrival(&prefix, arrival).await {
             CallOutcome::Value(it) => it,
             other => return other,
         };
--- a/crates/platform/tests/watcher.rs
+++ b/crates/platform/tests/watcher.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use common::{object_store, object_store_with_timeout, start_platform};
 use kingcupford_platform::{
-    CallOutcome, Condition, HostEntry, HttpObjectStore, ListedObject, Listing, Object,
+    Arrival, CallOutcome, Condition, HostEntry, HttpObjectStore, ListedObject, Listing, Object,
     ObjectChange, ObjectStore, Reachability, StoreRevision, WatchResponse, Watcher,
     WatcherSettings, WriteOutcome,
 };
@@ -146,6 +146,7 @@
 }
 
 /// Store with a scripted course of lists and watches.
+#[derive(Default)]
 struct ScriptedStore {
     watches: AtomicUsize,
     lists: AtomicUsize,
@@ -157,6 +158,41 @@
     watches_end: bool,
     /// Objects that every list but the first returns.
     later_list: Vec<(&'static str, u64)>,
+    /// Time after which the response to the first watch begins to arrive, if it is a transfer.
+    watch_delay: Option<Duration>,
+    transfers: Arc<Transfers>,
+}
+
+/// Responses that take a while to arrive.
+#[derive(Default)]
+struct Transfers {
+    /// Time that each one takes.
+    duration: Duration,
+    started: AtomicUsize,
+    running: AtomicUsize,
+    max_running: AtomicUsize,
+}
+
+impl Transfers {
+    async fn run(&self, arrival: &Arrival) {
+        struct Running<'a>(&'a AtomicUsize);
+        impl Drop for Running<'_> {
+            fn drop(&mut self) {
+                self.0.fetch_sub(1, Ordering::Relaxed);
+            }
+        }
+        if self.duration.is_zero() {
+            return;
+        }
+        let _arriving = arrival.begin();
+        // A transfer that is given up at its head does not count.
+        sleep(Duration::from_millis(20)).await;
+        self.started.fetch_add(1, Ordering::Relaxed);
+        let running = self.running.fetch_add(1, Ordering::Relaxed) + 1;
+        self.max_running.fetch_max(running, Ordering::Relaxed);
+        let _running = Running(&self.running);
+        sleep(self.duration).await;
+    }
 }
 
 fn listed(objects: &[(&str, u64)]) -> Listing {
@@ -189,19 +225,34 @@
         WriteOutcome::Unavailable
     }
 
-    async fn list(&self, _: &str) -> CallOutcome<Listing> {
+    async fn list(&self, prefix: &str) -> CallOutcome<Listing> {
+        self.list_with_arrival(prefix, &Arrival::default()).await
+    }
+
+    async fn list_with_arrival(&self, _: &str, arrival: &Arrival) -> CallOutcome<Listing> {
         if self.lists.fetch_add(1, Ordering::Relaxed) == 0 {
             return CallOutcome::Value(listed(&[("config/a", 5)]));
         }
         sleep(self.list_delay).await;
+        self.transfers.run(arrival).await;
         CallOutcome::Value(listed(&self.later_list))
     }
 
     async fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> CallOutcome<WatchResponse> {
+        self.watch_with_arrival(prefix, after, wait, &Arrival::default()).await
+    }
+
+    async fn watch_with_arrival(
         &self,
         _: &str,
         after: StoreRevision,
         wait: Duration,
+        arrival: &Arrival,
     ) -> CallOutcome<WatchResponse> {
         let is_first = self.watches.fetch_add(1, Ordering::Relaxed) == 0;
         let changes = |revision, changes| {
@@ -211,6 +262,10 @@
                 staleness: Duration::ZERO,
             })
         };
+        if let Some(it) = self.watch_delay.filter(|_| is_first) {
+            sleep(it).await;
+            self.transfers.run(arrival).await;
+        }
         if is_first && self.has_change {
             let value = Some(Bytes::from_static(b"value"));
             let change = ObjectChange { name: "config/b".to_owned(), version: Some(9), value };
@@ -246,12 +301,9 @@
 #[tokio::test]
 async fn check_list_outdated() {
     let mut watcher = follow_scripted(ScriptedStore {
-        watches: AtomicUsize::new(0),
-        lists: AtomicUsize::new(0),
-        list_delay: Duration::ZERO,
         has_change: true,
-        watches_end: false,
         later_list: vec![("config/a", 5)],
+        ..ScriptedStore::default()
     });
     assert_eq!(next_event(&mut watcher).await, ("config/a".to_owned(), Some(5)));
     assert_eq!(next_event(&mut watcher).await, ("config/b".to_owned(), Some(9)));
@@ -265,12 +317,10 @@
 #[tokio::test]
 async fn check_list_slower_than_watch() {
     let mut watcher = follow_scripted(ScriptedStore {
-        watches: AtomicUsize::new(0),
-        lists: AtomicUsize::new(0),
         list_delay: Duration::from_millis(1200),
-        has_change: false,
         watches_end: true,
         later_list: vec![("config/a", 7)],
+        ..ScriptedStore::default()
     });
     assert_eq!(next_event(&mut watcher).await, ("config/a".to_owned(), Some(5)));
     let requested_until = Instant::now() + Duration::from_secs(5);
@@ -280,3 +330,35 @@
     }
     assert_eq!(next_event(&mut watcher).await, ("config/a".to_owned(), Some(7)));
 }
+
+/// Guards against a large object that is transferred twice at once, by the watch and by a list
+/// beside it.
+#[tokio::test]
+async fn check_during_transfer() {
+    // Times until the responses to the watch and to the list begin to arrive.
+    for (watch_ms, list_ms) in [(100, 0), (300, 500), (600, 100)] {
+        let duration = Duration::from_millis(1500);
+        let transfers = Arc::new(Transfers { duration, ..Transfers::default() });
+        let mut watcher = follow_scripted(ScriptedStore {
+            list_delay: Duration::from_millis(list_ms),
+            has_change: true,
+            later_list: vec![("config/a", 5), ("config/b", 9)],
+            watch_delay: Some(Duration::from_millis(watch_ms)),
+            transfers: Arc::clone(&transfers),
+            ..ScriptedStore::default()
+        });
+        assert_eq!(next_event(&mut watcher).await, ("config/a".to_owned(), Some(5)));
+        sleep(Duration::from_millis(180)).await;
+        let checked_at = Instant::now();
+        while watcher.events.is_empty() && checked_at.elapsed() < MAX_REPORT_DELAY {
+            watcher.check_for_changes();
+            sleep(Duration::from_millis(200)).await;
+        }
+        assert_eq!(next_event(&mut watcher).await, ("config/b".to_owned(), Some(9)));
+        let [started, most] =
+            [&transfers.started, &transfers.max_running].map(|it| it.load(Ordering::Relaxed));
+        assert_eq!(most, 1, "transfers at once with {watch_ms} and {list_ms} ms");
+        assert!(started <= 2, "{started} transfers with {watch_ms} and {list_ms} ms");
+        assert!(checked_at.elapsed() < Duration::from_millis(2200));
+    }
+}
