Do not count a list of a reader that is behind in the era

A host that knew of a restoration of the platform and then followed a reader with a copy from before it got no manifest, instance or evacuation until the reader's copy became stale. The watcher rejected the reader's lists, but for the relayed store they were answers: each one ended the outage after which the platform is called, and no other reader was asked.

The relayed store records the newest era of the responses for each prefix. A response of an earlier one does not count, so that the next reader is asked and then the platform. The first such call goes there without the delay for readers that recover; further ones have the delay, since many hosts may follow one reader.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,6 +2,7 @@
 //! grow with the number of hosts.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -76,6 +77,8 @@
     clients: Mutex<Vec<(SocketAddr, HttpObjectStore<RelayDialect>)>>,
     /// Prefixes for which readers do not answer.
     reader_outages: Mutex<Vec<ReaderOutage>>,
+    /// Newest eras of the store in responses, by prefix.
+    newest_eras: Mutex<BTreeMap<String, u64>>,
     platform_calls: Family<CallLabels, Counter>,
 }
 
@@ -93,6 +96,8 @@
 struct ReaderOutage {
     prefix: String,
     began_at: Instant,
+    /// Whether the platform was called before the delay, because a reader was behind.
+    has_bypassed_early: bool,
     /// Time of the last direct call, if the platform did not answer it.
     platform_failed_at: Option<Instant>,
 }
@@ -109,6 +114,7 @@
             source,
             clients: Mutex::default(),
             reader_outages: Mutex::default(),
+            newest_eras: Mutex::default(),
             platform_calls,
         }
     }
@@ -157,7 +163,16 @@
         prefix: &str,
         arrival: &Arrival,
         ask: impl Fn(HttpObjectStore<RelayDialect>, ReaderKind) -> F,
+        revision: impl Fn(&T) -> StoreRevision,
     ) -> Option<CallOutcome<T>> {
+        let mut is_behind = false;
+        let mut accept = |value: Option<T>| {
+            value.filter(|it| {
+                let is_current = self.record_era(prefix, revision(it));
+                is_behind |= !is_current;
+                is_current
+            })
+        };
         let mut asked_hosts = Vec::new();
         let (mut value, is_reader, fallbacks) = loop {
             let StoreSource::Host { address: host, is_reader, fallbacks } =
@@ -171,44 +186,59 @@
                 it = async { ask(self.reader_client(host)?, ReaderKind::Primary).await.value() } => it,
                 () = self.source_changed_from(&asked_hosts, arrival) => continue,
             };
-            break (value, is_reader, fallbacks);
+            break (accept(value), is_reader, fallbacks);
         };
         for it in fallbacks {
             if value.is_some() {
                 break;
             }
             let Some(client) = self.reader_client(it) else { continue };
-            value = ask(client, ReaderKind::Fallback).await.value();
+            value = accept(ask(client, ReaderKind::Fallback).await.value());
         }
         if let Some(it) = value {
             self.reader_outages().retain(|it| it.prefix != prefix);
             return Some(CallOutcome::Value(it));
         }
-        if is_reader && self.may_bypass_readers(prefix) {
+        if is_reader && self.may_bypass_readers(prefix, is_behind) {
             None
         } else {
             Some(CallOutcome::Unavailable)
         }
     }
 
-    /// Whether a call that no reader answered may go to the platform directly.
-    fn may_bypass_readers(&self, prefix: &str) -> bool {
-        let mut reader_outages = self.reader_outages();
-        match reader_outages.iter().find(|it| it.prefix == prefix) {
-            Some(it) => {
-                it.began_at.elapsed() >= BYPASS_DELAY
-                    && it.platform_failed_at.is_none_or(|it| it.elapsed() >= BYPASS_RETRY_DELAY)
-            }
-            None => {
-                let began_at = Instant::now();
-                reader_outages.push(ReaderOutage {
-                    prefix: prefix.to_owned(),
-                    began_at,
-                    platform_failed_at: None,
-                });
-                false
-            }
+    /// Records the era of a response; returns whether it is not from before a restoration of the
+    /// store that this host knows of.
+    fn record_era(&self, prefix: &str, revision: StoreRevision) -> bool {
+        let StoreRevision { era, number } = revision;
+        let mut newest_eras = self.newest_eras.lock().unwrap_or_else(PoisonError::into_inner);
+        let newest = newest_eras.entry(prefix.to_owned()).or_default();
+        if era != 0 && era < *newest {
+            log::warn!("response of revision {number} of era {era} is ignored in era {newest}");
+            return false;
         }
+        *newest = era.max(*newest);
+        true
+    }
+
+    /// Whether a call that no reader answered may go to the platform directly. A reader that is
+    /// behind in the era may stay so until its own watch ends, so that the first call does not wait;
+    /// further ones do, since many hosts may follow the reader.
+    fn may_bypass_readers(&self, prefix: &str, is_behind: bool) -> bool {
+        let mut reader_outages = self.reader_outages();
+        let at = reader_outages.iter().position(|it| it.prefix == prefix).unwrap_or_else(|| {
+            reader_outages.push(ReaderOutage {
+                prefix: prefix.to_owned(),
+                began_at: Instant::now(),
+                has_bypassed_early: false,
+                platform_failed_at: None,
+            });
+            reader_outages.len() - 1
+        });
+        let outage = &mut reader_outages[at];
+        let is_early = is_behind && !outage.has_bypassed_early;
+        outage.has_bypassed_early |= is_early;
+        (is_early || outage.began_at.elapsed() >= BYPASS_DELAY)
+            && outage.platform_failed_at.is_none_or(|it| it.elapsed() >= BYPASS_RETRY_DELAY)
     }
 
     fn reader_outages(&self) -> MutexGuard<'_, Vec<ReaderOutage>> {
@@ -275,10 +305,14 @@
         let ask = |client: HttpObjectStore<RelayDialect>, _| async move {
             client.list_with_arrival(prefix, arrival).await
         };
-        if let Some(it) = self.ask_readers(prefix, arrival, ask).await {
+        let revision = |it: &Listing| it.revision;
+        if let Some(it) = self.ask_readers(prefix, arrival, ask, revision).await {
             return it;
         }
         let res = self.platform.list_with_arrival(prefix, arrival).await;
+        if let CallOutcome::Value(it) = &res {
+            self.record_era(prefix, it.revision);
+        }
         self.record_platform_call("list", prefix, res.is_value());
         res
     }
@@ -308,7 +342,7 @@
             };
             async move { client.watch_with_arrival(prefix, after, wait, arrival).await }
         };
-        if let Some(it) = self.ask_readers(prefix, arrival, ask).await {
+        if let Some(it) = self.ask_readers(prefix, arrival, ask, watch_revision).await {
             return it;
         }
         let wait = match *self.source.borrow() {
@@ -316,6 +350,9 @@
             StoreSource::Host { .. } => Duration::ZERO,
         };
         let res = self.platform.watch_with_arrival(prefix, after, wait, arrival).await;
+        if let CallOutcome::Value(it) = &res {
+            self.record_era(prefix, watch_revision(it));
+        }
         self.record_platform_call("watch", prefix, res.is_value());
         res
     }
@@ -522,6 +559,14 @@
     res
 }
 
+/// Revision of a response to a watch; of an unknown era if it names none.
+fn watch_revision(response: &WatchResponse) -> StoreRevision {
+    match response {
+        WatchResponse::Changes { revision, .. } => *revision,
+        WatchResponse::RevisionTooOld => StoreRevision::default(),
+    }
+}
+
 fn relayed_revision(response: &ApiResponse, number: u64) -> StoreRevision {
     StoreRevision { era: response.header_number(ERA_HEADER).unwrap_or(0), number }
 }
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -409,6 +409,30 @@
         .await;
 }
 
+/// Guards against a host that waits for a reader whose copy is from before a restoration of the
+/// platform, although the host knows of the restoration.
+#[tokio::test]
+async fn reader_behind_in_era() {
+    LocalSet::new()
+        .run_until(async {
+            let (host, [listener, _]) = host_and_reader_listeners().await;
+            host.store.restore(host.store.copy());
+            let address = listener.local_addr().unwrap();
+            spawn_reader(listener, Duration::ZERO, |request| {
+                let former_list = relayed_manifest(1, 1, "1 good");
+                if request.contains("/list") { former_list } else { UNAVAILABLE.to_vec() }
+            });
+            spawn_heartbeats(&host, address, 1).await;
+            sleep(Duration::from_millis(1000)).await;
+            host.store.put("config/main", "2 other");
+            let changed_at = Instant::now();
+            wait_for(async || config_version(&host).await == 2).await;
+            let took = changed_at.elapsed();
+            assert!(took < Duration::from_millis(800), "{took:?}");
+        })
+        .await;
+}
+
 /// Guards against transfers of a large manifest from a peer that overlap and slow each other down.
 #[tokio::test]
 async fn copy_manifest_overlapping() {
