Count the write of a rollout's status only in its own era

The status of a rollout could stay lost after a restoration: a host whose write was executed before the restoration, and answered after the host had listed the restored state, took the status for stored and never wrote it again. The copied order often has the version on which the write was conditional, so that the host also took over a version of the lost state for its next writes.

Versions of rollout objects are kept with their era. An answer counts only if the order is still known from the era in which the write began; else the state that was listed decides, and the status is written again.

platform_restored_during_status_write found no status within 10 s before, in 4 runs of 4, and passes after the change. The registration of a host had no such fault: an era that is listed during the write makes it due again. The case is added to platform_restored_at_registration, which passed before as well.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -12,7 +12,8 @@
 use bytes::Bytes;
 use kingcupford_platform::{
     CallOutcome, Condition, HostEntry, ListedHostState, ListedObject, Object, ObjectStore, Outage,
-    Reachability, Restoration, WatchEvent, WatchProgress, Watcher, WatcherSettings, WriteOutcome,
+    Reachability, Restoration, StoreRevision, WatchEvent, WatchProgress, Watcher, WatcherSettings,
+    WriteOutcome,
 };
 use kingcupford_steer::{
     Canary, InstanceRegistration, Lapse, Manifest, Member, RegistrationChange, RolloutOrder,
@@ -288,19 +289,22 @@
         let value = self.codec.encode_rollout_status(&status);
         let sync = self.clone();
         tokio::task::spawn_local(async move {
-            let condition = Condition::Version(object_version);
+            let condition = Condition::Version(object_version.number);
             let outcome = sync.store.write(&name, value, condition).await;
-            let version = &status.target_version;
             Event::RolloutStatusWritten.log(format_args!(
-                "service={service} version={version} state={state} \
-                 object_version={object_version} outcome=\"{outcome:?}\""
+                "service={service} version={} state={state} object_version={} outcome=\"{outcome:?}\"",
+                status.target_version, object_version.number
             ));
             if let WriteOutcome::Written { version } = outcome {
-                // An event may have reported a newer version meanwhile, or one of another era.
                 let mut versions = sync.state.rollout_object_versions.borrow_mut();
-                if let Some(known) = versions.get_mut(&service).filter(|it| **it == object_version)
-                {
-                    *known = version;
+                let known = versions.get_mut(&service).filter(|it| it.era == object_version.era);
+                let Some(known) = known else {
+                    // The platform was restored meanwhile, possibly to a state before the write.
+                    return;
+                };
+                // An event may have reported a newer version meanwhile.
+                if *known == object_version {
+                    known.number = version;
                 }
                 drop(versions);
                 let mut steering = sync.state.steering.borrow_mut();
@@ -691,7 +695,8 @@
         let order = rollout.order;
         let status = rollout.status.filter(|it| it.target_version == order.target_version);
         let started_unix_ms = status.as_ref().and_then(|it| it.started_unix_ms);
-        self.state.rollout_object_versions.borrow_mut().insert(service.to_owned(), object.version);
+        let object_version = StoreRevision { era: event.era, number: object.version };
+        self.state.rollout_object_versions.borrow_mut().insert(service.to_owned(), object_version);
         let mut starts = self.state.rollout_starts_unix_ms.borrow_mut();
         let mut steering = self.state.steering.borrow_mut();
         let settings = steering.settings().canary;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
     rc::Rc,
 };
 
+use kingcupford_platform::StoreRevision;
 use kingcupford_steer::{HostState, Steering};
 use kingcupford_telemetry::{Event, Metrics};
 use tokio::time::Instant;
@@ -24,7 +25,7 @@
     /// Copy of the followed objects for other hosts.
     pub(crate) mirror: Mirror,
     /// Versions of the rollout objects by service, for conditional writes.
-    pub(crate) rollout_object_versions: RefCell<BTreeMap<String, u64>>,
+    pub(crate) rollout_object_versions: RefCell<BTreeMap<String, StoreRevision>>,
     /// Start of each rollout by service: the stored time, or the time at which this process first
     /// saw the order.
     pub(crate) rollout_starts_unix_ms: RefCell<BTreeMap<String, u64>>,
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -504,15 +504,39 @@
 async fn platform_restored_at_registration() {
     LocalSet::new()
         .run_until(async {
-            let store = Arc::new(MemoryStore::default());
-            store.put("config/main", "1 good");
-            *store.restore_after_announcement.lock() = Some(store.copy());
-            spawn_process("n1", listen_addresses(), &store);
-            wait_for(async || store.contains("hosts/n1")).await;
+            for announcement_delay in [Duration::ZERO, Duration::from_millis(1500)] {
+                let store = Arc::new(MemoryStore::default());
+                store.put("config/main", "1 good");
+                *store.restore_after_announcement.lock() = Some(store.copy());
+                *store.announcement_delay.lock() = announcement_delay;
+                spawn_process("n1", listen_addresses(), &store);
+                wait_for(async || store.restore_after_announcement.lock().is_none()).await;
+                wait_for(async || store.contains("hosts/n1")).await;
+            }
         })
         .await;
 }
 
+/// Guards against a status of a rollout that is taken for stored, because the platform answered the
+/// write only after it had lost it in a restoration.
+#[tokio::test]
+async fn platform_restored_during_status_write() {
+    with_process(&[], async |harness| {
+        let store = &harness.store;
+        *store.list_before_write_response.lock() = Some("rollouts/");
+        store.put("rollouts/svc", "v2");
+        let copy = store.copy();
+        let is_written = async || store.value("rollouts/svc") == "v2 running";
+        wait_for(is_written).await;
+        *store.list_before_write_response.lock() = None;
+        store.restore(copy);
+        // The watch reports the new era with the next change.
+        store.put("rollouts/other", "v2");
+        wait_for(is_written).await;
+    })
+    .await;
+}
+
 /// Guards against a new process that accepts a revoked key, since the platform was restored from a
 /// copy with an older manifest.
 #[tokio::test]
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -23,8 +23,8 @@
 };
 use kingcupford_steer::{
     CallerLimits, CanarySettings, InstanceRegistration, KeyDigest, Manifest, Member,
-    RateLimitSettings, RepeatPolicy, Route, RouteTarget, Service, ServingState, SteeringSettings,
-    Team, ZoneMap,
+    RateLimitSettings, RepeatPolicy, RolloutOrder, RolloutState, Route, RouteTarget, Service,
+    ServingState, SteeringSettings, Team, ZoneMap,
 };
 use parking_lot::Mutex;
 use reqwest::{Client, RequestBuilder};
@@ -63,6 +63,12 @@
     /// Whether watches never end.
     pub(crate) watches_hang: Mutex<bool>,
     pub(crate) list_delay: Mutex<Duration>,
+    /// Time from the execution of an announcement to its response.
+    pub(crate) announcement_delay: Mutex<Duration>,
+    /// Prefix whose next list precedes the response to a write.
+    pub(crate) list_before_write_response: Mutex<Option<&'static str>>,
+    /// Numbers of lists by prefix.
+    list_counts: Mutex<BTreeMap<String, usize>>,
     /// Number of answered lists and watches.
     pub(crate) answered_calls: Mutex<usize>,
 }
@@ -76,6 +82,11 @@
         self.objects.lock().1.get(name).is_some_and(|it| it.1.is_some())
     }
 
+    /// Value of an object; empty if there is none.
+    pub(crate) fn value(&self, name: &str) -> Bytes {
+        self.objects.lock().1.get(name).and_then(|it| it.1.clone()).unwrap_or_default()
+    }
+
     /// Copies the state, for [`restore`](Self::restore).
     pub(crate) fn copy(&self) -> StoreCopy {
         self.objects.lock().clone()
@@ -117,7 +128,17 @@
             return WriteOutcome::Unavailable;
         }
         self.put(name, std::str::from_utf8(&value).unwrap_or_default());
-        WriteOutcome::Written { version: self.objects.lock().0 }
+        let version = self.objects.lock().0;
+        let awaited_prefix = *self.list_before_write_response.lock();
+        if let Some(it) = awaited_prefix {
+            let count = || self.list_counts.lock().get(it).copied();
+            let before = count();
+            while count() == before {
+                sleep(Duration::from_millis(5)).await;
+            }
+            sleep(Duration::from_millis(30)).await;
+        }
+        WriteOutcome::Written { version }
     }
 
     async fn delete(&self, name: &str, _: Condition) -> WriteOutcome {
@@ -130,6 +151,7 @@
             return CallOutcome::Unavailable;
         }
         *self.answered_calls.lock() += 1;
+        *self.list_counts.lock().entry(prefix.to_owned()).or_default() += 1;
         let list_delay = *self.list_delay.lock();
         sleep(list_delay).await;
         let objects = self.objects.lock();
@@ -201,6 +223,8 @@
         if let Some(it) = self.restore_after_announcement.lock().take() {
             self.restore(it);
         }
+        let delay = *self.announcement_delay.lock();
+        sleep(delay).await;
         CallOutcome::Value(())
     }
 }
@@ -214,7 +238,7 @@
             manifest_prefix: "config/",
             instance_prefix: "servers/",
             rollout_prefix: "rollouts/",
-            rollout_status_suffix: "/status",
+            rollout_status_suffix: "",
             evacuation_prefix: "evacuations/",
             host_prefix: "hosts/",
         }
@@ -285,16 +309,29 @@
         })
     }
 
-    fn decode_rollout(&self, _: &str, _: &[u8]) -> anyhow::Result<RolloutObject> {
-        anyhow::bail!("tests order no rollouts")
+    /// Format: `VERSION`, or `VERSION STATE` once a status was written.
+    fn decode_rollout(&self, service: &str, value: &[u8]) -> anyhow::Result<RolloutObject> {
+        let mut words = std::str::from_utf8(value)?.split(' ');
+        let target_version = words.next().context("no version")?.to_owned();
+        let status = words.next().map(|_| StoredRolloutStatus {
+            target_version: target_version.clone(),
+            state: RolloutState::Running,
+            started_unix_ms: None,
+        });
+        let order = RolloutOrder {
+            service: service.to_owned(),
+            target_version,
+            duration: Duration::from_secs(600),
+        };
+        Ok(RolloutObject { order, status })
     }
 
     fn decode_host(&self, value: &[u8]) -> anyhow::Result<HostEntry> {
         Ok(serde_json::from_slice(value)?)
     }
 
-    fn encode_rollout_status(&self, _: &StoredRolloutStatus) -> Bytes {
-        Bytes::new()
+    fn encode_rollout_status(&self, status: &StoredRolloutStatus) -> Bytes {
+        Bytes::from(format!("{} {}", status.target_version, status.state))
     }
 }
 
