--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,6 +2,7 @@
 //! grow with the number of hosts.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -14,7 +15,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use kingcupford_platform::{
-    Announcement, ApiRequest, ApiResponse, CallOutcome, Condition, Dialect, HostEntry,
+    Announcement, ApiRequest, ApiResponse, Arrival, CallOutcome, Condition, Dialect, HostEntry,
     HttpObjectStore, HttpStoreSettings, ListPage, ListedObject, Listing, Object, ObjectChange,
     ObjectStore, StoreRevision, WatchResponse, WriteOutcome,
 };
@@ -76,6 +77,8 @@
     clients: Mutex<Vec<(SocketAddr, HttpObjectStore<RelayDialect>)>>,
     /// Prefixes for which readers do not answer.
     reader_outages: Mutex<Vec<ReaderOutage>>,
+    /// Newest eras of the store in responses, by prefix.
+    newest_eras: Mutex<BTreeMap<String, u64>>,
     platform_calls: Family<CallLabels, Counter>,
 }
 
@@ -93,6 +96,8 @@
 struct ReaderOutage {
     prefix: String,
     began_at: Instant,
+    /// Whether the platform was called before the delay, because a reader was behind.
+    has_bypassed_early: bool,
     /// Time of the last direct call, if the platform did not answer it.
     platform_failed_at: Option<Instant>,
 }
@@ -109,6 +114,7 @@
             source,
             clients: Mutex::default(),
             reader_outages: Mutex::default(),
+            newest_eras: Mutex::default(),
             platform_calls,
         }
     }
@@ -155,54 +161,84 @@
     async fn ask_readers<T, F: Future<Output = CallOutcome<T>>>(
         &self,
         prefix: &str,
+        arrival: &Arrival,
         ask: impl Fn(HttpObjectStore<RelayDialect>, ReaderKind) -> F,
+        revision: impl Fn(&T) -> StoreRevision,
     ) -> Option<CallOutcome<T>> {
-        let StoreSource::Host { address: host, is_reader, fallbacks } =
-            self.source.borrow().clone()
-        else {
-            return None;
+        let mut is_behind = false;
+        let mut accept = |value: Option<T>| {
+            value.filter(|it| {
+                let is_current = self.record_era(prefix, revision(it));
+                is_behind |= !is_current;
+                is_current
+            })
         };
-        let mut value = tokio::select! {
-            it = async { ask(self.reader_client(host)?, ReaderKind::Primary).await.value() } => it,
-            // A host that is no longer followed may return old data.
-            () = self.source_changed_from(host) => None,
+        let mut asked_hosts = Vec::new();
+        let (mut value, is_reader, fallbacks) = loop {
+            let StoreSource::Host { address: host, is_reader, fallbacks } =
+                self.source.borrow().clone()
+            else {
+                return None;
+            };
+            asked_hosts.push(host);
+            let value = tokio::select! {
+                biased;
+                it = async { ask(self.reader_client(host)?, ReaderKind::Primary).await.value() } => it,
+                () = self.source_changed_from(&asked_hosts, arrival) => continue,
+            };
+            break (accept(value), is_reader, fallbacks);
         };
         for it in fallbacks {
             if value.is_some() {
                 break;
             }
             let Some(client) = self.reader_client(it) else { continue };
-            value = ask(client, ReaderKind::Fallback).await.value();
+            value = accept(ask(client, ReaderKind::Fallback).await.value());
         }
         if let Some(it) = value {
             self.reader_outages().retain(|it| it.prefix != prefix);
             return Some(CallOutcome::Value(it));
         }
-        if is_reader && self.may_bypass_readers(prefix) {
+        if is_reader && self.may_bypass_readers(prefix, is_behind) {
             None
         } else {
             Some(CallOutcome::Unavailable)
         }
     }
 
-    /// Whether a call that no reader answered may go to the platform directly.
-    fn may_bypass_readers(&self, prefix: &str) -> bool {
-        let mut reader_outages = self.reader_outages();
-        match reader_outages.iter().find(|it| it.prefix == prefix) {
-            Some(it) => {
-                it.began_at.elapsed() >= BYPASS_DELAY
-                    && it.platform_failed_at.is_none_or(|it| it.elapsed() >= BYPASS_RETRY_DELAY)
-            }
-            None => {
-                let began_at = Instant::now();
-                reader_outages.push(ReaderOutage {
-                    prefix: prefix.to_owned(),
-                    began_at,
-                    platform_failed_at: None,
-                });
-                false
-            }
+    /// Records the era of a response; returns whether it is not from before a restoration of the
+    /// store that this host knows of.
+    fn record_era(&self, prefix: &str, revision: StoreRevision) -> bool {
+        let StoreRevision { era, number } = revision;
+        let mut newest_eras = self.newest_eras.lock().unwrap_or_else(PoisonError::into_inner);
+        let newest = newest_eras.entry(prefix.to_owned()).or_default();
+        if era != 0 && era < *newest {
+            log::warn!("response of revision {number} of era {era} is ignored in era {newest}");
+            return false;
         }
+        *newest = era.max(*newest);
+        true
+    }
+
+    /// Whether a call that no reader answered may go to the platform directly. A reader that is
+    /// behind in the era may stay so until its own watch ends, so that the first call does not wait;
+    /// further ones do, since many hosts may follow the reader.
+    fn may_bypass_readers(&self, prefix: &str, is_behind: bool) -> bool {
+        let mut reader_outages = self.reader_outages();
+        let at = reader_outages.iter().position(|it| it.prefix == prefix).unwrap_or_else(|| {
+            reader_outages.push(ReaderOutage {
+                prefix: prefix.to_owned(),
+                began_at: Instant::now(),
+                has_bypassed_early: false,
+                platform_failed_at: None,
+            });
+            reader_outages.len() - 1
+        });
+        let outage = &mut reader_outages[at];
+        let is_early = is_behind && !outage.has_bypassed_early;
+        outage.has_bypassed_early |= is_early;
+        (is_early || outage.began_at.elapsed() >= BYPASS_DELAY)
+            && outage.platform_failed_at.is_none_or(|it| it.elapsed() >= BYPASS_RETRY_DELAY)
     }
 
     fn reader_outages(&self) -> MutexGuard<'_, Vec<ReaderOutage>> {
@@ -220,14 +256,24 @@
         }
     }
 
-    /// Waits until a source other than this host is followed.
-    async fn source_changed_from(&self, host: SocketAddr) {
+    /// Waits until a source that was not asked yet is followed. The asked host may have old data
+    /// then, but a response that is arriving is awaited: a long transfer would never end if each
+    /// change began it again, and the receiver checks the age of the data.
+    async fn source_changed_from(&self, asked_hosts: &[SocketAddr], arrival: &Arrival) {
         let mut source = self.source.clone();
-        let is_other =
-            |it: &StoreSource| !matches!(it, StoreSource::Host { address: it, .. } if *it == host);
-        if source.wait_for(is_other).await.is_err() {
-            // Without a sender the source cannot change any more.
-            std::future::pending::<()>().await;
+        let is_other = |it: &StoreSource| match it {
+            StoreSource::Platform => true,
+            StoreSource::Host { address, .. } => !asked_hosts.contains(address),
+        };
+        loop {
+            if source.wait_for(is_other).await.is_err() {
+                // Without a sender the source cannot change any more.
+                std::future::pending::<()>().await;
+            }
+            if !arrival.is_arriving() {
+                return;
+            }
+            arrival.wait_for(false).await;
         }
     }
 }
@@ -252,15 +298,21 @@
     }
 
     async fn list(&self, prefix: &str) -> CallOutcome<Listing> {
-        let name = prefix.to_owned();
-        let ask = move |client: HttpObjectStore<RelayDialect>, _| {
-            let name = name.clone();
-            async move { client.list(&name).await }
+        self.list_with_arrival(prefix, &Arrival::default()).await
+    }
+
+    async fn list_with_arrival(&self, prefix: &str, arrival: &Arrival) -> CallOutcome<Listing> {
+        let ask = |client: HttpObjectStore<RelayDialect>, _| async move {
+            client.list_with_arrival(prefix, arrival).await
         };
-        if let Some(it) = self.ask_readers(prefix, ask).await {
+        let revision = |it: &Listing| it.revision;
+        if let Some(it) = self.ask_readers(prefix, arrival, ask, revision).await {
             return it;
         }
-        let res = self.platform.list(prefix).await;
+        let res = self.platform.list_with_arrival(prefix, arrival).await;
+        if let CallOutcome::Value(it) = &res {
+            self.record_era(prefix, it.revision);
+        }
         self.record_platform_call("list", prefix, res.is_value());
         res
     }
@@ -271,22 +323,36 @@
         after: StoreRevision,
         wait: Duration,
     ) -> CallOutcome<WatchResponse> {
-        let name = prefix.to_owned();
-        let ask = move |client: HttpObjectStore<RelayDialect>, reader_kind| {
-            let name = name.clone();
+        self.watch_with_arrival(prefix, after, wait, &Arrival::default()).await
+    }
+
+    async fn watch_with_arrival(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+        arrival: &Arrival,
+    ) -> CallOutcome<WatchResponse> {
+        let until = Instant::now() + wait;
+        let ask = |client: HttpObjectStore<RelayDialect>, reader_kind| {
             let wait = match reader_kind {
-                ReaderKind::Primary => wait,
+                ReaderKind::Primary => until.saturating_duration_since(Instant::now()),
                 // A fallback reports missed changes at once and does not wait for new ones.
                 ReaderKind::Fallback => Duration::ZERO,
             };
-            async move { client.watch(&name, after, wait).await }
+            async move { client.watch_with_arrival(prefix, after, wait, arrival).await }
         };
-        if let Some(it) = self.ask_readers(prefix, ask).await {
+        if let Some(it) = self.ask_readers(prefix, arrival, ask, watch_revision).await {
             return it;
         }
-        let follows_platform = *self.source.borrow() == StoreSource::Platform;
-        let wait = if follows_platform { wait } else { Duration::ZERO };
-        let res = self.platform.watch(prefix, after, wait).await;
+        let wait = match *self.source.borrow() {
+            StoreSource::Platform => until.saturating_duration_since(Instant::now()),
+            StoreSource::Host { .. } => Duration::ZERO,
+        };
+        let res = self.platform.watch_with_arrival(prefix, after, wait, arrival).await;
+        if let CallOutcome::Value(it) = &res {
+            self.record_era(prefix, watch_revision(it));
+        }
         self.record_platform_call("watch", prefix, res.is_value());
         res
     }
@@ -493,6 +559,14 @@
     res
 }
 
+/// Revision of a response to a watch; of an unknown era if it names none.
+fn watch_revision(response: &WatchResponse) -> StoreRevision {
+    match response {
+        WatchResponse::Changes { revision, .. } => *revision,
+        WatchResponse::RevisionTooOld => StoreRevision::default(),
+    }
+}
+
 fn relayed_revision(response: &ApiResponse, number: u64) -> StoreRevision {
     StoreRevision { era: response.header_number(ERA_HEADER).unwrap_or(0), number }
 }
