Recognize copied registrations after a change of the reader

A host that followed a reader over a restoration used instances that had left: the reader withheld their registrations from its copy, and when it ended, the host listed the platform itself and found them for the first time in the new era. Only what the first list of an era contained counted as copied, so that they were taken for new registrations. A draining instance became ready again in the same way.

The watcher keeps the revision of the first list of the era. Every object with a version up to it may come from the copy, whenever it is reported; what is written after the restoration has a higher one.

--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -14,14 +14,15 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, UdpSocket},
+    sync::oneshot,
     task::LocalSet,
     time::{Instant, sleep},
 };
 
 use crate::{
     harness::{
-        Harness, MAX_CONFIG_DELAY, MemoryStore, listen_addresses, spawn_process, spawn_process_in,
-        wait_for, with_process,
+        Harness, MAX_CONFIG_DELAY, MemoryStore, listen_addresses, run_process_until, settings,
+        spawn_process, spawn_process_in, wait_for, with_process,
     },
     upstream::{Behaviour, Upstream},
 };
@@ -329,6 +330,54 @@
     .await;
 }
 
+/// Guards against requests to an instance that left before a restoration, when a host lists its
+/// registration for the first time after a change of the reader.
+#[tokio::test]
+async fn platform_restored_reader_ends() {
+    let first = Upstream::start("i1", Behaviour::Echo).await;
+    let second = Upstream::start("i2", Behaviour::Echo).await;
+    let third = Upstream::start("i3", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let client = Client::builder().no_proxy().build().unwrap();
+            let start = |name| {
+                let listen = listen_addresses();
+                let (stop, stopped) = oneshot::channel::<()>();
+                let settings = settings(name, "z1", listen);
+                let stopped = async { stopped.await.unwrap_or_default() };
+                tokio::task::spawn_local(run_process_until(settings, Arc::clone(&store), stopped));
+                (stop, Harness { store: Arc::clone(&store), listen, client: client.clone() })
+            };
+            let (stop_reader, reader) = start("n1");
+            for it in [&first, &second, &third] {
+                reader.register(it);
+            }
+            reader.wait_for_status("/open/1", 200).await;
+            let (_stop, follower) = start("n2");
+            follower.wait_for_status("/open/1", 200).await;
+            let copy = store.copy();
+            store.put("servers/i1", &format!("{} draining", first.address));
+            store.put("servers/i2", &format!("{} draining", second.address));
+            sleep(Duration::from_millis(300)).await;
+            store.remove("servers/i2");
+            sleep(Duration::from_millis(300)).await;
+            let before = first.requests().len() + second.requests().len();
+            store.restore(copy);
+            sleep(Duration::from_millis(500)).await;
+            stop_reader.send(()).unwrap();
+            sleep(Duration::from_millis(500)).await;
+            for at in 0..30 {
+                let request = follower.request("GET", "/open/1", &format!("id-{at}"));
+                let request = request.header("x-object", at.to_string());
+                assert_eq!(request.send().await.unwrap().status(), 200);
+            }
+            assert_eq!(first.requests().len() + second.requests().len(), before);
+        })
+        .await;
+}
+
 /// Guards against a host that waits for the manifest of a reader whose bytes trickle, although the
 /// platform responds at once.
 #[tokio::test]
--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -146,6 +146,7 @@
             last_outage: None,
             reported_versions: BTreeMap::new(),
             era: 0,
+            copied_until: 0,
             missing: BTreeMap::new(),
             backoff,
         };
@@ -202,6 +203,9 @@
     reported_versions: BTreeMap<String, u64>,
     /// Era of the store to which the reported versions belong; 0 if it is not known.
     era: u64,
+    /// Revision of the first list of the current era, 0 without a restoration. Objects up to it may
+    /// be in the copy, also if a host that relays changes withholds them at first.
+    copied_until: u64,
     /// Objects that the copy of the current era lacks, with the time at which they count as deleted.
     missing: BTreeMap<String, Instant>,
     backoff: Backoff,
@@ -244,21 +248,18 @@
         sent_at: Instant,
     ) -> Result<StoreRevision, Interruption> {
         listing.objects.sort_by(|a, b| a.name.cmp(&b.name));
-        let restoration = if self.is_restored(listing.revision) {
+        if self.is_restored(listing.revision) {
             self.begin_era(&listing).await?;
-            Restoration::Copied
-        } else {
-            Restoration::None
-        };
+        }
         let listed = listing.objects;
         let reported_names: Vec<String> = self.reported_versions.keys().cloned().collect();
         for name in reported_names {
             if listed.binary_search_by(|it| it.name.cmp(&name)).is_err() {
-                self.report(name, None, Restoration::None).await?;
+                self.report(name, None).await?;
             }
         }
         for it in listed {
-            self.report_if_changed(it.name, Some(it.version), it.value, restoration).await?;
+            self.report_if_changed(it.name, Some(it.version), it.value).await?;
         }
         self.record_progress(sent_at, listing.staleness, listing.revision);
         Ok(listing.revision)
@@ -269,6 +270,7 @@
     async fn begin_era(&mut self, listing: &Listing) -> Result<(), Interruption> {
         let (former_era, era) = (self.era, listing.revision.era);
         self.era = era;
+        self.copied_until = listing.revision.number;
         let reported = std::mem::take(&mut self.reported_versions).into_keys();
         let until = Instant::now() + REWRITE_GRACE;
         let is_listed =
@@ -297,7 +299,7 @@
         let now = Instant::now();
         let overdue = self.missing.iter().filter(|it| *it.1 <= now);
         for name in overdue.map(|it| it.0.clone()).collect::<Vec<_>>() {
-            self.report(name, None, Restoration::None).await?;
+            self.report(name, None).await?;
         }
         Ok(())
     }
@@ -375,12 +377,8 @@
                         if !self.is_followed(&change.name) {
                             continue;
                         }
-                        let report = self.report_if_changed(
-                            change.name,
-                            change.version,
-                            change.value,
-                            Restoration::None,
-                        );
+                        let report =
+                            self.report_if_changed(change.name, change.version, change.value);
                         if let Err(it) = report.await {
                             return it;
                         }
@@ -460,12 +458,11 @@
         name: String,
         version: Option<u64>,
         value: Option<Bytes>,
-        restoration: Restoration,
     ) -> Result<(), Interruption> {
         if self.reported_versions.get(&name).copied() == version {
             return Ok(());
         }
-        let Some(version) = version else { return self.report(name, None, restoration).await };
+        let Some(version) = version else { return self.report(name, None).await };
         if let Some(bytes) = value {
             // A delayed list may contain an older version than a watch has reported.
             if let Some(reported) = self.reported_versions.get(&name).filter(|it| **it > version) {
@@ -474,21 +471,18 @@
                 );
                 return Ok(());
             }
-            return self.report(name, Some(Object { version, bytes }), restoration).await;
+            return self.report(name, Some(Object { version, bytes })).await;
         }
         let outcome = self.store.read(&name).await;
         let object = self.record_outcome(outcome)?;
-        self.report(name, object, restoration).await
+        self.report(name, object).await
     }
 
     /// Records the state of an object as reported and reports it.
-    async fn report(
-        &mut self,
-        name: String,
-        object: Option<Object>,
-        restoration: Restoration,
-    ) -> Result<(), Interruption> {
+    async fn report(&mut self, name: String, object: Option<Object>) -> Result<(), Interruption> {
         self.missing.remove(&name);
+        let is_copied = object.as_ref().is_some_and(|it| it.version <= self.copied_until);
+        let restoration = if is_copied { Restoration::Copied } else { Restoration::None };
         match &object {
             Some(it) => {
                 self.reported_versions.insert(name.clone(), it.version);
