Hear the peers before a restarted process acts by the platform's copy

A process that started right after the platform was restored from a copy accepted revoked keys and sent requests to instances that had left, until the first heartbeat of a host that knew better: it concluded from the silence of peers that it had not heard yet that nothing newer existed. Whether it read the platform or a reader first was decided by a wait of up to 300 ms that depends on its name.

A restarted process now waits for the list of hosts, and until each of them has sent a heartbeat or failed to do so for a second, before it follows the other objects; it then finds the reader, whose copy withholds what is outdated. It counts as up to date only when it has heard all of them. The first start of a deployment does not wait, since no earlier state exists.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -60,7 +60,10 @@
 /// arrives within one heartbeat interval.
 const RESTART_SPREAD: Duration = Duration::from_millis(300);
 
-/// Interval between checks for a reader at the start.
+/// Time for which a restarted host waits for the first list of host registrations.
+const HOST_LIST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Interval between checks for peers and for a reader at the start.
 const READER_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Maximum backoff between attempts to follow the manifest during an outage, so that the end of the
@@ -237,6 +240,7 @@
         for (prefix, wait_ms) in watched_prefixes {
             let sync = self.clone();
             tokio::task::spawn_local(async move {
+                sync.wait_for_peers().await;
                 sync.wait_for_reader().await;
                 sync.follow_prefix(prefix, wait_ms).await;
             });
@@ -247,6 +251,7 @@
         });
         let sync = self.clone();
         tokio::task::spawn_local(async move {
+            sync.wait_for_peers().await;
             sync.wait_for_reader().await;
             sync.follow_prefix(names.manifest_prefix, MANIFEST_WATCH_WAIT_MS).await;
         });
@@ -254,6 +259,25 @@
         tokio::task::spawn_local(async move { sync.maintain_registration().await });
     }
 
+    /// Waits until a restarted host has heard from its peers. They may know of changes that a platform
+    /// which was restored from a copy has lost, such as revoked keys and instances that left.
+    async fn wait_for_peers(&self) {
+        if self.state.settings().first_start {
+            return;
+        }
+        let deadline = Instant::now() + HOST_LIST_TIMEOUT;
+        loop {
+            let now = Instant::now();
+            let is_listed = *self.own_registration.borrow() != OwnRegistration::Unknown;
+            let are_acquainted = self.state.steering.borrow().members.are_acquainted(now);
+            if (is_listed && are_acquainted) || (!is_listed && now >= deadline) {
+                break;
+            }
+            sleep(READER_POLL_INTERVAL).await;
+        }
+        self.update_source(Instant::now());
+    }
+
     /// Waits until another host is known to read the platform, for at most a fraction of the spread
     /// time that depends on the host's name.
     async fn wait_for_reader(&self) {
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -537,6 +537,52 @@
         .await;
 }
 
+/// Guards against a process that starts right after a restoration and acts by the copy, because it
+/// reads the platform before it has heard of its peers.
+#[tokio::test]
+async fn platform_restored_peers_unheard() {
+    let first = Upstream::start("i1", Behaviour::Echo).await;
+    let second = Upstream::start("i2", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let client = Client::builder().no_proxy().build().unwrap();
+            let start = |name| {
+                let listen = listen_addresses();
+                spawn_process(name, listen, &store);
+                Harness { store: Arc::clone(&store), listen, client: client.clone() }
+            };
+            let old_host = start("n1");
+            old_host.register(&first);
+            old_host.register(&second);
+            old_host.wait_for_status("/read/1", 200).await;
+            let copy = store.copy();
+            store.put("config/main", "2 other");
+            store.remove("servers/i2");
+            old_host.wait_for_status("/read/1", 401).await;
+            sleep(Duration::from_millis(200)).await;
+            let before = second.requests().len();
+            store.restore(copy);
+            // Reads after 2% of the spread time, because of its name.
+            let new_host = start("second");
+            let mut admitted = 0;
+            for at in 0..100 {
+                let request = new_host.request("GET", &format!("/read/{at}"), "id");
+                admitted += usize::from(request.send().await.is_ok_and(|it| it.status() == 200));
+                sleep(Duration::from_millis(10)).await;
+            }
+            new_host.wait_for_status("/open/1", 200).await;
+            for at in 0..30 {
+                let request = new_host.request("GET", "/open/1", "id");
+                let request = request.header("x-object", at.to_string());
+                assert_eq!(request.send().await.unwrap().status(), 200);
+            }
+            assert_eq!((admitted, second.requests().len() - before), (0, 0));
+        })
+        .await;
+}
+
 /// Guards against an instance that stays in use at hosts that follow a reader, although the platform
 /// lost its registration in a restoration and it did not register again.
 #[tokio::test]
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -39,6 +39,11 @@
 /// deployment must serve again.
 const UNHEARD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after which a host that has not sent a heartbeat since it was registered no longer delays
+/// the decisions of a new process: two intervals of heartbeats, and several round trips between
+/// regions.
+const FIRST_HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Number of sent heartbeats that are retained per peer, to look up when an acknowledged one was
 /// sent.
 const MAX_SENT_HEARTBEATS: usize = 32;
@@ -306,6 +311,15 @@
         (local + 1) as f64 / self.known_count() as f64
     }
 
+    /// Whether every other host has sent a heartbeat or failed to do so in time, so that this process
+    /// knows what the live ones report.
+    pub fn are_acquainted(&self, now: Instant) -> bool {
+        self.peers.iter().all(|it| {
+            it.received_at.is_some()
+                || now.saturating_duration_since(it.registered_at) >= FIRST_HEARTBEAT_TIMEOUT
+        })
+    }
+
     /// Number of live hosts, including this one.
     pub fn live_count(&self, now: Instant) -> usize {
         self.peers.iter().filter(|it| it.is_live(now)).count() + 1
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -141,7 +141,7 @@
     /// Age of this host's view of the platform.
     pub freshness: ViewFreshness,
     manifest_lag: ManifestLag,
-    /// Whether the own manifest was once at least as new as those of live hosts.
+    /// Whether the own manifest was once at least as new as those of all live hosts.
     has_caught_up: bool,
     /// Fingerprints of requests that crash instances.
     quarantine: Quarantine,
@@ -652,8 +652,9 @@
     fn update_manifest_lag(&mut self, now: Instant) {
         let newest = self.members.newest_manifest_version(now);
         self.manifest_lag.update(self.manifest_version(), newest, now);
-        self.has_caught_up |=
-            self.manifest.is_some() && newest.is_some_and(|it| it <= self.manifest_version());
+        self.has_caught_up |= self.manifest.is_some()
+            && newest.is_some_and(|it| it <= self.manifest_version())
+            && self.members.are_acquainted(now);
     }
 
     /// Whether a newer manifest has been active elsewhere for so long that this host must not act
--- a/crates/steer/tests/it/steering.rs
+++ b/crates/steer/tests/it/steering.rs
@@ -149,3 +149,25 @@
         assert!(steering.admit(&HEAD, now).is_ok());
     }
 }
+
+/// Guards against a new process that counts as up to date by the first peer that it hears, which may
+/// have started after the restoration too.
+#[tokio::test(start_paused = true)]
+async fn admit_outdated_peer_unheard() {
+    let now = Instant::now();
+    let mut steering = steering(now);
+    let own = steering.settings().own_host.locality;
+    let peers = [(member("new", "a1", 2000), 2), (member("old", "a1", 2001), 3)];
+    for (peer, _) in &peers {
+        steering.members.register(peer.clone(), own, now);
+    }
+    let (teams, services) = (vec![team("two", 0.0)], vec![service("svc")]);
+    let manifest = Manifest::new(2, vec![route()], services, teams, limits()).unwrap();
+    steering.apply_manifest(manifest, now);
+    for (peer, manifest_version) in peers {
+        let heartbeat = Heartbeat { manifest_version, ..heartbeat(&peer.name, 1) };
+        steering.receive_heartbeat(heartbeat, peer.peer_address, now);
+        steering.tick(now);
+    }
+    assert_eq!(steering.admit(&HEAD, now).unwrap_err(), Refusal::OutdatedManifest);
+}
