Hear a restarted host whose clock went back

The number of a process is the time of its start. When the clock of a machine goes back before its process restarts, the new number is lower than the one before, and every peer dropped all heartbeats of the new process for as long as it ran: the host counted as silent, was named in no lookup, and its admitted requests and findings did not count.

A lower number is accepted once the process before is silent. A heartbeat of an earlier process that is delayed for less than that is still dropped.

receive_restarted_clock_went_back failed before (the heartbeat is dropped 3 s after the last one of the process before) and passes.

--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -183,6 +183,9 @@
     /// Records a heartbeat and returns it. Returns `None` and records nothing if the sender is
     /// unknown, if the format has another version, if `from` is not the registered address, or if
     /// the heartbeat is not newer than the last one.
+    ///
+    /// A process whose number is lower than the one before is that of a host whose clock went back
+    /// once the process before is silent for longer than a heartbeat may be delayed.
     pub fn receive(
         &mut self,
         heartbeat: Heartbeat,
@@ -193,6 +196,7 @@
         let peer = &mut self.peers[at];
         let is_newer = peer.heartbeat.as_ref().is_none_or(|it| {
             (it.incarnation, it.sequence) < (heartbeat.incarnation, heartbeat.sequence)
+                || it.incarnation != heartbeat.incarnation && !peer.is_live(now)
         });
         if heartbeat.protocol_version != PROTOCOL_VERSION
             || peer.member.peer_address != from
--- a/crates/steer/tests/it/members.rs
+++ b/crates/steer/tests/it/members.rs
@@ -263,3 +263,25 @@
     let with_high_bandwidth = members.store_source((&own, 1000), fresh, None, Duration::ZERO, now);
     assert_eq!(with_high_bandwidth, StoreSource::Platform);
 }
+
+/// Guards against a restarted host that its peers never hear again, because its clock went back and
+/// the number of its process is lower than the one before.
+#[tokio::test(start_paused = true)]
+async fn receive_restarted_clock_went_back() {
+    let own = zone_map().own_locality();
+    let mut members = Members::default();
+    members.register(member("peer", "a1", 1100), own, Instant::now());
+    let of_process = |incarnation, sequence| {
+        let mut res = heartbeat("peer", sequence);
+        res.incarnation = incarnation;
+        res
+    };
+    assert!(members.receive(of_process(7, 5), address(1100), Instant::now()).is_some());
+    // A delayed heartbeat of an earlier process.
+    assert!(members.receive(of_process(6, 9), address(1100), Instant::now()).is_none());
+    advance(Duration::from_secs(3)).await;
+    assert_eq!(members.live_count(Instant::now()), 1);
+    assert!(members.receive(of_process(6, 1), address(1100), Instant::now()).is_some());
+    assert_eq!(members.live_count(Instant::now()), 2);
+    assert!(members.receive(of_process(6, 1), address(1100), Instant::now()).is_none());
+}
