Hear the peers before a host acts by its manifest after a pause

A machine that was suspended for seconds went on serving requests without keys by the manifest from before the pause. It could know that its peers may have got a newer one, but a lag counts only from the first heartbeat after the pause, and for another 1.8 s: a new home region or target was ignored for so long.

After a suspension of 1.2 s or more, the time for which a host may lag, a host refuses requests until every other host has sent a heartbeat or failed to do so for a second, and as long as one of them has a newer manifest. This is the rule for a process that has just started.

admit_outdated_after_pause failed before (a request is admitted 8 s after the manifest was last compared) and passes.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -269,7 +269,7 @@
         loop {
             let now = Instant::now();
             let is_listed = *self.own_registration.borrow() != OwnRegistration::Unknown;
-            let are_acquainted = self.state.steering.borrow().members.are_acquainted(now);
+            let are_acquainted = self.state.steering.borrow().members.are_acquainted(None, now);
             if (is_listed && are_acquainted) || (!is_listed && now >= deadline) {
                 break;
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -67,8 +67,7 @@
     /// Invalidates the view if the machine was suspended. Must be called before any decision that
     /// depends on a fresh view.
     pub(crate) fn check_suspension(&self, now: Instant) {
-        let suspension =
-            self.steering.borrow_mut().freshness.record_suspension(clock::suspended_time(), now);
+        let suspension = self.steering.borrow_mut().record_suspension(clock::suspended_time(), now);
         if let Some(suspension) = suspension {
             Event::ResumedAfterPause.log(format_args!("pause_ms={}", suspension.as_millis()));
         }
--- a/crates/steer/src/members.rs
+++ b/crates/steer/src/members.rs
@@ -39,9 +39,9 @@
 /// deployment must serve again.
 const UNHEARD_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time after which a host that has not sent a heartbeat since it was registered no longer delays
-/// the decisions of a new process: two intervals of heartbeats, and several round trips between
-/// regions.
+/// Time after which a host that has not sent a heartbeat since it was registered, or since the end of
+/// a suspension, no longer delays the decisions of this process: several intervals between
+/// heartbeats of a region, and several round trips between regions.
 const FIRST_HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Number of sent heartbeats that are retained per peer, to look up when an acknowledged one was
@@ -315,12 +315,13 @@
         (local + 1) as f64 / self.known_count() as f64
     }
 
-    /// Whether every other host has sent a heartbeat or failed to do so in time, so that this process
-    /// knows what the live ones report.
-    pub fn are_acquainted(&self, now: Instant) -> bool {
+    /// Whether every other host has sent a heartbeat, after `since` if that is given, or failed to do
+    /// so in time. This process then knows what the live ones report.
+    pub fn are_acquainted(&self, since: Option<Instant>, now: Instant) -> bool {
         self.peers.iter().all(|it| {
-            it.received_at.is_some()
-                || now.saturating_duration_since(it.registered_at) >= FIRST_HEARTBEAT_TIMEOUT
+            let awaited_since = since.max(Some(it.registered_at)).unwrap_or(now);
+            it.received_at > since
+                || now.saturating_duration_since(awaited_since) >= FIRST_HEARTBEAT_TIMEOUT
         })
     }
 
--- a/crates/steer/src/steering.rs
+++ b/crates/steer/src/steering.rs
@@ -141,8 +141,11 @@
     /// Age of this host's view of the platform.
     pub freshness: ViewFreshness,
     manifest_lag: ManifestLag,
-    /// Whether the own manifest was once at least as new as those of all live hosts.
+    /// Whether the own manifest was at least as new as those of all live hosts since the start or the
+    /// last suspension.
     has_caught_up: bool,
+    /// End of the last suspension in which the own manifest may have become outdated.
+    resumed_at: Option<Instant>,
     /// Fingerprints of requests that crash instances.
     quarantine: Quarantine,
     splits: RouteSplits,
@@ -176,6 +179,7 @@
             freshness: ViewFreshness::new(suspended),
             manifest_lag: ManifestLag::default(),
             has_caught_up: false,
+            resumed_at: None,
             quarantine: Quarantine::new(),
             splits: RouteSplits::default(),
             retry_budgets: Vec::new(),
@@ -222,6 +226,17 @@
         self.manifest.as_ref().map_or(0, |it| it.version())
     }
 
+    /// Updates the time for which the machine has been suspended in total. Returns the length of a
+    /// new suspension, which invalidates the view.
+    pub fn record_suspension(&mut self, suspended: Duration, now: Instant) -> Option<Duration> {
+        let suspension = self.freshness.record_suspension(suspended, now);
+        if suspension.is_some_and(|it| it >= MIN_OUTDATED_LAG) {
+            self.resumed_at = Some(now);
+            self.has_caught_up = false;
+        }
+        suspension
+    }
+
     /// For how long other hosts have had a newer manifest.
     pub fn manifest_lag(&self) -> &ManifestLag {
         &self.manifest_lag
@@ -654,13 +669,17 @@
         self.manifest_lag.update(self.manifest_version(), newest, now);
         self.has_caught_up |= self.manifest.is_some()
             && newest.is_some_and(|it| it <= self.manifest_version())
-            && self.members.are_acquainted(now);
+            && self.members.are_acquainted(self.resumed_at, now);
     }
 
     /// Whether a newer manifest has been active elsewhere for so long that this host must not act
     /// by its own. What changed is unknown: it may be the regions that may serve a request.
     fn is_manifest_outdated(&self, now: Instant) -> bool {
         if !self.has_caught_up {
+            let is_resumed = self.resumed_at.is_some();
+            if is_resumed && !self.members.are_acquainted(self.resumed_at, now) {
+                return true;
+            }
             // A platform that was restored from a copy gives a new process an older manifest, which
             // may hold keys that were revoked since.
             return self.manifest_lag.newer_version().is_some();
--- a/crates/steer/tests/it/steering.rs
+++ b/crates/steer/tests/it/steering.rs
@@ -4,9 +4,9 @@
 
 use kingcupford_steer::{
     Attempts, ExchangeOutcome, ExchangeReport, Heartbeat, Manifest, Refusal, RepeatPolicy,
-    RequestHead, RequestPlan, Selection, Steering,
+    RequestHead, RequestPlan, Route, Selection, Steering,
 };
-use tokio::time::Instant;
+use tokio::time::{Instant, advance};
 
 use crate::common::{heartbeat, instance, limits, member, route, service, steering, team};
 
@@ -171,3 +171,43 @@
     }
     assert_eq!(steering.admit(&HEAD, now).unwrap_err(), Refusal::OutdatedManifest);
 }
+
+/// Guards against a host that goes on by its manifest after a pause, although its peers have got a
+/// newer one meanwhile.
+#[tokio::test(start_paused = true)]
+async fn admit_outdated_after_pause() {
+    let now = Instant::now();
+    let mut steering = steering(now);
+    let (peer, own) = (member("peer", "a1", 2000), steering.settings().own_host.locality);
+    let from = peer.peer_address;
+    steering.members.register(peer, own, now);
+    let manifest = |version| {
+        let route = Route { open: true, ..route() };
+        Manifest::new(version, vec![route], vec![service("svc")], Vec::new(), limits()).unwrap()
+    };
+    let hear = |steering: &mut Steering, manifest_version, sequence| {
+        let heartbeat = Heartbeat { manifest_version, ..heartbeat("peer", sequence) };
+        steering.receive_heartbeat(heartbeat, from, Instant::now());
+        steering.tick(Instant::now());
+    };
+    steering.apply_manifest(manifest(2), now);
+    hear(&mut steering, 2, 1);
+    let mut paused = Duration::from_millis(500);
+    assert_eq!(steering.record_suspension(paused, now), Some(paused));
+    assert!(steering.admit(&HEAD, now).is_ok(), "after a short pause");
+    paused += Duration::from_secs(8);
+    steering.record_suspension(paused, now);
+    steering.tick(now);
+    assert_eq!(steering.admit(&HEAD, now).unwrap_err(), Refusal::OutdatedManifest, "unheard");
+    advance(Duration::from_millis(200)).await;
+    hear(&mut steering, 3, 2);
+    let now = Instant::now();
+    assert_eq!(steering.admit(&HEAD, now).unwrap_err(), Refusal::OutdatedManifest, "newer heard");
+    steering.apply_manifest(manifest(3), now);
+    assert!(steering.admit(&HEAD, now).is_ok());
+    paused += Duration::from_secs(8);
+    steering.record_suspension(paused, now);
+    assert_eq!(steering.admit(&HEAD, now).unwrap_err(), Refusal::OutdatedManifest, "unheard");
+    advance(Duration::from_secs(1)).await;
+    assert!(steering.admit(&HEAD, Instant::now()).is_ok(), "peer is silent");
+}
