Reject a list whose prefixes come from two eras

A watcher of several prefixes lists them one after the other. When the platform was restored in between, the first revision named the former era, and an object that the copy lacks counted as deleted at once, without the time in which its writer may write it again. No process follows several prefixes with one watcher today.

Such a list now fails and is made again, as one whose pages come from two eras.

list_all_restored_between_prefixes failed before (reported as [None, None] instead of [None, Missing]) and passes.

--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -584,6 +584,10 @@
             other => return other,
         };
         match &mut res {
+            Some(it) if it.revision.era != listing.revision.era => {
+                log::warn!("platform was restored before the list of `{prefix}`");
+                return CallOutcome::Unavailable;
+            }
             Some(it) => {
                 it.staleness = it.staleness.max(listing.staleness);
                 it.objects.extend(listing.objects);
