--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -617,6 +617,10 @@
             other => return other,
         };
         match &mut res {
+            Some(it) if it.revision.era != listing.revision.era => {
+                log::warn!("platform was restored before the list of `{prefix}`");
+                return CallOutcome::Unavailable;
+            }
             Some(it) => {
                 it.staleness = it.staleness.max(listing.staleness);
                 it.objects.extend(listing.objects);
