Let a restarted process serve at once unless the platform was restored

Callers got 503 for up to a second more after each restart: a restarted process waited for the first heartbeat of every registered host, or a second for each that had ended, although only a platform that was restored from a copy has lost what the peers know.

The registration of a host names the era of the platform and since when its processes have known it. A new process that finds its host's registration with the current era, known for 10 s or more, does not wait. Each era makes the registration due again.

restart_unrestored_peers_gone fails without the exemption (no 200 within 10 s while further hosts are registered that never answer) and passes; the other 64 integration tests of the gateway passed.

--- a/crates/ctl/tests/it/harness.rs
+++ b/crates/ctl/tests/it/harness.rs
@@ -139,6 +139,7 @@
             peer_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7400)),
             public_addresses: Vec::new(),
             state: ListedHostState::Live,
+            seen_era: None,
         };
         assert_eq!(self.store.announce(&entry).await, CallOutcome::Value(()));
     }
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -176,6 +176,7 @@
             peer_address: host.settings.peer_address,
             public_addresses: addresses.filter_map(|it| it.parse().ok()).collect(),
             state: if draining { ListedHostState::Draining } else { ListedHostState::Live },
+            seen_era: None,
         };
         host.metrics.platform_calls.inc();
         // The next announcement replaces one that was lost.
--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -12,8 +12,8 @@
 use bytes::Bytes;
 use kingcupford_platform::{
     CallOutcome, Condition, HostEntry, ListedHostState, ListedObject, Object, ObjectStore, Outage,
-    Reachability, Restoration, StoreRevision, WatchEvent, WatchProgress, Watcher, WatcherSettings,
-    WriteOutcome,
+    Reachability, Restoration, SeenEra, StoreRevision, WatchEvent, WatchProgress, Watcher,
+    WatcherSettings, WriteOutcome,
 };
 use kingcupford_steer::{
     Canary, InstanceRegistration, Lapse, Manifest, Member, RegistrationChange, RolloutOrder,
@@ -64,6 +64,10 @@
 /// Time for which a restarted host waits for the first list of host registrations.
 const HOST_LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after a restoration of the platform in which operators and instances write again what it
+/// lost.
+const RESTORATION_SETTLING_TIME: Duration = Duration::from_secs(10);
+
 /// Interval between checks for peers and for a reader at the start.
 const READER_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -165,8 +169,8 @@
     codec: Rc<C>,
     /// Registration of this host as the platform stores it.
     own_registration: Rc<watch::Sender<OwnRegistration>>,
-    /// Era of the store of the newest list of host registrations, 0 before.
-    host_era: Rc<Cell<u64>>,
+    /// Era of the store of the newest list of host registrations, `None` before.
+    seen_era: Rc<Cell<Option<SeenEra>>>,
     state: Rc<State>,
 }
 
@@ -186,7 +190,7 @@
             source: Rc::clone(&self.source),
             codec: Rc::clone(&self.codec),
             own_registration: Rc::clone(&self.own_registration),
-            host_era: Rc::clone(&self.host_era),
+            seen_era: Rc::clone(&self.seen_era),
             state: Rc::clone(&self.state),
         }
     }
@@ -199,8 +203,8 @@
         let platform_calls = state.metrics.store_calls.clone();
         let store = Arc::new(RelayedStore::new(store, receiver, platform_calls));
         let own_registration = Rc::new(watch::Sender::new(OwnRegistration::Unknown));
-        let host_era = Rc::default();
-        Self { store, source: Rc::new(source), codec, own_registration, host_era, state }
+        let seen_era = Rc::default();
+        Self { store, source: Rc::new(source), codec, own_registration, seen_era, state }
     }
 
     /// Switches to the store source that steering chooses from the heartbeats of the other hosts.
@@ -260,8 +264,31 @@
         tokio::task::spawn_local(async move { sync.maintain_registration().await });
     }
 
+    /// Records the era of host registrations; returns whether it replaces another one. A new process
+    /// takes over since when the process before, whose registration it finds, has known the era.
+    fn record_era(&self, number: u64, registered: Option<SeenEra>) -> bool {
+        let former = self.seen_era.get();
+        if former.is_some_and(|it| it.number == number) {
+            return false;
+        }
+        let registered = registered.filter(|it| former.is_none() && it.number == number);
+        let since_now = SeenEra { number, since_unix_ms: unix_time_ms() };
+        self.seen_era.set(Some(registered.unwrap_or(since_now)));
+        former.is_some()
+    }
+
+    /// Whether this host has known the platform's era for so long that what a restoration lost is
+    /// written again.
+    fn is_platform_settled(&self) -> bool {
+        self.seen_era.get().is_some_and(|it| {
+            let known_ms = unix_time_ms().saturating_sub(it.since_unix_ms);
+            it.number == 0 || Duration::from_millis(known_ms) >= RESTORATION_SETTLING_TIME
+        })
+    }
+
     /// Waits until a restarted host has heard from its peers. They may know of changes that a platform
-    /// which was restored from a copy has lost, such as revoked keys and instances that left.
+    /// which was restored from a copy has lost, such as revoked keys and instances that left. Without
+    /// a recent restoration there is nothing to hear, and the host serves again at once.
     async fn wait_for_peers(&self) {
         if self.state.settings().first_start {
             return;
@@ -271,7 +298,8 @@
             let now = Instant::now();
             let is_listed = *self.own_registration.borrow() != OwnRegistration::Unknown;
             let are_acquainted = self.state.steering.borrow().members.are_acquainted(None, now);
-            if (is_listed && are_acquainted) || (!is_listed && now >= deadline) {
+            let is_safe = are_acquainted || self.is_platform_settled();
+            if (is_listed && is_safe) || (!is_listed && now >= deadline) {
                 break;
             }
             sleep(READER_POLL_INTERVAL).await;
@@ -431,6 +459,7 @@
             peer_address: own.peer_address,
             public_addresses: vec![own.caller_address],
             state: ListedHostState::Live,
+            seen_era: self.seen_era.get(),
         }
     }
 
@@ -507,14 +536,14 @@
         self.state.mirror.record_progress(prefix, progress.revision, progress.as_of, stale_at);
         if prefix == self.codec.object_names().host_prefix {
             let own = &self.state.settings().steering.own_host.name;
-            let era = progress.revision.era;
-            let former_era = self.host_era.replace(era);
-            if former_era != 0
-                && former_era != era
-                && !self.state.mirror.contains(prefix, &format!("{prefix}{own}"))
-            {
-                // The registration may have been lost before it was reported.
-                self.own_registration.send_replace(OwnRegistration::Absent);
+            if self.record_era(progress.revision.era, None) {
+                if self.state.mirror.contains(prefix, &format!("{prefix}{own}")) {
+                    // The registration names the era.
+                    self.own_registration.send_modify(|_| {});
+                } else {
+                    // The registration may have been lost before it was reported.
+                    self.own_registration.send_replace(OwnRegistration::Absent);
+                }
             }
             self.own_registration.send_if_modified(|it| {
                 let is_first = *it == OwnRegistration::Unknown;
@@ -781,6 +810,7 @@
                     .inspect_err(|error| log::warn!("own registration is replaced: {error:#}"))
                     .ok()
             });
+            self.record_era(event.era, entry.as_ref().and_then(|it| it.seen_era));
             self.own_registration
                 .send_replace(entry.map_or(OwnRegistration::Absent, OwnRegistration::Present));
             return;
@@ -806,7 +836,7 @@
 
 /// Converts the registration of a host; an error names the invalid field.
 fn member_from_entry(entry: HostEntry, zone_map: &ZoneMap) -> anyhow::Result<Member> {
-    let HostEntry { name, zone, peer_address, public_addresses, state: _ } = entry;
+    let HostEntry { name, zone, peer_address, public_addresses, state: _, seen_era: _ } = entry;
     let locality = zone_map.locality(&zone);
     let locality =
         locality.ok_or_else(|| anyhow::anyhow!("zone `{zone}` is not in the settings"))?;
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -9,8 +9,10 @@
     time::Duration,
 };
 
+use kingcupford_gateway::ListenAddresses;
 use kingcupford_steer::{Heartbeat, HostState, PROTOCOL_VERSION};
 use reqwest::Client;
+use serde_json::json;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, UdpSocket},
@@ -698,6 +700,56 @@
         .await;
 }
 
+/// Guards against a restarted process that waits for peers that ended, although the platform was not
+/// restored since the process before.
+#[tokio::test]
+async fn restart_unrestored_peers_gone() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            for is_restored in [false, true] {
+                let store = Arc::new(MemoryStore::default());
+                store.put("config/main", "1 good");
+                let listen = listen_addresses();
+                let entry = |name: &str, listen: ListenAddresses| {
+                    json!({
+                        "name": name,
+                        "zone": "z1",
+                        "peer_address": listen.peers.to_string(),
+                        "public_addresses": [listen.callers.to_string()],
+                        "state": "live",
+                        "seen_era": { "number": 1, "since_unix_ms": 1_000_000 },
+                    })
+                };
+                store.put("hosts/n1", &entry("n1", listen).to_string());
+                if is_restored {
+                    store.restore(store.copy());
+                }
+                let (peers_store, peer) = (Arc::clone(&store), listen_addresses());
+                let peers = tokio::task::spawn_local(async move {
+                    for at in 0.. {
+                        let name = format!("gone-{at}");
+                        peers_store.put(&format!("hosts/{name}"), &entry(&name, peer).to_string());
+                        sleep(Duration::from_millis(200)).await;
+                    }
+                });
+                let client = Client::builder().no_proxy().build().unwrap();
+                let host = Harness { store: Arc::clone(&store), listen, client };
+                host.register(&upstream);
+                spawn_process_in("z1", "n1", listen, &store);
+                if is_restored {
+                    sleep(Duration::from_millis(1500)).await;
+                    let response = host.request("GET", "/open/1", "id").send().await.unwrap();
+                    assert_eq!(response.status(), 503);
+                } else {
+                    host.wait_for_status("/open/1", 200).await;
+                }
+                peers.abort();
+            }
+        })
+        .await;
+}
+
 /// Guards against an instance that stays in use at hosts that follow a reader, although the platform
 /// lost its registration in a restoration and it did not register again.
 #[tokio::test]
@@ -752,7 +804,7 @@
     manifest_version: u64,
 ) {
     let socket = UdpSocket::bind(address).await.unwrap();
-    let entry = serde_json::json!({
+    let entry = json!({
         "name": name, "zone": "z1", "peer_address": address,
         "public_addresses": [address], "state": "live",
     });
@@ -867,7 +919,7 @@
         .collect();
     for (own, other, name, zone) in [(0, 1, "n2", "z2"), (1, 0, "n1", "z1")] {
         let peer = hosts[other].listen;
-        let entry = serde_json::json!({
+        let entry = json!({
             "name": name, "zone": zone, "peer_address": peer.peers,
             "public_addresses": [peer.callers], "state": "live",
         });
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -21,7 +21,8 @@
     http::{HttpObjectStore, HttpStoreSettings},
     object::{
         Arrival, ArrivalGuard, CallOutcome, Condition, HostEntry, ListedHostState, ListedObject,
-        Listing, Object, ObjectChange, ObjectStore, StoreRevision, WatchResponse, WriteOutcome,
+        Listing, Object, ObjectChange, ObjectStore, SeenEra, StoreRevision, WatchResponse,
+        WriteOutcome,
     },
     watcher::{
         Outage, Reachability, Restoration, WatchEvent, WatchProgress, Watcher, WatcherSettings,
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -244,6 +244,18 @@
     pub public_addresses: Vec<SocketAddr>,
     /// State that the host announced.
     pub state: ListedHostState,
+    /// Era of the store in which the host registered; `None` if the host does not follow eras.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seen_era: Option<SeenEra>,
+}
+
+/// Era of the store, and the time since which a host has known it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenEra {
+    /// Number of the era, 0 if the store has none.
+    pub number: u64,
+    /// Unix time in milliseconds at which a process of the host saw the era first.
+    pub since_unix_ms: u64,
 }
 
 /// State of a host in the host list.
--- a/crates/platform/tests/http_store.rs
+++ b/crates/platform/tests/http_store.rs
@@ -205,6 +205,7 @@
         peer_address: "127.0.0.1:1".parse().unwrap(),
         public_addresses: vec!["127.0.0.1:2".parse().unwrap()],
         state: ListedHostState::Live,
+        seen_era: None,
     };
     assert_eq!(store.announce(&entry).await, CallOutcome::Value(()));
     assert_eq!(store.list_hosts().await, CallOutcome::Value(Vec::new()));
