Count an outage of the readers from when their response is due

A host whose reader accepted calls but did not respond sent requests to a draining instance for 2.64 s, above the bound of 2.5 s. The outage after which the platform is called began only when the watch had timed out, so that the margin of the watch and the timeout of the list came on top of the delay, and a second list was due before the platform was called.

The outage now begins at the end of the watch's wait, or when a list was sent. Readers that fail at once have the delay of before.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -157,10 +157,11 @@
     }
 
     /// Calls the followed host, then the fallbacks. Returns `None` when the platform must be called
-    /// directly.
+    /// directly. An outage of the readers begins at `due_at` if they have not responded by then.
     async fn ask_readers<T, F: Future<Output = CallOutcome<T>>>(
         &self,
         prefix: &str,
+        due_at: Instant,
         arrival: &Arrival,
         ask: impl Fn(HttpObjectStore<RelayDialect>, ReaderKind) -> F,
         revision: impl Fn(&T) -> StoreRevision,
@@ -199,7 +200,7 @@
             self.reader_outages().retain(|it| it.prefix != prefix);
             return Some(CallOutcome::Value(it));
         }
-        if is_reader && self.may_bypass_readers(prefix, is_behind) {
+        if is_reader && self.may_bypass_readers(prefix, due_at, is_behind) {
             None
         } else {
             Some(CallOutcome::Unavailable)
@@ -223,12 +224,12 @@
     /// Whether a call that no reader answered may go to the platform directly. A reader that is
     /// behind in the era may stay so until its own watch ends, so that the first call does not wait;
     /// further ones do, since many hosts may follow the reader.
-    fn may_bypass_readers(&self, prefix: &str, is_behind: bool) -> bool {
+    fn may_bypass_readers(&self, prefix: &str, due_at: Instant, is_behind: bool) -> bool {
         let mut reader_outages = self.reader_outages();
         let at = reader_outages.iter().position(|it| it.prefix == prefix).unwrap_or_else(|| {
             reader_outages.push(ReaderOutage {
                 prefix: prefix.to_owned(),
-                began_at: Instant::now(),
+                began_at: due_at.min(Instant::now()),
                 has_bypassed_early: false,
                 platform_failed_at: None,
             });
@@ -306,7 +307,8 @@
             client.list_with_arrival(prefix, arrival).await
         };
         let revision = |it: &Listing| it.revision;
-        if let Some(it) = self.ask_readers(prefix, arrival, ask, revision).await {
+        let sent_at = Instant::now();
+        if let Some(it) = self.ask_readers(prefix, sent_at, arrival, ask, revision).await {
             return it;
         }
         let res = self.platform.list_with_arrival(prefix, arrival).await;
@@ -342,7 +344,7 @@
             };
             async move { client.watch_with_arrival(prefix, after, wait, arrival).await }
         };
-        if let Some(it) = self.ask_readers(prefix, arrival, ask, watch_revision).await {
+        if let Some(it) = self.ask_readers(prefix, until, arrival, ask, watch_revision).await {
             return it;
         }
         let wait = match *self.source.borrow() {
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -390,7 +390,11 @@
                 let response = relayed_manifest(1, 100, &value);
                 // A list takes 1.5 s.
                 spawn_reader(listener, Duration::from_millis(150), move |request| {
-                    if request.contains("/list") { response.clone() } else { UNAVAILABLE.to_vec() }
+                    if request.contains("/list?prefix=config") {
+                        response.clone()
+                    } else {
+                        UNAVAILABLE.to_vec()
+                    }
                 });
             }
             sleep(Duration::from_millis(500)).await;
@@ -420,7 +424,11 @@
             let address = listener.local_addr().unwrap();
             spawn_reader(listener, Duration::ZERO, |request| {
                 let former_list = relayed_manifest(1, 1, "1 good");
-                if request.contains("/list") { former_list } else { UNAVAILABLE.to_vec() }
+                if request.contains("/list?prefix=config") {
+                    former_list
+                } else {
+                    UNAVAILABLE.to_vec()
+                }
             });
             spawn_heartbeats(&host, address, 1).await;
             sleep(Duration::from_millis(1000)).await;
@@ -433,6 +441,37 @@
         .await;
 }
 
+/// Guards against requests that reach a draining instance for too long, because the reader does not
+/// respond to the watch and the lists of instances.
+#[tokio::test]
+async fn reader_silent_for_instances() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            let (host, [listener, _]) = host_and_reader_listeners().await;
+            host.register(&upstream);
+            host.wait_for_status("/open/1", 200).await;
+            let address = listener.local_addr().unwrap();
+            let is_followed = Arc::new(AtomicBool::new(false));
+            let has_watched = Arc::clone(&is_followed);
+            spawn_reader(listener, Duration::ZERO, move |request| {
+                if !request.contains("prefix=servers") {
+                    return UNAVAILABLE.to_vec();
+                }
+                has_watched.store(true, Relaxed);
+                Vec::new()
+            });
+            spawn_heartbeats(&host, address, 1).await;
+            wait_for(async || is_followed.load(Relaxed)).await;
+            host.store.put("servers/i1", &format!("{} draining", upstream.address));
+            let changed_at = Instant::now();
+            host.wait_for_status("/open/1", 503).await;
+            let took = changed_at.elapsed();
+            assert!(took < Duration::from_millis(2300), "{took:?}");
+        })
+        .await;
+}
+
 /// Guards against transfers of a large manifest from a peer that overlap and slow each other down.
 #[tokio::test]
 async fn copy_manifest_overlapping() {
@@ -682,8 +721,7 @@
 
 const UNAVAILABLE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 
-/// Responds to lists and watches of the manifest; all other calls of a host fail. Each response is
-/// sent in pieces of 20 KB, one in `pace`.
+/// Responds to the calls of a host, in pieces of 20 KB, one in `pace`. An empty response is none.
 fn spawn_reader(
     listener: TcpListener,
     pace: Duration,
@@ -700,12 +738,7 @@
                     && length > 0
                 {
                     let text = String::from_utf8_lossy(&request[..length]);
-                    let response = if text.contains("prefix=config") {
-                        respond(&text)
-                    } else {
-                        UNAVAILABLE.to_vec()
-                    };
-                    for it in response.chunks(20_000) {
+                    for it in respond(&text).chunks(20_000) {
                         if stream.write_all(it).await.is_err() {
                             return;
                         }
