Copy the manifest from a peer only when no response arrives

A host whose manifest lags copied it from a peer also while the response to its watch or to a list was arriving, and began the copy together with the list that checks for changes. Over a slow link two transfers of one manifest ran at half the speed each.

The watcher tells whether a response is arriving, and no copy begins then. While the platform counts as reachable, the list beside the watch has 0.5 s to begin before the manifest is copied; in an outage the copy begins at once, as before.

copy_manifest_overlapping now counts watches and lists as well as copies, for a peer that responds to watches, to lists, or to copies only. The third case is the former one; other calls get no response there instead of a slow one, since no copy begins beside a slow one any more.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -83,6 +83,10 @@
 /// several round trips between regions, and short against the time bound for new manifests.
 const WATCH_HANG_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time for which a list beside a hung watch may take to begin to arrive, before the manifest is
+/// copied from a peer: the timeout of a call between hosts.
+const CHECK_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Interval between checks for newer manifests at peers.
 const MANIFEST_LAG_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -325,9 +329,10 @@
         log::debug!("registration of {own} deleted: {outcome:?}");
     }
 
-    /// Waits until a peer has had a newer manifest for so long that this host's watch must be hung.
-    async fn manifest_watch_hung(&self) {
-        sleep(WATCH_HANG_TIMEOUT).await;
+    /// Waits until a peer has had a newer manifest for so long that this host's watch must be hung,
+    /// and for `min_wait` at least.
+    async fn manifest_watch_hung(&self, min_wait: Duration) {
+        sleep(min_wait).await;
         loop {
             let now = Instant::now();
             let lag = self.state.steering.borrow().manifest_lag().duration(now);
@@ -433,15 +438,20 @@
         };
         let seed = self.state.settings().steering.seed;
         let mut watcher = Watcher::start(Arc::clone(&self.store), settings, seed);
-        let mut hung = pin!(self.manifest_watch_hung());
+        let mut hung = pin!(self.manifest_watch_hung(WATCH_HANG_TIMEOUT));
         let mut copy: Option<JoinHandle<()>> = None;
+        // Whether the manifest was listed beside the watch since the last change.
+        let mut has_checked = false;
         loop {
             tokio::select! {
                 biased;
                 // Changes are handled first, since progress confirms that all of them were
                 // reported.
                 event = watcher.events.recv() => match event {
-                    Some(it) => self.apply_change(prefix, it),
+                    Some(it) => {
+                        has_checked = false;
+                        self.apply_change(prefix, it);
+                    }
                     None => return,
                 },
                 Ok(()) = watcher.progress.changed() => {
@@ -451,12 +461,18 @@
                     }
                 }
                 () = &mut hung, if is_manifest => {
-                    watcher.check_for_changes();
+                    let is_unreachable =
+                        matches!(*watcher.reachability.borrow(), Reachability::Unreachable { .. });
+                    let is_copying = copy.as_ref().is_some_and(|it| !it.is_finished());
                     // Transfers that overlap on a slow link would delay each other.
-                    if copy.as_ref().is_none_or(JoinHandle::is_finished) {
+                    if (is_unreachable || has_checked) && !is_copying && !watcher.is_receiving() {
                         copy = self.copy_manifest_from_peer();
                     }
-                    hung.set(self.manifest_watch_hung());
+                    watcher.check_for_changes();
+                    let min_wait =
+                        if has_checked { WATCH_HANG_TIMEOUT } else { CHECK_RESPONSE_TIMEOUT };
+                    has_checked = true;
+                    hung.set(self.manifest_watch_hung(min_wait));
                 }
                 Ok(()) = watcher.reachability.changed() => {
                     let reachability = *watcher.reachability.borrow_and_update();
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -475,45 +475,55 @@
 /// Guards against transfers of a large manifest from a peer that overlap and slow each other down.
 #[tokio::test]
 async fn copy_manifest_overlapping() {
-    LocalSet::new()
+    let most_transfers = LocalSet::new()
         .run_until(async {
-            let store = Arc::new(MemoryStore::default());
-            store.put("config/main", "1 good");
-            let listen = listen_addresses();
-            spawn_process_in("z1", "n1", listen, &store);
-            let client = Client::builder().no_proxy().build().unwrap();
-            let host = Harness { store, listen, client };
-            host.wait_until_ready().await;
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let address = listener.local_addr().unwrap();
-            let (running, most) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
-            let most_running = Arc::clone(&most);
+            tokio::join!(
+                most_manifest_transfers("/watch"),
+                most_manifest_transfers("/list"),
+                most_manifest_transfers("none")
+            )
+        })
+        .await;
+    assert_eq!(most_transfers, (1, 1, 1));
+}
+
+/// Maximum number of transfers of a manifest at once to a host whose reader has a newer manifest. The
+/// reader responds slowly to copies of any age and to calls of `other_path`, not to other calls.
+async fn most_manifest_transfers(other_path: &'static str) -> usize {
+    let (host, [listener, _]) = host_and_reader_listeners().await;
+    let address = listener.local_addr().unwrap();
+    let (running, most) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let most_running = Arc::clone(&most);
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let (running, most) = (Arc::clone(&running), Arc::clone(&most));
             tokio::spawn(async move {
-                loop {
-                    let (mut stream, _) = listener.accept().await.unwrap();
-                    let (running, most) = (Arc::clone(&running), Arc::clone(&most));
-                    tokio::spawn(async move {
-                        let mut request = [0; 4096];
-                        let length = stream.read(&mut request).await.unwrap_or(0);
-                        let is_copy =
-                            String::from_utf8_lossy(&request[..length]).contains("any_age=true");
-                        let count = usize::from(is_copy);
-                        most.fetch_max(running.fetch_add(count, Relaxed) + count, Relaxed);
-                        let head = "HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n";
-                        let _ = stream.write_all(head.as_bytes()).await;
-                        for _ in 0..30 {
-                            let _ = stream.write_all(&[0; 20_000]).await;
-                            sleep(Duration::from_millis(200)).await;
-                        }
-                        running.fetch_sub(count, Relaxed);
-                    });
+                let mut request = [0; 4096];
+                let length = stream.read(&mut request).await.unwrap_or(0);
+                let request = String::from_utf8_lossy(&request[..length]);
+                let is_transfer = request.contains("any_age=true")
+                    || request.contains(&format!("{other_path}?prefix=config"));
+                if !is_transfer {
+                    sleep(Duration::from_secs(2)).await;
+                    return;
+                }
+                most.fetch_max(running.fetch_add(1, Relaxed) + 1, Relaxed);
+                let head = "HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n";
+                let _ = stream.write_all(head.as_bytes()).await;
+                for _ in 0..30 {
+                    if stream.write_all(&[0; 20_000]).await.is_err() {
+                        break;
+                    }
+                    sleep(Duration::from_millis(200)).await;
                 }
+                running.fetch_sub(1, Relaxed);
             });
-            spawn_heartbeats(&host, address, 2).await;
-            sleep(Duration::from_secs(5)).await;
-            assert_eq!(most_running.load(Relaxed), 1);
-        })
-        .await;
+        }
+    });
+    spawn_heartbeats(&host, address, 2).await;
+    sleep(Duration::from_secs(5)).await;
+    most_running.load(Relaxed)
 }
 
 /// Guards against hosts that refuse all requests for the whole of a platform outage, because it began
--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -121,6 +121,8 @@
     pub progress: watch::Receiver<Option<WatchProgress>>,
     /// Notified when a list should be compared beside the pending watch.
     check: Arc<Notify>,
+    watch_arrival: Arc<Arrival>,
+    list_arrival: Arc<Arrival>,
     task: JoinHandle<()>,
 }
 
@@ -133,6 +135,7 @@
         let (reachability_sender, reachability) = watch::channel(Reachability::Unknown);
         let (progress_sender, progress) = watch::channel(None);
         let check = Arc::new(Notify::new());
+        let (watch_arrival, list_arrival) = <(Arc<Arrival>, Arc<Arrival>)>::default();
         let backoff = Backoff::unlimited(settings.max_backoff_ms, seed);
         let watch_task = WatchTask {
             store,
@@ -141,6 +144,8 @@
             reachability: reachability_sender,
             progress: progress_sender,
             check: Arc::clone(&check),
+            watch_arrival: Arc::clone(&watch_arrival),
+            list_arrival: Arc::clone(&list_arrival),
             last_success_at: Instant::now(),
             is_failing: false,
             last_outage: None,
@@ -153,7 +158,12 @@
             // Returns when the receiver of the events is dropped.
             watch_task.run().await;
         });
-        Self { events, reachability, progress, check, task }
+        Self { events, reachability, progress, check, watch_arrival, list_arrival, task }
+    }
+
+    /// Whether the response to a list or a watch is arriving.
+    pub fn is_receiving(&self) -> bool {
+        self.watch_arrival.is_arriving() || self.list_arrival.is_arriving()
     }
 
     /// Lists the objects beside the pending watch, which may hang. Has no effect during a list, so
@@ -193,6 +203,10 @@
     reachability: watch::Sender<Reachability>,
     progress: watch::Sender<Option<WatchProgress>>,
     check: Arc<Notify>,
+    /// Whether the response to the pending watch is arriving.
+    watch_arrival: Arc<Arrival>,
+    /// Whether the response to a list is arriving.
+    list_arrival: Arc<Arrival>,
     /// Time at which the newest successful call ended; initially the start of the task.
     last_success_at: Instant,
     /// Whether the newest call failed.
@@ -232,7 +246,7 @@
     async fn list_and_report(&mut self) -> Result<StoreRevision, Interruption> {
         let sent_at = Instant::now();
         let (store, prefixes) = (Arc::clone(&self.store), self.settings.prefixes.clone());
-        let outcome = list_all(store, prefixes, &Arrival::default()).await;
+        let outcome = list_all(store, prefixes, &self.list_arrival).await;
         let outcome = outcome.and_then(|it| self.reject_outdated(it.revision, it));
         let listing = self.record_outcome(outcome)?;
         self.report_listing(listing, sent_at).await
@@ -418,20 +432,18 @@
         after: StoreRevision,
         wait: Duration,
     ) -> NextResponse {
-        let watch_arrival = Arrival::default();
         let mut watch =
-            Box::pin(self.store.watch_with_arrival(prefix, after, wait, &watch_arrival));
+            Box::pin(self.store.watch_with_arrival(prefix, after, wait, &self.watch_arrival));
         loop {
             tokio::select! {
                 it = &mut watch => return NextResponse::Watch(it),
                 () = self.check.notified() => {}
             }
-            if watch_arrival.is_arriving() {
+            if self.watch_arrival.is_arriving() {
                 continue;
             }
             let sent_at = Instant::now();
-            let list_arrival = Arrival::default();
-            let mut list = pin!(self.list_from(after, &list_arrival));
+            let mut list = pin!(self.list_from(after));
             let listing = tokio::select! {
                 biased;
                 it = &mut list => it,
@@ -444,7 +456,7 @@
                         None => NextResponse::Watch(response),
                     };
                 }
-                is_list_first = both_arrive(&list_arrival, &watch_arrival) => {
+                is_list_first = both_arrive(&self.list_arrival, &self.watch_arrival) => {
                     if !is_list_first {
                         continue;
                     }
@@ -463,9 +475,9 @@
 
     /// Lists the objects; `None` if that fails or if the list is from before `after`, as one of
     /// another host's copy may be.
-    async fn list_from(&self, after: StoreRevision, arrival: &Arrival) -> Option<Listing> {
+    async fn list_from(&self, after: StoreRevision) -> Option<Listing> {
         let prefixes = self.settings.prefixes.clone();
-        let outcome = list_all(Arc::clone(&self.store), prefixes, arrival).await;
+        let outcome = list_all(Arc::clone(&self.store), prefixes, &self.list_arrival).await;
         outcome.value().filter(|it| !it.revision.is_before(after))
     }
 
