Do not apply a list of a reader that is behind in the revision

After a watch failed, a host applied whatever list it got next, also one of a reader or fallback whose copy was older than what the host had reported. An instance that had registered since was deleted, one that had left came back, and an evacuation ended, until the host received newer changes.

Such a list is passed over, and the watch goes on from the reported revision. It is told from that of a store which lost its state by the era, and by the store's answer that it lacks the revision.

list_outdated_after_failed_watch saw the deletion of config/b before, and sees no event after the change.

--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -151,6 +151,7 @@
             last_outage: None,
             reported_versions: BTreeMap::new(),
             era: 0,
+            has_gap: false,
             missing: BTreeMap::new(),
             backoff,
         };
@@ -217,6 +218,8 @@
     reported_versions: BTreeMap<String, u64>,
     /// Era of the store to which the reported versions belong; 0 if it is not known.
     era: u64,
+    /// Whether the store lacks the changes after the reported revision.
+    has_gap: bool,
     /// Objects that the copy of the current era lacks, with the time at which they count as deleted.
     missing: BTreeMap<String, Instant>,
     backoff: Backoff,
@@ -249,9 +252,21 @@
         let outcome = list_all(store, prefixes, &self.list_arrival).await;
         let outcome = outcome.and_then(|it| self.reject_outdated(it.revision, it));
         let listing = self.record_outcome(outcome)?;
+        if let Some(it) = self.reported_revision_after(listing.revision) {
+            return Ok(it);
+        }
         self.report_listing(listing, sent_at).await
     }
 
+    /// Revision of the reported changes if it is above that of a list, which comes from the copy of a
+    /// host that is behind then. A store without eras, or one that lacks the reported revision, may
+    /// have lost its state instead.
+    fn reported_revision_after(&self, listed: StoreRevision) -> Option<StoreRevision> {
+        let reported = (*self.progress.borrow())?.revision;
+        let is_comparable = !self.has_gap && listed.era != 0 && listed.era == reported.era;
+        (is_comparable && listed.is_before(reported)).then_some(reported)
+    }
+
     /// Reports all objects whose state differs from the reported one, or all objects if the store
     /// was restored; returns the revision from which to watch.
     async fn report_listing(
@@ -276,6 +291,7 @@
         for it in listed {
             self.report_if_changed(it.name, Some(it.version), it.value, restoration).await?;
         }
+        self.has_gap = false;
         self.record_progress(sent_at, listing.staleness, listing.revision);
         Ok(listing.revision)
     }
@@ -405,6 +421,7 @@
                 }
                 CallOutcome::Value(WatchResponse::RevisionTooOld) => {
                     self.record_success();
+                    self.has_gap = true;
                     *wait_ms = self.settings.wait_ms;
                     return Interruption::RetryAfterMs(0);
                 }
--- a/crates/platform/tests/watcher.rs
+++ b/crates/platform/tests/watcher.rs
@@ -158,6 +158,10 @@
     watches_end: bool,
     /// Objects that every list but the first returns.
     later_list: Vec<(&'static str, u64)>,
+    /// Era of all revisions.
+    era: u64,
+    /// Whether all watches but the first fail.
+    watches_fail: bool,
     /// Time after which the response to the first watch begins to arrive, if it is a transfer.
     watch_delay: Option<Duration>,
     transfers: Arc<Transfers>,
@@ -195,7 +199,7 @@
     }
 }
 
-fn listed(objects: &[(&str, u64)]) -> Listing {
+fn listed(era: u64, objects: &[(&str, u64)]) -> Listing {
     let object = |it: &(&str, u64)| ListedObject {
         name: it.0.to_owned(),
         version: it.1,
@@ -203,10 +207,7 @@
         value: Some(Bytes::from_static(b"value")),
     };
     Listing {
-        revision: StoreRevision {
-            era: 0,
-            number: objects.iter().map(|it| it.1).max().unwrap_or(0),
-        },
+        revision: StoreRevision { era, number: objects.iter().map(|it| it.1).max().unwrap_or(0) },
         objects: objects.iter().map(object).collect(),
         staleness: Duration::ZERO,
     }
@@ -231,11 +232,11 @@
 
     async fn list_with_arrival(&self, _: &str, arrival: &Arrival) -> CallOutcome<Listing> {
         if self.lists.fetch_add(1, Ordering::Relaxed) == 0 {
-            return CallOutcome::Value(listed(&[("config/a", 5)]));
+            return CallOutcome::Value(listed(self.era, &[("config/a", 5)]));
         }
         sleep(self.list_delay).await;
         self.transfers.run(arrival).await;
-        CallOutcome::Value(listed(&self.later_list))
+        CallOutcome::Value(listed(self.era, &self.later_list))
     }
 
     async fn watch(
@@ -269,7 +270,10 @@
         if is_first && self.has_change {
             let value = Some(Bytes::from_static(b"value"));
             let change = ObjectChange { name: "config/b".to_owned(), version: Some(9), value };
-            return changes(StoreRevision { era: 0, number: 9 }, vec![change]);
+            return changes(StoreRevision { era: self.era, number: 9 }, vec![change]);
+        }
+        if self.watches_fail {
+            return CallOutcome::Unavailable;
         }
         if !self.watches_end {
             std::future::pending::<()>().await;
@@ -362,3 +366,20 @@
         assert!(checked_at.elapsed() < Duration::from_millis(2200));
     }
 }
+
+/// Guards against a list of a reader that is behind, after a watch failed, that deletes an object
+/// which a watch has reported since.
+#[tokio::test]
+async fn list_outdated_after_failed_watch() {
+    let mut watcher = follow_scripted(ScriptedStore {
+        era: 1,
+        has_change: true,
+        watches_fail: true,
+        later_list: vec![("config/a", 5)],
+        ..ScriptedStore::default()
+    });
+    assert_eq!(next_event(&mut watcher).await, ("config/a".to_owned(), Some(5)));
+    assert_eq!(next_event(&mut watcher).await, ("config/b".to_owned(), Some(9)));
+    let event = timeout(Duration::from_secs(1), watcher.events.recv()).await;
+    assert!(event.is_err(), "{event:?}");
+}
