--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -121,6 +121,8 @@
     pub progress: watch::Receiver<Option<WatchProgress>>,
     /// Notified when a list should be compared beside the pending watch.
     check: Arc<Notify>,
+    watch_arrival: Arc<Arrival>,
+    list_arrival: Arc<Arrival>,
     task: JoinHandle<()>,
 }
 
@@ -133,6 +135,7 @@
         let (reachability_sender, reachability) = watch::channel(Reachability::Unknown);
         let (progress_sender, progress) = watch::channel(None);
         let check = Arc::new(Notify::new());
+        let (watch_arrival, list_arrival) = <(Arc<Arrival>, Arc<Arrival>)>::default();
         let backoff = Backoff::unlimited(settings.max_backoff_ms, seed);
         let watch_task = WatchTask {
             store,
@@ -141,12 +144,15 @@
             reachability: reachability_sender,
             progress: progress_sender,
             check: Arc::clone(&check),
+            watch_arrival: Arc::clone(&watch_arrival),
+            list_arrival: Arc::clone(&list_arrival),
             last_success_at: Instant::now(),
             is_failing: false,
             last_outage: None,
             reported_versions: BTreeMap::new(),
             era: 0,
             copied_until: 0,
+            has_gap: false,
             missing: BTreeMap::new(),
             backoff,
         };
@@ -154,7 +160,12 @@
             // Returns when the receiver of the events is dropped.
             watch_task.run().await;
         });
-        Self { events, reachability, progress, check, task }
+        Self { events, reachability, progress, check, watch_arrival, list_arrival, task }
+    }
+
+    /// Whether the response to a list or a watch is arriving.
+    pub fn is_receiving(&self) -> bool {
+        self.watch_arrival.is_arriving() || self.list_arrival.is_arriving()
     }
 
     /// Lists the objects beside the pending watch, which may hang. Has no effect during a list, so
@@ -194,6 +205,10 @@
     reachability: watch::Sender<Reachability>,
     progress: watch::Sender<Option<WatchProgress>>,
     check: Arc<Notify>,
+    /// Whether the response to the pending watch is arriving.
+    watch_arrival: Arc<Arrival>,
+    /// Whether the response to a list is arriving.
+    list_arrival: Arc<Arrival>,
     /// Time at which the newest successful call ended; initially the start of the task.
     last_success_at: Instant,
     /// Whether the newest call failed.
@@ -207,6 +222,8 @@
     /// Revision of the first list of the current era, 0 without a restoration. Objects up to it may
     /// be in the copy, also if a host that relays changes withholds them at first.
     copied_until: u64,
+    /// Whether the store lacks the changes after the reported revision.
+    has_gap: bool,
     /// Objects that the copy of the current era lacks, with the time at which they count as deleted.
     missing: BTreeMap<String, Instant>,
     backoff: Backoff,
@@ -236,12 +253,24 @@
     async fn list_and_report(&mut self) -> Result<StoreRevision, Interruption> {
         let sent_at = Instant::now();
         let (store, prefixes) = (Arc::clone(&self.store), self.settings.prefixes.clone());
-        let outcome = list_all(store, prefixes, &Arrival::default()).await;
+        let outcome = list_all(store, prefixes, &self.list_arrival).await;
         let outcome = outcome.and_then(|it| self.reject_outdated(it.revision, it));
         let listing = self.record_outcome(outcome)?;
+        if let Some(it) = self.reported_revision_after(listing.revision) {
+            return Ok(it);
+        }
         self.report_listing(listing, sent_at).await
     }
 
+    /// Revision of the reported changes if it is above that of a list, which comes from the copy of a
+    /// host that is behind then. A store without eras, or one that lacks the reported revision, may
+    /// have lost its state instead.
+    fn reported_revision_after(&self, listed: StoreRevision) -> Option<StoreRevision> {
+        let reported = (*self.progress.borrow())?.revision;
+        let is_comparable = !self.has_gap && listed.era != 0 && listed.era == reported.era;
+        (is_comparable && listed.is_before(reported)).then_some(reported)
+    }
+
     /// Reports all objects whose state differs from the reported one, or all objects if the store
     /// was restored; returns the revision from which to watch.
     async fn report_listing(
@@ -263,6 +292,7 @@
         for it in listed {
             self.report_if_changed(it.name, Some(it.version), it.value).await?;
         }
+        self.has_gap = false;
         self.record_progress(sent_at, listing.staleness, listing.revision);
         Ok(listing.revision)
     }
@@ -389,6 +419,7 @@
                 }
                 CallOutcome::Value(WatchResponse::RevisionTooOld) => {
                     self.record_success();
+                    self.has_gap = true;
                     *wait_ms = self.settings.wait_ms;
                     return Interruption::RetryAfterMs(0);
                 }
@@ -416,20 +447,18 @@
         after: StoreRevision,
         wait: Duration,
     ) -> NextResponse {
-        let watch_arrival = Arrival::default();
         let mut watch =
-            Box::pin(self.store.watch_with_arrival(prefix, after, wait, &watch_arrival));
+            Box::pin(self.store.watch_with_arrival(prefix, after, wait, &self.watch_arrival));
         loop {
             tokio::select! {
                 it = &mut watch => return NextResponse::Watch(it),
                 () = self.check.notified() => {}
             }
-            if watch_arrival.is_arriving() {
+            if self.watch_arrival.is_arriving() {
                 continue;
             }
             let sent_at = Instant::now();
-            let list_arrival = Arrival::default();
-            let mut list = pin!(self.list_from(after, &list_arrival));
+            let mut list = pin!(self.list_from(after));
             let listing = tokio::select! {
                 biased;
                 it = &mut list => it,
@@ -442,7 +471,7 @@
                         None => NextResponse::Watch(response),
                     };
                 }
-                is_list_first = both_arrive(&list_arrival, &watch_arrival) => {
+                is_list_first = both_arrive(&self.list_arrival, &self.watch_arrival) => {
                     if !is_list_first {
                         continue;
                     }
@@ -461,9 +490,9 @@
 
     /// Lists the objects; `None` if that fails or if the list is from before `after`, as one of
     /// another host's copy may be.
-    async fn list_from(&self, after: StoreRevision, arrival: &Arrival) -> Option<Listing> {
+    async fn list_from(&self, after: StoreRevision) -> Option<Listing> {
         let prefixes = self.settings.prefixes.clone();
-        let outcome = list_all(Arc::clone(&self.store), prefixes, arrival).await;
+        let outcome = list_all(Arc::clone(&self.store), prefixes, &self.list_arrival).await;
         outcome.value().filter(|it| !it.revision.is_before(after))
     }
 
