Write an open rollout again that a restored platform lacks

After the platform came back from a copy of before the start, hosts went on with the lost rollout at the stage that it had reached, but no controller could advance it, finish it or record a rollback: every write was conditional on a version that the platform no longer had. kingcupford-ctl showed no rollout, so it could not be rolled back either. A stage below 100% ended at the deadline only, one at 100% not at all.

A host whose write is refused reads the object. When there is none, its next write creates the object on the condition that there still is none, as with the ledger. A rollout that was started meanwhile therefore stays, and the host takes it over. An answer about an older version than the known one says nothing.

Checks of expected versions in the tests compare the same numbers in Some.

--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -373,6 +373,11 @@
         self.rollouts.record_write_outcome(&write.rollout, outcome, now);
     }
 
+    /// Records that the platform no longer has the rollout that a write should have replaced.
+    pub fn record_rollout_lost(&mut self, write: &kingcupford_rollout::RolloutWrite) {
+        self.rollouts.record_lost(write);
+    }
+
     /// Starts the handover of this host's share to the other hosts, for a graceful shutdown.
     pub fn start_handover(&mut self, now: Instant) {
         self.holder.start_handover(now);
--- a/crates/engine/src/rollouts.rs
+++ b/crates/engine/src/rollouts.rs
@@ -259,6 +259,15 @@
         }
     }
 
+    /// Records that the platform has no object that a write could replace.
+    pub(crate) fn record_lost(&mut self, write: &RolloutWrite) {
+        if let Some(it) = self.services.iter_mut().find(|it| it.name == write.rollout.service)
+            && let Some(version) = write.expected_version
+        {
+            it.controller.record_lost(version);
+        }
+    }
+
     /// Returns the names of services whose new version this host stopped, with the reason.
     pub(crate) fn stop_reasons(&self) -> impl Iterator<Item = (&str, &Reason)> {
         self.services.iter().filter_map(|it| Some((it.name.as_str(), it.splitter.stop_reason()?)))
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -255,7 +255,7 @@
     use kingcupford_rollout::WriteOutcome as ReportedOutcome;
     let Ok(bytes) = serde_json::to_vec(&write.rollout) else { return };
     let name = format!("{}{}", kingcupford_engine::ROLLOUT_PREFIX, write.rollout.service);
-    let condition = Condition::Version(write.expected_version);
+    let condition = write.expected_version.map_or(Condition::Absent, Condition::Version);
     host.metrics.platform_calls.inc();
     let outcome = host.store.write(&name, bytes.into(), condition).await;
     let reported = match outcome {
@@ -276,8 +276,10 @@
     if reported == ReportedOutcome::Conflict {
         // The watch also delivers the newer object, but the rollout controller must not wait for
         // it.
-        if let CallOutcome::Value(Some(object)) = host.store.read(&name).await {
-            apply_object(host, &name, &object);
+        match host.store.read(&name).await {
+            CallOutcome::Value(Some(object)) => apply_object(host, &name, &object),
+            CallOutcome::Value(None) => host.engine.lock().record_rollout_lost(write),
+            CallOutcome::Unavailable | CallOutcome::Throttled { .. } => {}
         }
     }
 }
--- a/crates/entry/tests/it/platform.rs
+++ b/crates/entry/tests/it/platform.rs
@@ -9,6 +9,7 @@
     StoreRevision, WatchResponse, WriteOutcome,
 };
 use kingcupford_quota::Ledger;
+use kingcupford_rollout::{MIN_DURATION_MS, Rollout, StartRequest, start};
 use kingcupford_standin::{OutageMode, PlatformFaults};
 use tokio::time::{Instant, sleep};
 
@@ -139,6 +140,44 @@
     });
 }
 
+/// Guards against a rollout that stays at its stage, where no controller can advance it or roll it
+/// back, because the platform is restored from a copy without it.
+#[test]
+fn rollout_after_restoration() {
+    run_test(async {
+        let fleet = TestFleet::start(settings(3, &["fukuoka-a"], 16)).await?;
+        let store = &fleet.deployment.store;
+        sleep(Duration::from_millis(500)).await;
+        let copied_at = Instant::now();
+        sleep(Duration::from_millis(100)).await;
+        let now_unix_ms = std::time::UNIX_EPOCH.elapsed()?.as_millis() as u64;
+        let request = StartRequest {
+            service: "ledger-view".to_owned(),
+            from: "v1".to_owned(),
+            to: "v2".to_owned(),
+            now_unix_ms,
+            deadline_unix_ms: now_unix_ms + MIN_DURATION_MS,
+            write_id: 1,
+        };
+        let bytes = serde_json::to_vec(&start(None, &request)?)?;
+        store.write("rollout/ledger-view", bytes.into(), Condition::Absent).await;
+        let is_controlled = || async {
+            let object = store.read("rollout/ledger-view").await.value().flatten();
+            let rollout = object.and_then(|it| serde_json::from_slice::<Rollout>(&it.bytes).ok());
+            rollout.is_some_and(|it| it.started_unix_ms == now_unix_ms && it.controller.is_some())
+        };
+        wait_until("a host controls the rollout", Duration::from_secs(10), is_controlled).await?;
+        // The other hosts learn of the controller's write.
+        sleep(Duration::from_secs(1)).await;
+        fleet.deployment.platform.restore(copied_at.elapsed().as_millis() as u64)?;
+        ensure!(!is_controlled().await, "the copy has the rollout");
+        let waited =
+            wait_until("a host writes it again", Duration::from_secs(10), is_controlled).await?;
+        println!("a host wrote the rollout again {waited:?} after the restoration");
+        Ok(())
+    });
+}
+
 /// Guards against a revocation after a restoration that hosts ignore because a configuration which
 /// the platform lost had the same version.
 #[test]
--- a/crates/load/src/control.rs
+++ b/crates/load/src/control.rs
@@ -249,7 +249,7 @@
                 use kingcupford_rollout::WriteOutcome as RolloutWriteOutcome;
                 let name = format!("{ROLLOUT_PREFIX}{}", write.rollout.service);
                 let bytes = serde_json::to_vec(&write.rollout).unwrap_or_default();
-                let written = self.platform.write(&name, &bytes, Some(write.expected_version));
+                let written = self.platform.write(&name, &bytes, write.expected_version);
                 self.record_rollout_ends();
                 self.wake_watches();
                 let newer = self.platform.object(&name).cloned();
--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -71,8 +71,9 @@
 pub struct RolloutWrite {
     /// Content of the object to write.
     pub rollout: Rollout,
-    /// Version that the platform object must still have for the write to take effect.
-    pub expected_version: u64,
+    /// Version that the platform object must still have for the write to take effect, `None` if the
+    /// platform must have no object.
+    pub expected_version: Option<u64>,
 }
 
 /// Outcome of a conditional write as its sender knows it.
@@ -93,6 +94,8 @@
 struct KnownRollout {
     rollout: Rollout,
     version: u64,
+    /// Whether the platform has lost the object and has no other one.
+    is_lost: bool,
     /// When this renewal was first seen.
     first_seen_at: Instant,
     /// How long the renewal must stay unchanged before this host acquires the lease.
@@ -102,6 +105,8 @@
 #[derive(Debug)]
 struct PendingWrite {
     write: RolloutWrite,
+    /// Version of the object from which the write was derived.
+    base_version: u64,
     /// When the write was first sent, from which the lease is counted.
     first_sent_at: Instant,
     state: PendingWriteState,
@@ -214,6 +219,17 @@
         }
     }
 
+    /// Records that the platform no longer has the object, although `version` was known when it was
+    /// asked, because it was restored from a copy. The next write then creates the object again.
+    pub fn record_lost(&mut self, version: u64) {
+        if let Some(known) = &mut self.known
+            && known.version == version
+        {
+            known.is_lost = true;
+            self.pending_write = None;
+        }
+    }
+
     /// Whether this process holds the lease at `now`; after a pause longer than the lease it does
     /// not.
     pub fn holds_lease(&self, now: Instant) -> bool {
@@ -232,6 +248,7 @@
             Some(known) => {
                 let write_key = |it: &Rollout| (it.key(), it.renewal, it.write_id);
                 let is_unchanged = write_key(&known.rollout) == write_key(rollout);
+                known.is_lost &= version == known.version;
                 known.version = version;
                 is_unchanged
             }
@@ -248,6 +265,7 @@
         self.known = Some(KnownRollout {
             rollout: rollout.clone(),
             version,
+            is_lost: false,
             first_seen_at: now,
             acquire_after,
         });
@@ -262,7 +280,7 @@
     ) -> Option<RolloutWrite> {
         let known = self.known.as_ref()?;
         let pending = self.pending_write.as_mut()?;
-        if known.version > pending.write.expected_version {
+        if known.version > pending.base_version {
             let version = known.version;
             let is_own_write = known.rollout.write_id == pending.write.rollout.write_id;
             let pending = self.pending_write.take()?;
@@ -317,10 +335,13 @@
         {
             raise_exposure_counters(&mut rollout.exposure, &it.exposure);
         }
-        let expected_version = self.known.as_ref().map_or(input.document_version, |it| it.version);
+        let base_version = self.known.as_ref().map_or(input.document_version, |it| it.version);
+        let is_lost = self.known.as_ref().is_some_and(|it| it.is_lost);
+        let expected_version = (!is_lost).then_some(base_version);
         let write = RolloutWrite { rollout, expected_version };
         self.pending_write = Some(PendingWrite {
             write: write.clone(),
+            base_version,
             first_sent_at: now,
             state: PendingWriteState::Sent,
         });
--- a/crates/rollout/tests/controller.rs
+++ b/crates/rollout/tests/controller.rs
@@ -50,7 +50,7 @@
     }
 
     fn apply(&mut self, write: &RolloutWrite) -> WriteOutcome {
-        if write.expected_version != self.version {
+        if write.expected_version != Some(self.version) {
             return WriteOutcome::Conflict;
         }
         self.object = write.rollout.clone();
@@ -97,6 +97,27 @@
     assert!(a.holds_lease(platform.instant(3_100)) && !b.holds_lease(platform.instant(3_100)));
 }
 
+/// Guards against a rollout that no controller can write because the platform lost its object, and
+/// against another object that is replaced by the lost one.
+#[test]
+fn tick_lost_object() {
+    let mut platform = Platform::new();
+    let mut a = Controller::new("a", 1);
+    let ms = platform.acquire_lease(&mut a) + 3_000;
+    let refused = platform.tick(&mut a, ms).expect("a renewal");
+    a.record_outcome(refused.rollout.write_id, WriteOutcome::Conflict, platform.instant(ms));
+    a.record_lost(platform.version - 1);
+    assert_eq!(platform.tick(&mut a, ms), None, "an older read says nothing");
+    a.record_lost(platform.version);
+    let lost = platform.tick(&mut a, ms).expect("the lost object");
+    assert_eq!((lost.expected_version, lost.rollout.key()), (None, platform.object.key()));
+    let written = WriteOutcome::Written { version: 1_000 };
+    a.record_outcome(lost.rollout.write_id, written, platform.instant(ms));
+    (platform.object, platform.version) = (lost.rollout, 1_000);
+    let next = platform.tick(&mut a, ms + 3_000).expect("a renewal");
+    assert_eq!(next.expected_version, Some(1_000));
+}
+
 /// Guards against a controller that still assumes after a pause that it holds the lease, and
 /// against an observer that acquires the lease before its holder considers it expired.
 #[test]
--- a/crates/rollout/tests/sim/mod.rs
+++ b/crates/rollout/tests/sim/mod.rs
@@ -340,7 +340,7 @@
             let write_id = write.rollout.write_id;
             let outcome = if !reachable {
                 WriteOutcome::Unknown
-            } else if write.expected_version != version {
+            } else if write.expected_version != Some(version) {
                 WriteOutcome::Conflict
             } else {
                 version += 1;
--- a/crates/rollout/tests/state_machine.rs
+++ b/crates/rollout/tests/state_machine.rs
@@ -132,7 +132,7 @@
             let Some(write) = controller.tick(now, unix_ms, &input) else { continue };
             prop_assert!(!object.state.is_final());
             let next = write.rollout;
-            let outcome = if write.expected_version != version {
+            let outcome = if write.expected_version != Some(version) {
                 WriteOutcome::Conflict
             } else if event.outcome == 4 {
                 // The write is lost before it reaches the platform.
