Tell the first era of an entry host's platform from a platform without eras

On a platform that counts its restorations from 0, versions of the first era carried no era. After the first restoration a condition on a lost version was sent as its plain number, and held whenever the platform had given that number out again: a write of the ledger or of a rollout replaced another one.

The dialect counts eras like the watcher: 0 stands for a platform that names none. Logs show the era as the platform counts it.

condition_restored_first_era_zero failed before (If-Match "7" for the lost version as for the new one) and passes.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -179,6 +179,8 @@
         }
         EngineEvent::LedgerChanged(version) => {
             let (era, number) = split_version(*version);
+            // As the platform counts, from 0.
+            let era = era.saturating_sub(1);
             Event::LedgerChanged.log(format_args!("version {number} of era {era}"))
         }
     }
--- a/crates/entry/src/era.rs
+++ b/crates/entry/src/era.rs
@@ -9,14 +9,13 @@
 };
 
 use bytes::Bytes;
-use http::HeaderName;
 use kingcupford_platform::{
     Announcement, ApiRequest, ApiResponse, CallOutcome, Condition, Dialect, HostEntry, ListPage,
     Object, PlainDialect, StoreRevision, WatchResponse, WriteOutcome,
 };
 
 /// Header with the era of the platform's store, which rises with each restoration.
-const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
+const ERA_HEADER: &str = "store-era";
 
 /// Bits of a version below those of its era.
 const VERSION_BITS: u32 = 40;
@@ -29,20 +28,20 @@
 #[derive(Debug, Clone, Default)]
 pub struct EraDialect {
     plain: PlainDialect,
-    /// Newest era in a response, 0 if the platform names none; shared by all clones.
+    /// Newest era in a response as [`ApiResponse::era`] counts it, 0 if the platform names none;
+    /// shared by all clones.
     newest_era: Arc<AtomicU64>,
 }
 
 impl EraDialect {
     /// Returns the era of a response. One without the header is of the newest known era.
     fn era(&self, response: &ApiResponse) -> u64 {
-        let header = response.headers.get(ERA_HEADER).and_then(|it| it.to_str().ok()?.parse().ok());
-        match header {
-            Some(era) => {
+        match response.era(ERA_HEADER) {
+            0 => self.newest_era.load(Ordering::Relaxed),
+            era => {
                 self.newest_era.fetch_max(era, Ordering::Relaxed);
                 era
             }
-            None => self.newest_era.load(Ordering::Relaxed),
         }
     }
 
@@ -62,12 +61,13 @@
     }
 }
 
-/// Returns the version with its era in the upper bits.
+/// Returns the version with its era, counted as in [`ApiResponse::era`], in the upper bits.
 fn version_in_era(era: u64, version: u64) -> u64 {
     era << VERSION_BITS | version
 }
 
-/// Returns the era of a version and the number that the platform gave it.
+/// Returns the era of a version, counted as in [`ApiResponse::era`], and the number that the platform
+/// gave it.
 pub(crate) fn split_version(version: u64) -> (u64, u64) {
     (version >> VERSION_BITS, version & ((1 << VERSION_BITS) - 1))
 }
--- a/crates/entry/tests/it/platform.rs
+++ b/crates/entry/tests/it/platform.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, ensure};
+use http::{HeaderName, HeaderValue, StatusCode, header};
 use kingcupford_entry::EraDialect;
 use kingcupford_platform::{
-    CallOutcome, ChangeOutcome, Condition, HttpObjectStore, HttpStoreSettings, ObjectStore as _,
-    StoreRevision, WatchResponse, WriteOutcome,
+    ApiResponse, CallOutcome, ChangeOutcome, Condition, Dialect as _, HttpObjectStore,
+    HttpStoreSettings, ObjectStore as _, StoreRevision, WatchResponse, WriteOutcome,
 };
 use kingcupford_quota::Ledger;
 use kingcupford_standin::{OutageMode, PlatformFaults};
@@ -199,3 +200,32 @@
         Ok(())
     });
 }
+
+/// Guards against a condition on a lost version that holds by chance, since the platform counts its
+/// restorations from 0.
+#[test]
+fn condition_restored_first_era_zero() {
+    let dialect = EraDialect::default();
+    let version_in = |era: &'static str| {
+        let headers = [("store-era", era), ("etag", "\"7\"")].into_iter();
+        let headers = headers
+            .map(|it| (HeaderName::from_static(it.0), HeaderValue::from_static(it.1)))
+            .collect();
+        let response = ApiResponse { status: StatusCode::OK, headers, body: Some("1".into()) };
+        match dialect.decode_write(&response) {
+            WriteOutcome::Written { version } => version,
+            other => panic!("not written: {other:?}"),
+        }
+    };
+    let condition = |version| {
+        let condition = Condition::Version(version);
+        let request = dialect.encode_write("quota/a", &"1".into(), condition);
+        request.headers.into_iter().find(|it| it.0 == header::IF_MATCH).map(|it| it.1)
+    };
+    let lost = version_in("0");
+    assert_eq!(condition(lost), Some(HeaderValue::from_static("\"7\"")));
+    let version = version_in("1");
+    assert!(version > lost, "version {version} after {lost}");
+    assert_eq!(condition(version), Some(HeaderValue::from_static("\"7\"")));
+    assert_ne!(condition(lost), Some(HeaderValue::from_static("\"7\"")));
+}
