Recover a head that a write from before a restoration overwrote

Operators saw a key that another operator had issued after a restoration disappear: both changes were reported as applied, and one overwrote the other.

Cause: a restored store gives object versions out again, so the condition of a write that was built on a lost head may hold by chance. The store offers no condition on its era.

In a restored store a writer archives its own head, create-only, before it reports the change as applied, and then reads the stored head again. The first archived head of a version counts. A writer that finds the newest archived head of the era above the stored one, or another head archived with the stored one's version, stores the archived one again and applies its edit to that. Of an overwriting and an overwritten writer, the later one therefore sees what the other one wrote.

--- a/crates/platform/src/archive.rs
+++ b/crates/platform/src/archive.rs
@@ -1,11 +1,12 @@
 //! Archive of the heads that were stored, from which a writer learns whether its change took effect
 //! although another change has replaced it since.
 
+use bytes::Bytes;
 use kingcupford_config::Head;
 
 use crate::{
     backoff::Backoff,
-    config_store::{StoredHead, parse_head},
+    config_store::parse_head,
     object::{CallOutcome, Condition, ListedObject, ObjectStore, WriteOutcome},
 };
 
@@ -37,6 +38,17 @@
     pub(crate) object: ListedObject,
 }
 
+/// Outcome of archiving a head.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ArchiveOutcome {
+    /// The head is archived.
+    Archived,
+    /// Another head, of which these are the bytes, is archived with the same version.
+    Differs(Bytes),
+    /// The deadline passed.
+    Unavailable,
+}
+
 impl Archive {
     /// Lists the archived heads without retries.
     pub(crate) async fn list_once<S: ObjectStore>(store: &S) -> CallOutcome<Self> {
@@ -81,6 +93,22 @@
         version >= self.first_version()
     }
 
+    /// Whether the store was restored. A head that is written before any restoration is archived
+    /// only when it is replaced, because no write from an earlier era can overwrite it.
+    pub(crate) fn is_restored(&self) -> bool {
+        self.era > FIRST_ERA
+    }
+
+    /// Returns the highest archived version if it is above `version` and of the current era.
+    ///
+    /// A head is archived after it was stored, so that the stored head has a lower version only if a
+    /// write from before a restoration overwrote it.
+    pub(crate) fn overwritten_version(&self, version: u64) -> Option<u64> {
+        let newest_version = self.heads.last()?.version;
+        let is_overwritten = newest_version > version && self.is_of_current_era(newest_version);
+        is_overwritten.then_some(newest_version)
+    }
+
     /// Returns the lowest archived version above `version`.
     pub(crate) fn version_after(&self, version: u64) -> Option<u64> {
         let index = self.heads.partition_point(|it| it.version <= version);
@@ -98,35 +126,51 @@
     format!("{ARCHIVE_PREFIX}{version:012}")
 }
 
+/// Reads the bytes of an archived head without retries, `None` if it is missing.
+pub(crate) async fn read_archived_bytes_once<S: ObjectStore>(
+    store: &S,
+    version: u64,
+) -> CallOutcome<Option<Bytes>> {
+    store.read(&archive_name(version)).await.map(|it| it.map(|it| it.bytes))
+}
+
 /// Reads an archived head without retries, `None` if it is missing or cannot be decoded.
 pub(crate) async fn read_archived_head_once<S: ObjectStore>(
     store: &S,
     version: u64,
 ) -> CallOutcome<Option<Head>> {
-    let object = store.read(&archive_name(version)).await;
-    object.map(|it| it.and_then(|it| parse_head(&it.bytes)))
+    let bytes = read_archived_bytes_once(store, version).await;
+    bytes.map(|it| it.and_then(|it| parse_head(&it)))
 }
 
-/// Archives the head that is about to be replaced; returns `false` if the deadline passed.
+/// Archives a stored head.
+///
+/// The first archived head of a version counts: another stored head of this version overwrote it.
 pub(crate) async fn archive_head<S: ObjectStore>(
     store: &S,
-    base: &StoredHead,
+    version: u64,
+    bytes: &Bytes,
     backoff: &mut Backoff,
-) -> bool {
-    let name = archive_name(base.head.version);
+) -> ArchiveOutcome {
+    let name = archive_name(version);
     loop {
-        let min_delay_ms = match store.write(&name, base.bytes.clone(), Condition::Absent).await {
-            WriteOutcome::Written { .. } | WriteOutcome::Conflict { .. } => return true,
+        let min_delay_ms = match store.write(&name, bytes.clone(), Condition::Absent).await {
+            WriteOutcome::Written { .. } => return ArchiveOutcome::Archived,
             WriteOutcome::Throttled { retry_after_ms } => retry_after_ms,
-            WriteOutcome::Unknown => match store.read(&name).await {
-                CallOutcome::Value(Some(_)) => return true,
-                CallOutcome::Throttled { retry_after_ms } => retry_after_ms,
-                CallOutcome::Value(None) | CallOutcome::Unavailable => 0,
-            },
+            WriteOutcome::Conflict { .. } | WriteOutcome::Unknown => {
+                match store.read(&name).await {
+                    CallOutcome::Value(Some(it)) if it.bytes == *bytes => {
+                        return ArchiveOutcome::Archived;
+                    }
+                    CallOutcome::Value(Some(it)) => return ArchiveOutcome::Differs(it.bytes),
+                    CallOutcome::Throttled { retry_after_ms } => retry_after_ms,
+                    CallOutcome::Value(None) | CallOutcome::Unavailable => 0,
+                }
+            }
             WriteOutcome::Unavailable | WriteOutcome::TooLarge => 0,
         };
         if !backoff.wait(min_delay_ms).await {
-            return false;
+            return ArchiveOutcome::Unavailable;
         }
     }
 }
--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -12,15 +12,17 @@
 use tokio::time::Instant;
 
 use crate::{
-    archive::{Archive, archive_head, read_archived_head_once},
+    archive::{
+        Archive, ArchiveOutcome, archive_head, read_archived_bytes_once, read_archived_head_once,
+    },
     backoff::Backoff,
     change::{
         ChangeOutcome, ChangeRequest, Edit, LostRace, differing_places, validation_error,
         with_chunks_not_in,
     },
     chunk_store::{ChunkError, ChunkStore},
-    head_write::{HeadWriteOutcome, read_head_once, write_head},
-    object::{CallOutcome, ObjectStore},
+    head_write::{HeadWriteOutcome, encode_head, read_head_once, write_head},
+    object::{CallOutcome, Condition, ObjectStore},
     retention::delete_unused,
 };
 
@@ -202,6 +204,12 @@
             if let (ChangeOutcome::Applied { .. }, Some((head, base))) =
                 (&outcome, &progress.written)
             {
+                match self.read_current_head(&mut backoff).await {
+                    Ok(Some(it)) if it.head == *head || it.head.version > head.version => {}
+                    // A write from before a restoration overwrote the head.
+                    Ok(_) if backoff.wait(0).await => continue,
+                    _ => return progress.unavailable_outcome(),
+                }
                 let retention_ms = self.settings.unused_chunk_retention_ms;
                 delete_unused(&*self.store, head, base.as_ref(), retention_ms).await;
             }
@@ -222,16 +230,24 @@
         progress.written = None;
         let base = self.read_current_head(backoff).await?;
         let current = base.as_ref().map(|it| &it.head);
+        if let Some(it) = archive.overwritten_version(current.map_or(0, |it| it.version)) {
+            if let CallOutcome::Value(Some(bytes)) =
+                read_archived_bytes_once(&*self.store, it).await
+            {
+                self.restore_head(base.as_ref(), bytes).await;
+            }
+            return Ok(None);
+        }
         // A head that an earlier attempt wrote before or during a restoration is replaced, because
         // its version and its chunks may belong to what the store has lost.
         let is_own = current.is_some_and(|it| it.change_id == change_id);
         let is_of_current_era = current.is_some_and(|it| archive.is_of_current_era(it.version));
-        if is_own && is_of_current_era {
-            return Ok(current.map(|it| it.version));
+        progress.may_be_applied |= is_own;
+        if let Some(base) = base.as_ref().filter(|_| is_own && is_of_current_era) {
+            let is_archived = !archive.is_restored() || self.ensure_archived(base, backoff).await?;
+            return Ok(is_archived.then_some(base.head.version));
         }
-        if is_own {
-            progress.may_be_applied = true;
-        } else {
+        if !is_own {
             if progress.planned.is_none() {
                 progress.planned = Some(match expected_version {
                     Some(it) if current.map(|it| it.version) != Some(it) => {
@@ -263,16 +279,24 @@
         let written = chunk_store.write(&next, next_chunks, current, is_base_stored).await;
         written.map_err(chunk_error_outcome).map_err(rejection)?;
         if let Some(base) = &base
-            && !archive_head(&*self.store, base, backoff).await
+            && !self.ensure_archived(base, backoff).await?
         {
-            return Err(ChangeOutcome::Unavailable);
+            return Ok(None);
         }
         let version = next.version;
-        match write_head(&*self.store, base.as_ref(), &next, backoff).await {
+        let bytes = encode_head(&next);
+        match write_head(&*self.store, base.as_ref(), &next, &bytes, backoff).await {
             HeadWriteOutcome::Applied => {
                 progress.may_be_applied = true;
                 progress.written = Some((next, base));
-                Ok(Some(version))
+                if !archive.is_restored() {
+                    return Ok(Some(version));
+                }
+                match archive_head(&*self.store, version, &bytes, backoff).await {
+                    ArchiveOutcome::Archived => Ok(Some(version)),
+                    ArchiveOutcome::Differs(_) => Ok(None),
+                    ArchiveOutcome::Unavailable => Err(ChangeOutcome::Unavailable),
+                }
             }
             HeadWriteOutcome::Undetermined => {
                 progress.may_be_applied = true;
@@ -284,6 +308,32 @@
         }
     }
 
+    /// Archives a stored head. Returns `false` if it overwrote another one of its version, which is
+    /// stored again.
+    async fn ensure_archived(
+        &self,
+        stored: &StoredHead,
+        backoff: &mut Backoff,
+    ) -> Result<bool, ChangeOutcome> {
+        let version = stored.head.version;
+        match archive_head(&*self.store, version, &stored.bytes, backoff).await {
+            ArchiveOutcome::Archived => Ok(true),
+            ArchiveOutcome::Differs(bytes) => {
+                self.restore_head(Some(stored), bytes).await;
+                Ok(false)
+            }
+            ArchiveOutcome::Unavailable => Err(ChangeOutcome::Unavailable),
+        }
+    }
+
+    /// Replaces `stored` with an archived head that it overwrote. The next attempt reads the result.
+    async fn restore_head(&self, stored: Option<&StoredHead>, archived: Bytes) {
+        let condition =
+            stored.map_or(Condition::Absent, |it| Condition::Version(it.object_version));
+        let outcome = self.store.write(HEAD_NAME, archived, condition).await;
+        log::warn!("stored head overwrote an archived one, which is stored again: {outcome:?}");
+    }
+
     /// Returns the chunk store and the backoff of one operation, which share the deadline.
     fn begin_operation(&self) -> (ChunkStore<S>, Backoff) {
         let deadline = Instant::now() + Duration::from_millis(self.settings.timeout_ms);
--- a/crates/platform/src/head_write.rs
+++ b/crates/platform/src/head_write.rs
@@ -39,16 +39,21 @@
     })
 }
 
-/// Replaces `base` with `next`.
+/// Encodes a head.
+pub(crate) fn encode_head(head: &Head) -> Bytes {
+    serde_json::to_vec(head).expect("a head is plain JSON").into()
+}
+
+/// Replaces `base` with `next`, of which `bytes` is the encoding.
 ///
 /// The write can be repeated without harm, because its condition holds for at most one attempt.
 pub(crate) async fn write_head<S: ObjectStore>(
     store: &S,
     base: Option<&StoredHead>,
     next: &Head,
+    bytes: &Bytes,
     backoff: &mut Backoff,
 ) -> HeadWriteOutcome {
-    let bytes = Bytes::from(serde_json::to_vec(next).expect("a head is plain JSON"));
     let condition = base.map_or(Condition::Absent, |it| Condition::Version(it.object_version));
     // Whether an earlier attempt may have taken effect, or may still take effect.
     let mut may_be_written = false;
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -635,3 +635,27 @@
         assert_eq!(stored.keys, [key("k2")], "copy of {age_ms} ms");
     }
 }
+
+/// Guards against the loss of a key whose head was overwritten by a write from before a
+/// restoration, which nobody has noticed yet.
+#[tokio::test]
+async fn issue_key_overwritten_head() {
+    let platform = start_platform().await;
+    let inner = object_store(&platform);
+    let store = config_store(inner.clone(), 1);
+    store.apply(&declarations(), &change_request("base")).await;
+    let CallOutcome::Value(Some(old_head)) = inner.read(HEAD_NAME).await else {
+        panic!("the head was not read")
+    };
+    platform.restore(0).unwrap();
+    let ChangeOutcome::Applied { version } = store.issue_key(&key("k1"), "first").await else {
+        panic!("the key was not issued")
+    };
+    inner.write(HEAD_NAME, old_head.bytes, Condition::Always).await;
+    let writes_before = platform.call_counts().writes;
+    assert_eq!(store.issue_key(&key("k2"), "second").await, applied(version + 1));
+    let write_count = platform.call_counts().writes - writes_before;
+    assert!(write_count <= 5, "{write_count} writes, among them a second head of a version");
+    let keys = store.read_declarations(&read_head(&store).await).await.unwrap().keys;
+    assert_eq!(keys, [key("k1"), key("k2")]);
+}
