Apply a change again when the store has lost the head that it replaces

Operators whose command was running during a restoration waited until its time limit and saw the platform reported as unavailable, although it answered.

Cause: after a conflict the writer looked for a head of its version, and repeated the write when the stored one was older. The condition on a lost head never holds.

A conflict now ends the attempt at once if no earlier write of it may have taken effect; the next attempt reads the stored head. If one may have, an older stored head ends the attempt as undetermined, and the change is applied again because the era differs.

--- a/crates/platform/src/head_write.rs
+++ b/crates/platform/src/head_write.rs
@@ -15,7 +15,7 @@
 pub(crate) enum HeadWriteOutcome {
     /// The new head was stored.
     Applied,
-    /// Another change was stored with the same version, so the new head never takes effect.
+    /// The stored head is not the replaced one, so the new head never takes effect.
     LostRace,
     /// The new head may have been stored.
     Undetermined,
@@ -59,6 +59,7 @@
     let mut may_be_written = false;
     loop {
         let mut min_delay_ms = 0;
+        let mut is_conflict = false;
         let must_resolve = match store.write(HEAD_NAME, bytes.clone(), condition).await {
             WriteOutcome::Written { .. } => return HeadWriteOutcome::Applied,
             WriteOutcome::TooLarge => return HeadWriteOutcome::TooLarge,
@@ -66,7 +67,11 @@
                 may_be_written = true;
                 true
             }
-            WriteOutcome::Conflict { .. } => true,
+            WriteOutcome::Conflict { .. } if !may_be_written => return HeadWriteOutcome::LostRace,
+            WriteOutcome::Conflict { .. } => {
+                is_conflict = true;
+                true
+            }
             WriteOutcome::Unavailable => false,
             WriteOutcome::Throttled { retry_after_ms } => {
                 min_delay_ms = retry_after_ms;
@@ -75,10 +80,9 @@
         };
         if must_resolve {
             match resolve_write(store, next, backoff).await {
-                Some(HeadWriteOutcome::Undetermined) if !may_be_written => {
-                    return HeadWriteOutcome::Unavailable;
-                }
                 Some(it) => return it,
+                // The store was restored and lost the head on which the write is conditional.
+                None if is_conflict => return HeadWriteOutcome::Undetermined,
                 None => {}
             }
         }
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -659,3 +659,21 @@
     let keys = store.read_declarations(&read_head(&store).await).await.unwrap().keys;
     assert_eq!(keys, [key("k1"), key("k2")]);
 }
+
+/// Guards against a change that repeats a write until its deadline although the head on which the
+/// write is conditional was lost.
+#[tokio::test]
+async fn issue_key_restored_older_head() {
+    let platform = Arc::new(start_platform().await);
+    let inner = object_store(&platform);
+    config_store(inner.clone(), 1).apply(&declarations(), &change_request("base")).await;
+    wait_until_copied().await;
+    config_store(inner.clone(), 3).issue_key(&key("lost"), "lost").await;
+    let interference = Interference::RestoreBefore(Arc::clone(&platform));
+    let store = config_store(InterferingStore::new(inner, interference), 2);
+    let outcome = store.issue_key(&key("k1"), "a").await;
+    let ChangeOutcome::Applied { version } = outcome else { panic!("{outcome:?}") };
+    assert!(version > 3, "version {version} may be that of a lost configuration");
+    let head = read_head(&store).await;
+    assert!(store.read_declarations(&head).await.unwrap().keys.contains(&key("k1")));
+}
