--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -35,7 +35,8 @@
     /// Timeout of one change or of one read of declarations, after which no attempt starts.
     pub timeout_ms: u64,
     /// Minimum age at which an unused chunk is deleted; younger ones may belong to a writer that
-    /// has not written its head yet.
+    /// has not written its head yet. Chunks of heads that were replaced more recently are retained
+    /// as well, in case the platform is restored from a copy.
     pub unused_chunk_retention_ms: u64,
 }
 
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -49,6 +49,8 @@
     /// The write takes effect and the platform is restored from a copy of this age; its response is
     /// not lost.
     RestoreAfter(Arc<PlatformStandin>, u64),
+    /// The platform is restored from a copy of [`COPY_AGE_MS`] before the first deletion.
+    RestoreBeforeDeletion(Arc<PlatformStandin>),
     /// As [`RestoreBefore`](Self::RestoreBefore), and then another operator issues a key.
     RestoreAndIssueBefore(Arc<PlatformStandin>),
 }
@@ -79,7 +81,8 @@
     }
 
     async fn write(&self, name: &str, value: Bytes, condition: Condition) -> WriteOutcome {
-        if name != HEAD_NAME || !self.is_armed.swap(false, Ordering::SeqCst) {
+        let is_at_deletion = matches!(self.interference, Interference::RestoreBeforeDeletion(_));
+        if name != HEAD_NAME || is_at_deletion || !self.is_armed.swap(false, Ordering::SeqCst) {
             return self.inner.write(name, value, condition).await;
         }
         match &self.interference {
@@ -105,6 +108,7 @@
                 platform.restore(*age_ms).unwrap();
                 return outcome;
             }
+            Interference::RestoreBeforeDeletion(_) => unreachable!("checked above"),
             Interference::RestoreAndIssueBefore(platform) => {
                 platform.restore(COPY_AGE_MS).unwrap();
                 let outcome = self.other_operator.issue_key(&key("other"), "other").await;
@@ -116,6 +120,11 @@
     }
 
     async fn delete(&self, name: &str, condition: Condition) -> WriteOutcome {
+        if let Interference::RestoreBeforeDeletion(platform) = &self.interference
+            && self.is_armed.swap(false, Ordering::SeqCst)
+        {
+            platform.restore(COPY_AGE_MS).unwrap();
+        }
         self.inner.delete(name, condition).await
     }
 
@@ -677,3 +686,36 @@
     let head = read_head(&store).await;
     assert!(store.read_declarations(&head).await.unwrap().keys.contains(&key("k1")));
 }
+
+/// Guards against the deletion of a chunk that the lost heads did not need, but that the head of the
+/// copy refers to.
+#[tokio::test]
+async fn apply_restored_before_deletion() {
+    let platform = Arc::new(start_platform().await);
+    let inner = object_store(&platform);
+    let other = config_store(inner.clone(), 1);
+    other.apply(&declarations(), &change_request("base")).await;
+    wait_until_copied().await;
+    let with_rate = |rate: u32| {
+        let mut res = declarations();
+        res.teams[0].rate_per_s = f64::from(rate);
+        res
+    };
+    other.apply(&with_rate(11), &change_request("first")).await;
+    other.apply(&with_rate(12), &change_request("second")).await;
+    let interference = Interference::RestoreBeforeDeletion(Arc::clone(&platform));
+    let store = Arc::new(InterferingStore::new(inner.clone(), interference));
+    let unused_chunk_retention_ms = COPY_AGE_MS;
+    let settings =
+        ConfigStoreSettings { unused_chunk_retention_ms, ..ConfigStoreSettings::default() };
+    let deleting = ConfigStore::new(store, settings, 2);
+    for rate in 13..=16 {
+        let outcome = deleting.apply(&with_rate(rate), &change_request(&format!("{rate}"))).await;
+        assert!(matches!(outcome, ChangeOutcome::Applied { .. }), "{outcome:?}");
+        let head = read_head(&other).await;
+        assert!(other.read_declarations(&head).await.is_some(), "{head:?} lacks a chunk");
+        wait_until_copied().await;
+    }
+    let chunk_count = inner.list("chunk/").await.value().unwrap().objects.len();
+    assert!(chunk_count < 4 + 7, "{chunk_count} chunks, none was deleted");
+}
