Report a change that may be applied as undetermined after a restoration

Operators saw that another change came first and that nothing was changed, although their change had taken effect: it was stored before a restoration, the copy had it, and the other change was built on it.

Cause: the repeated attempt compared the stored head with the one against which the change was planned, and found the change's own edit among those of others.

A lost race or a rejection is reported as undetermined once an earlier attempt may have taken effect. Within an era such an attempt is never repeated, so other outcomes stay as they were.

--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -187,6 +187,12 @@
                 Ok(None) | Err(ChangeOutcome::Unavailable) => {
                     return progress.unavailable_outcome();
                 }
+                // The change is not known to have had no effect.
+                Err(ChangeOutcome::LostRace(_) | ChangeOutcome::Rejected(_))
+                    if progress.may_be_applied =>
+                {
+                    ChangeOutcome::Undetermined
+                }
                 Err(it) => it,
             };
             let Some(archive_after) = Archive::list(&*self.store, &mut backoff).await else {
@@ -269,16 +275,15 @@
             }
         }
         let is_repeated = progress.may_be_applied;
-        let rejection = |it| if is_own { ChangeOutcome::Undetermined } else { it };
         let result =
             self.apply_edit(edit, current, archive, change_id, is_repeated, chunk_store).await;
-        let (next, next_chunks) = match result.map_err(rejection)? {
+        let (next, next_chunks) = match result? {
             EditResult::Changed(next, next_chunks) => (next, next_chunks),
             EditResult::Unchanged => return Ok(Some(current.map_or(0, |it| it.version))),
         };
         let is_base_stored = current.is_none() || is_of_current_era;
         let written = chunk_store.write(&next, next_chunks, current, is_base_stored).await;
-        written.map_err(chunk_error_outcome).map_err(rejection)?;
+        written.map_err(chunk_error_outcome)?;
         if let Some(base) = &base
             && !self.ensure_archived(base, backoff).await?
         {
@@ -304,7 +309,7 @@
                 Err(ChangeOutcome::Undetermined)
             }
             HeadWriteOutcome::Unavailable => Err(ChangeOutcome::Unavailable),
-            HeadWriteOutcome::TooLarge => Err(rejection(chunk_error_outcome(ChunkError::TooLarge))),
+            HeadWriteOutcome::TooLarge => Err(chunk_error_outcome(ChunkError::TooLarge)),
             HeadWriteOutcome::LostRace => Ok(None),
         }
     }
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -49,6 +49,9 @@
     /// The write takes effect and the platform is restored from a copy of this age; its response is
     /// not lost.
     RestoreAfter(Arc<PlatformStandin>, u64),
+    /// The write takes effect, the platform is restored from a copy that has it, and another
+    /// operator applies another configuration; the response is not lost.
+    RestoreAndApplyAfter(Arc<PlatformStandin>),
     /// The platform is restored from a copy of [`COPY_AGE_MS`] before the first deletion.
     RestoreBeforeDeletion(Arc<PlatformStandin>),
     /// As [`RestoreBefore`](Self::RestoreBefore), and then another operator issues a key.
@@ -108,6 +111,15 @@
                 platform.restore(*age_ms).unwrap();
                 return outcome;
             }
+            Interference::RestoreAndApplyAfter(platform) => {
+                let outcome = self.inner.write(name, value, condition).await;
+                platform.restore(0).unwrap();
+                let request = change_request("other");
+                let declarations = declarations_with_faster_team();
+                let applied = self.other_operator.apply(&declarations, &request).await;
+                assert!(matches!(applied, ChangeOutcome::Applied { .. }));
+                return outcome;
+            }
             Interference::RestoreBeforeDeletion(_) => unreachable!("checked above"),
             Interference::RestoreAndIssueBefore(platform) => {
                 platform.restore(COPY_AGE_MS).unwrap();
@@ -719,3 +731,17 @@
     let chunk_count = inner.list("chunk/").await.value().unwrap().objects.len();
     assert!(chunk_count < 4 + 7, "{chunk_count} chunks, none was deleted");
 }
+
+/// Guards against a report that a change had no effect although it took effect before a restoration
+/// and another change replaced it.
+#[tokio::test]
+async fn apply_restored_after_head_then_replaced() {
+    let platform = Arc::new(start_platform().await);
+    let inner = object_store(&platform);
+    config_store(inner.clone(), 1).apply(&declarations(), &change_request("base")).await;
+    let interference = Interference::RestoreAndApplyAfter(Arc::clone(&platform));
+    let store = config_store(InterferingStore::new(inner, interference), 2);
+    let outcome = store.apply(&declarations_with_block_at("s2"), &change_request("a")).await;
+    assert_eq!(outcome, ChangeOutcome::Undetermined);
+    assert_eq!(read_head(&store).await.change_id, "other");
+}
