Take the era of a change's outcome from the responses themselves

Cause: the era was known from lists only, although every response names it.

The HTTP client keeps the newest era that a response named. The outcome counts when that is still the era in which the attempt began, without another call. Stores that do not keep it are listed as before, and the head is read again only in a restored store.

--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -67,6 +67,10 @@
         self.store.list_hosts().await
     }
 
+    fn newest_era(&self) -> u64 {
+        self.store.newest_era()
+    }
+
     async fn announce(&self, entry: &HostEntry) -> CallOutcome<()> {
         self.store.announce(entry).await
     }
--- a/crates/entry/src/era.rs
+++ b/crates/entry/src/era.rs
@@ -154,6 +154,10 @@
         self.plain.decode_list_hosts(response)
     }
 
+    fn decode_era(&self, response: &ApiResponse) -> u64 {
+        self.plain.decode_era(response)
+    }
+
     fn encode_announce(&self, entry: &HostEntry) -> Announcement {
         self.plain.encode_announce(entry)
     }
--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -195,13 +195,16 @@
                 }
                 Err(it) => it,
             };
-            let Some(archive_after) = Archive::list(&*self.store, &mut backoff).await else {
-                return match outcome {
-                    ChangeOutcome::Undetermined => outcome,
-                    _ => progress.unavailable_outcome(),
-                };
+            // No response was of a later era than the newest one.
+            let era = match self.store.newest_era() {
+                0 => match Archive::list(&*self.store, &mut backoff).await {
+                    Some(it) => it.era,
+                    None if outcome == ChangeOutcome::Undetermined => return outcome,
+                    None => return progress.unavailable_outcome(),
+                },
+                it => it,
             };
-            if archive_after.era != archive.era {
+            if era != archive.era {
                 log::warn!("platform was restored during change {change_id}, which is repeated");
                 if !backoff.wait(0).await {
                     return progress.unavailable_outcome();
@@ -211,11 +214,13 @@
             if let (ChangeOutcome::Applied { .. }, Some((head, base))) =
                 (&outcome, &progress.written)
             {
-                match self.read_current_head(&mut backoff).await {
-                    Ok(Some(it)) if it.head == *head || it.head.version > head.version => {}
-                    // A write from before a restoration overwrote the head.
-                    Ok(_) if backoff.wait(0).await => continue,
-                    _ => return progress.unavailable_outcome(),
+                if archive.is_restored() {
+                    match self.read_current_head(&mut backoff).await {
+                        Ok(Some(it)) if it.head == *head || it.head.version > head.version => {}
+                        // A write from before a restoration overwrote the head.
+                        Ok(_) if backoff.wait(0).await => continue,
+                        _ => return progress.unavailable_outcome(),
+                    }
                 }
                 let retention_ms = self.settings.unused_chunk_retention_ms;
                 delete_unused(&*self.store, head, base.as_ref(), retention_ms).await;
--- a/crates/platform/src/dialect.rs
+++ b/crates/platform/src/dialect.rs
@@ -67,6 +67,11 @@
     /// Decodes the response to a request for the host list.
     fn decode_list_hosts(&self, response: &ApiResponse) -> CallOutcome<Vec<HostEntry>>;
 
+    /// Returns the era of the store that a response names, 0 if it names none.
+    fn decode_era(&self, _response: &ApiResponse) -> u64 {
+        0
+    }
+
     /// Returns how a host is announced: by a dedicated request or by the write of an object.
     fn encode_announce(&self, entry: &HostEntry) -> Announcement;
 }
@@ -315,6 +320,10 @@
         response.json::<HostsBody>().map(|it| it.hosts)
     }
 
+    fn decode_era(&self, response: &ApiResponse) -> u64 {
+        store_era(response)
+    }
+
     fn encode_announce(&self, entry: &HostEntry) -> Announcement {
         let body = serde_json::to_vec(entry).unwrap_or_default();
         let request = ApiRequest::new(Method::PUT, ["v1", "hosts", &entry.name])
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,6 +1,12 @@
 //! Client of the object API over HTTP.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use anyhow::{Context as _, ensure};
 use bytes::{Bytes, BytesMut};
@@ -71,6 +77,8 @@
     base_url: Url,
     settings: HttpStoreSettings,
     dialect: D,
+    /// Newest era in a response, 0 if none named one; shared by all clones.
+    newest_era: Arc<AtomicU64>,
 }
 
 /// Reason why a request got no response.
@@ -104,7 +112,7 @@
             .redirect(reqwest::redirect::Policy::none())
             .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
             .build()?;
-        Ok(Self { client, base_url, settings, dialect })
+        Ok(Self { client, base_url, settings, dialect, newest_era: Arc::default() })
     }
 
     /// Sends a request and receives the complete response. `timeout` is the time until its head.
@@ -151,7 +159,9 @@
         if !is_complete {
             log::warn!("response to {path} is incomplete: {} bytes received", received.len());
         }
-        Ok(ApiResponse { status, headers, body: is_complete.then(|| received.freeze()) })
+        let res = ApiResponse { status, headers, body: is_complete.then(|| received.freeze()) };
+        self.newest_era.fetch_max(self.dialect.decode_era(&res), Ordering::Relaxed);
+        Ok(res)
     }
 
     /// Sends a request that can be repeated without harm.
@@ -273,6 +283,10 @@
         response.and_then(|it| self.dialect.decode_list_hosts(&it))
     }
 
+    fn newest_era(&self) -> u64 {
+        self.newest_era.load(Ordering::Relaxed)
+    }
+
     async fn announce(&self, entry: &HostEntry) -> CallOutcome<()> {
         let request = match self.dialect.encode_announce(entry) {
             Announcement::Request(it) => it,
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -40,6 +40,11 @@
 
     /// Adds a host to the host list or updates its entry.
     fn announce(&self, entry: &HostEntry) -> impl Future<Output = CallOutcome<()>> + Send;
+
+    /// Returns the newest era of the store that a response named, 0 if it is not known.
+    fn newest_era(&self) -> u64 {
+        0
+    }
 }
 
 /// Outcome of a call that can be repeated without harm: a read, a list, a watch or an announcement.
--- a/crates/platform/tests/http_store.rs
+++ b/crates/platform/tests/http_store.rs
@@ -276,3 +276,17 @@
     let listing = Listing { revision, objects: Vec::new(), staleness: Duration::ZERO };
     assert_eq!(store.list("config/").await, CallOutcome::Value(listing));
 }
+
+/// Guards against a restoration that a writer does not notice in the response to its write.
+#[tokio::test]
+async fn newest_era_after_restoration() {
+    let platform = start_platform().await;
+    let store = object_store(&platform);
+    assert_eq!(store.newest_era(), 0);
+    let era = store.list("a").await.value().unwrap().revision.era;
+    assert_eq!(store.newest_era(), era);
+    platform.restore(0).unwrap();
+    assert_eq!(store.newest_era(), era);
+    assert!(store.write("a", "1".into(), Condition::Absent).await.is_answered());
+    assert_eq!(store.newest_era(), era + 1);
+}
