--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -63,6 +63,11 @@
 
     /// Adds a host to the host list or updates its entry.
     fn announce(&self, entry: &HostEntry) -> impl Future<Output = CallOutcome<()>> + Send;
+
+    /// Returns the newest era of the store that a response named, 0 if it is not known.
+    fn newest_era(&self) -> u64 {
+        0
+    }
 }
 
 /// Whether the response to a call is arriving: its head was received, but not all of its body. Such a
--- a/crates/platform/tests/config_store.rs
+++ b/crates/platform/tests/config_store.rs
@@ -49,6 +49,11 @@
     /// The write takes effect and the platform is restored from a copy of this age; its response is
     /// not lost.
     RestoreAfter(Arc<PlatformStandin>, u64),
+    /// The write takes effect, the platform is restored from a copy that has it, and another
+    /// operator applies another configuration; the response is not lost.
+    RestoreAndApplyAfter(Arc<PlatformStandin>),
+    /// The platform is restored from a copy of [`COPY_AGE_MS`] before the first deletion.
+    RestoreBeforeDeletion(Arc<PlatformStandin>),
     /// As [`RestoreBefore`](Self::RestoreBefore), and then another operator issues a key.
     RestoreAndIssueBefore(Arc<PlatformStandin>),
 }
@@ -79,7 +84,8 @@
     }
 
     async fn write(&self, name: &str, value: Bytes, condition: Condition) -> WriteOutcome {
-        if name != HEAD_NAME || !self.is_armed.swap(false, Ordering::SeqCst) {
+        let is_at_deletion = matches!(self.interference, Interference::RestoreBeforeDeletion(_));
+        if name != HEAD_NAME || is_at_deletion || !self.is_armed.swap(false, Ordering::SeqCst) {
             return self.inner.write(name, value, condition).await;
         }
         match &self.interference {
@@ -105,6 +111,16 @@
                 platform.restore(*age_ms).unwrap();
                 return outcome;
             }
+            Interference::RestoreAndApplyAfter(platform) => {
+                let outcome = self.inner.write(name, value, condition).await;
+                platform.restore(0).unwrap();
+                let request = change_request("other");
+                let declarations = declarations_with_faster_team();
+                let applied = self.other_operator.apply(&declarations, &request).await;
+                assert!(matches!(applied, ChangeOutcome::Applied { .. }));
+                return outcome;
+            }
+            Interference::RestoreBeforeDeletion(_) => unreachable!("checked above"),
             Interference::RestoreAndIssueBefore(platform) => {
                 platform.restore(COPY_AGE_MS).unwrap();
                 let outcome = self.other_operator.issue_key(&key("other"), "other").await;
@@ -116,6 +132,11 @@
     }
 
     async fn delete(&self, name: &str, condition: Condition) -> WriteOutcome {
+        if let Interference::RestoreBeforeDeletion(platform) = &self.interference
+            && self.is_armed.swap(false, Ordering::SeqCst)
+        {
+            platform.restore(COPY_AGE_MS).unwrap();
+        }
         self.inner.delete(name, condition).await
     }
 
@@ -635,3 +656,92 @@
         assert_eq!(stored.keys, [key("k2")], "copy of {age_ms} ms");
     }
 }
+
+/// Guards against the loss of a key whose head was overwritten by a write from before a
+/// restoration, which nobody has noticed yet.
+#[tokio::test]
+async fn issue_key_overwritten_head() {
+    let platform = start_platform().await;
+    let inner = object_store(&platform);
+    let store = config_store(inner.clone(), 1);
+    store.apply(&declarations(), &change_request("base")).await;
+    let CallOutcome::Value(Some(old_head)) = inner.read(HEAD_NAME).await else {
+        panic!("the head was not read")
+    };
+    platform.restore(0).unwrap();
+    let ChangeOutcome::Applied { version } = store.issue_key(&key("k1"), "first").await else {
+        panic!("the key was not issued")
+    };
+    inner.write(HEAD_NAME, old_head.bytes, Condition::Always).await;
+    let writes_before = platform.call_counts().writes;
+    assert_eq!(store.issue_key(&key("k2"), "second").await, applied(version + 1));
+    let write_count = platform.call_counts().writes - writes_before;
+    assert!(write_count <= 5, "{write_count} writes, among them a second head of a version");
+    let keys = store.read_declarations(&read_head(&store).await).await.unwrap().keys;
+    assert_eq!(keys, [key("k1"), key("k2")]);
+}
+
+/// Guards against a change that repeats a write until its deadline although the head on which the
+/// write is conditional was lost.
+#[tokio::test]
+async fn issue_key_restored_older_head() {
+    let platform = Arc::new(start_platform().await);
+    let inner = object_store(&platform);
+    config_store(inner.clone(), 1).apply(&declarations(), &change_request("base")).await;
+    wait_until_copied().await;
+    config_store(inner.clone(), 3).issue_key(&key("lost"), "lost").await;
+    let interference = Interference::RestoreBefore(Arc::clone(&platform));
+    let store = config_store(InterferingStore::new(inner, interference), 2);
+    let outcome = store.issue_key(&key("k1"), "a").await;
+    let ChangeOutcome::Applied { version } = outcome else { panic!("{outcome:?}") };
+    assert!(version > 3, "version {version} may be that of a lost configuration");
+    let head = read_head(&store).await;
+    assert!(store.read_declarations(&head).await.unwrap().keys.contains(&key("k1")));
+}
+
+/// Guards against the deletion of a chunk that the lost heads did not need, but that the head of the
+/// copy refers to.
+#[tokio::test]
+async fn apply_restored_before_deletion() {
+    let platform = Arc::new(start_platform().await);
+    let inner = object_store(&platform);
+    let other = config_store(inner.clone(), 1);
+    other.apply(&declarations(), &change_request("base")).await;
+    wait_until_copied().await;
+    let with_rate = |rate: u32| {
+        let mut res = declarations();
+        res.teams[0].rate_per_s = f64::from(rate);
+        res
+    };
+    other.apply(&with_rate(11), &change_request("first")).await;
+    other.apply(&with_rate(12), &change_request("second")).await;
+    let interference = Interference::RestoreBeforeDeletion(Arc::clone(&platform));
+    let store = Arc::new(InterferingStore::new(inner.clone(), interference));
+    let unused_chunk_retention_ms = COPY_AGE_MS;
+    let settings =
+        ConfigStoreSettings { unused_chunk_retention_ms, ..ConfigStoreSettings::default() };
+    let deleting = ConfigStore::new(store, settings, 2);
+    for rate in 13..=16 {
+        let outcome = deleting.apply(&with_rate(rate), &change_request(&format!("{rate}"))).await;
+        assert!(matches!(outcome, ChangeOutcome::Applied { .. }), "{outcome:?}");
+        let head = read_head(&other).await;
+        assert!(other.read_declarations(&head).await.is_some(), "{head:?} lacks a chunk");
+        wait_until_copied().await;
+    }
+    let chunk_count = inner.list("chunk/").await.value().unwrap().objects.len();
+    assert!(chunk_count < 4 + 7, "{chunk_count} chunks, none was deleted");
+}
+
+/// Guards against a report that a change had no effect although it took effect before a restoration
+/// and another change replaced it.
+#[tokio::test]
+async fn apply_restored_after_head_then_replaced() {
+    let platform = Arc::new(start_platform().await);
+    let inner = object_store(&platform);
+    config_store(inner.clone(), 1).apply(&declarations(), &change_request("base")).await;
+    let interference = Interference::RestoreAndApplyAfter(Arc::clone(&platform));
+    let store = config_store(InterferingStore::new(inner, interference), 2);
+    let outcome = store.apply(&declarations_with_block_at("s2"), &change_request("a")).await;
+    assert_eq!(outcome, ChangeOutcome::Undetermined);
+    assert_eq!(read_head(&store).await.change_id, "other");
+}
