Do not close connections with bytes that the kernel has received

Callers saw: in a planned stop, a request on a kept connection was cut without an answer although its bytes had arrived before the process closed the connection.

Cause: connections were closed when the runtime knew of no received bytes. It learns of them once per turn of its event loop, and a turn is long when hundreds of connections are closed at once.

Change: the socket itself is asked for unread bytes right before the connection is closed.

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -4,9 +4,11 @@
     cell::{Cell, RefCell},
     convert::Infallible,
     io,
+    mem::MaybeUninit,
+    net::Shutdown,
     pin::{Pin, pin},
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -19,7 +21,6 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     sync::Notify,
-    task::yield_now,
     time::{Instant, sleep},
 };
 
@@ -58,6 +59,7 @@
 }
 
 struct CallerConnection {
+    stream: TcpStream,
     /// Whether a request is running, or its response is being sent.
     is_busy: Cell<bool>,
     /// Time since which no request has been running.
@@ -71,8 +73,9 @@
 }
 
 impl CallerConnection {
-    fn new(now: Instant) -> Self {
+    fn new(stream: TcpStream, now: Instant) -> Self {
         Self {
+            stream,
             is_busy: Cell::new(false),
             idle_since: Cell::new(now),
             received_at: Cell::new(Some(now)),
@@ -84,7 +87,16 @@
     /// Whether a request is running or arriving.
     fn is_in_use(&self, now: Instant) -> bool {
         let receives = |it: Instant| now.saturating_duration_since(it) < RECEIVE_TIMEOUT;
-        self.is_busy.get() || self.received_at.get().is_some_and(receives)
+        self.is_busy.get()
+            || self.received_at.get().is_some_and(receives)
+            || self.has_unread_bytes()
+    }
+
+    /// Whether the kernel has received bytes that were not read yet. The runtime learns of them only
+    /// between two turns of its event loop.
+    fn has_unread_bytes(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&self.stream).peek(&mut byte).is_ok_and(|it| it > 0)
     }
 
     /// Waits until the rest of a request that has begun to arrive is overdue.
@@ -107,11 +119,11 @@
                 log::debug!("connection of a caller refused: {limit} are open and none is idle");
                 return;
             }
-            let connection = Rc::new(CallerConnection::new(Instant::now()));
+            let connection = Rc::new(CallerConnection::new(stream, Instant::now()));
             self.open.borrow_mut().push(Rc::clone(&connection));
             let (connections, state) = (Rc::clone(&self), Rc::clone(&state));
             tokio::task::spawn_local(async move {
-                connections.serve(stream, &connection, state).await;
+                connections.serve(&connection, state).await;
                 connections.open.borrow_mut().retain(|it| !Rc::ptr_eq(it, &connection));
             });
         };
@@ -160,8 +172,8 @@
     }
 
     /// Serves one connection until it ends.
-    async fn serve(&self, stream: TcpStream, connection: &Rc<CallerConnection>, state: Rc<State>) {
-        if let Err(error) = set_socket_options(&stream) {
+    async fn serve(&self, connection: &Rc<CallerConnection>, state: Rc<State>) {
+        if let Err(error) = set_socket_options(&connection.stream) {
             log::debug!("connection of a caller lost before its socket options were set: {error}");
             return;
         }
@@ -177,7 +189,7 @@
                 Ok::<_, Infallible>(res.map(|body| TrackedBody { body, _busy: busy }))
             }
         });
-        let stream = CallerStream { stream, connection: Rc::clone(connection) };
+        let stream = CallerStream(Rc::clone(connection));
         let serving = http1::Builder::new()
             .max_buf_size(buffer_bytes)
             .auto_date_header(false)
@@ -189,12 +201,6 @@
                 res = serving.as_mut() => break res,
                 () = connection.close_requested.notified() => {}
             }
-            // The runtime learns of received bytes only between two turns of its event loop.
-            tokio::select! {
-                biased;
-                res = serving.as_mut() => break res,
-                () = yield_now() => {}
-            }
             if !connection.is_in_use(Instant::now()) {
                 serving.as_mut().graceful_shutdown();
                 // The HTTP library waits for the rest of an incomplete head.
@@ -259,17 +265,15 @@
 }
 
 /// Stream of a connection that records when bytes arrive, and resets a broken connection.
-struct CallerStream {
-    stream: TcpStream,
-    connection: Rc<CallerConnection>,
-}
+struct CallerStream(Rc<CallerConnection>);
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
+        let connection = &self.0;
         // At the end of the process, a response may still be sent on the connection.
-        let is_incomplete = self.connection.is_broken.get() || self.connection.is_busy.get();
+        let is_incomplete = connection.is_broken.get() || connection.is_busy.get();
         if is_incomplete
-            && let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+            && let Err(error) = SockRef::from(&connection.stream).set_linger(Some(Duration::ZERO))
         {
             log::debug!("connection of a caller could not be reset: {error}");
         }
@@ -278,46 +282,61 @@
 
 impl AsyncRead for CallerStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let filled_before = buffer.filled().len();
-        let res = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > filled_before {
-            self.connection.received_at.set(Some(Instant::now()));
+        let connection = &self.0;
+        loop {
+            ready!(connection.stream.poll_read_ready(context))?;
+            match connection.stream.try_read(buffer.initialize_unfilled()) {
+                Ok(length) => {
+                    buffer.advance(length);
+                    if length > 0 {
+                        connection.received_at.set(Some(Instant::now()));
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
         }
-        res
     }
 }
 
 impl AsyncWrite for CallerStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        self.poll_write_vectored(context, &[io::IoSlice::new(bytes)])
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        loop {
+            ready!(self.0.stream.poll_write_ready(context))?;
+            match self.0.stream.try_write_vectored(slices) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                res => return Poll::Ready(res),
+            }
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 }
 
