Send callers' requests of kingcupford-entry on connections that are known to be in step

Callers saw: an upstream sent a second copy of a response, late, on a connection that was in use again, and the next caller got it as the response to its own request, with status 200.

Cause: `reqwest` uses every connection again, and nothing in a response told to which request it belongs.

Change: each attempt has an id, `kingcupford-attempt-id`. A connection is used again only after a response that returned the id, and a response with another id, or without one on a used connection, is a failure that ends the connection. Other upstreams get a connection for each request. `hyper` replaces `reqwest` for these requests, in a pool like that of `crates/gateway`.

Why it works: on a connection that carried one request, only bytes for this one can arrive; on others the id is drawn anew for each attempt.

The benchmarks of forwarding were not run.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -27,7 +27,7 @@
     listener::RequestGuard,
     path, refusals,
     response_stream::ResponseStream,
-    upstream::{self, SendFailure, UpstreamRequest},
+    upstream::{self, SendFailure, UpstreamRequest, UpstreamResponse},
 };
 
 /// Maximum declared length of a body whose first bytes are part of the request's fingerprint.
@@ -208,14 +208,10 @@
     caller_request: &CallerRequest,
     attempt: &Attempt,
     ticket_guard: &TicketGuard,
-) -> Result<reqwest::Response, SendFailure> {
+) -> Result<UpstreamResponse, SendFailure> {
     let snapshot = host.snapshot.load_full();
     let Some(instance) = snapshot.instances.value(attempt.instance) else {
-        return Err(SendFailure {
-            outcome: AttemptOutcome::Unreachable,
-            byte_sent: false,
-            draining: false,
-        });
+        return Err(SendFailure::UNREACHABLE);
     };
     let mut headers = headers::filter_request(&caller_request.headers);
     let time_left = attempt.deadline.saturating_duration_since(Instant::now());
@@ -227,8 +223,9 @@
         headers.insert(headers::TEAM, value);
     }
     let request = UpstreamRequest {
+        address: instance.address,
         method: caller_request.method.clone(),
-        url: format!("http://{}{}", instance.address, caller_request.path),
+        path: caller_request.path.clone(),
         headers,
         body: caller_request.body.clone(),
         idempotent: attempt.idempotent,
@@ -250,15 +247,16 @@
 fn relay_response(
     host: &Arc<Host>,
     head: &RequestHead,
-    response: reqwest::Response,
+    response: UpstreamResponse,
     attempt: &Attempt,
     ticket_guard: TicketGuard,
     request_guard: RequestGuard,
 ) -> Response {
-    let status = response.status();
-    let mut headers = headers::filter_response(response.headers());
+    let status = response.status;
+    let mut headers = headers::filter_response(&response.headers);
     // An upstream that stopped a request at its deadline reports only that it may have run.
-    let outcome = if upstream::is_outcome_unknown(&response) { "unknown" } else { "executed" };
+    let outcome =
+        if upstream::is_outcome_unknown(&response.headers) { "unknown" } else { "executed" };
     headers.insert(headers::OUTCOME, HeaderValue::from_static(outcome));
     let latency = ticket_guard.latency_start.elapsed();
     record_response(host, head, attempt, latency, outcome);
@@ -266,13 +264,13 @@
         outcome: AttemptOutcome::Answered { failed: status.is_server_error() },
         status: (outcome == "executed").then_some(status.as_u16()),
         byte_sent: true,
-        draining: upstream::is_draining(response.headers()),
+        draining: upstream::is_draining(&response.headers),
         latency,
     };
     let home_region = host.engine.lock().home_region();
     let link = home_region.filter(|it| *it != attempt.region).map(|to| (attempt.region, to));
     let stream =
-        ResponseStream::new(response, ticket_guard, result, attempt.deadline, request_guard);
+        ResponseStream::new(response.body, ticket_guard, result, attempt.deadline, request_guard);
     let stream = stream.with_link(link);
     let mut res = Response::builder().status(status).body(Body::from_bytes_stream(stream));
     *res.headers_mut() = headers;
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -17,6 +17,10 @@
 /// Time left until the deadline of a request in milliseconds.
 pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("kingcupford-deadline-ms");
 
+/// Id of an attempt; an upstream that returns it with the response may be sent further requests on
+/// the connection.
+pub(crate) const ATTEMPT_ID: HeaderName = HeaderName::from_static("kingcupford-attempt-id");
+
 /// Name of the team that sent a request.
 pub(crate) const TEAM: HeaderName = HeaderName::from_static("kingcupford-tenant");
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod listener;
 mod path;
 mod platform;
+mod pool;
 mod refusals;
 mod reports;
 mod response_stream;
--- a/crates/entry/src/response_stream.rs
+++ b/crates/entry/src/response_stream.rs
@@ -8,14 +8,14 @@
 };
 
 use bytes::Bytes;
-use futures_util::{Stream, StreamExt as _, stream::BoxStream};
+use futures_util::{Stream, StreamExt as _};
 use kingcupford_config::RegionId;
 use kingcupford_engine::AttemptResult;
 use kingcupford_route::AttemptOutcome;
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 use tokio_util::sync::WaitForCancellationFutureOwned;
 
-use crate::{forward::TicketGuard, host::Host, listener::RequestGuard, upstream};
+use crate::{forward::TicketGuard, host::Host, listener::RequestGuard, upstream::ResponseBody};
 
 /// Maximum time after which a chunk that waits for a link's bandwidth tries again. A loan can
 /// arrive long before this host's share of the cap has refilled.
@@ -30,7 +30,7 @@
 /// stream ends or is dropped.
 pub(crate) struct ResponseStream {
     /// Body from the upstream.
-    body: BoxStream<'static, std::io::Result<Bytes>>,
+    body: ResponseBody,
     host: Arc<Host>,
     /// `None` after the result was reported to the engine.
     ticket_guard: Option<TicketGuard>,
@@ -56,15 +56,15 @@
     /// Creates the stream of a response body; `result` is reported to the engine if the body is
     /// relayed completely.
     pub(crate) fn new(
-        response: reqwest::Response,
+        body: ResponseBody,
         ticket_guard: TicketGuard,
         result: AttemptResult,
         deadline: Instant,
         request_guard: RequestGuard,
     ) -> Self {
-        let remaining_bytes = response.content_length();
+        let remaining_bytes = body.remaining_bytes();
         Self {
-            body: upstream::body_stream(response).boxed(),
+            body,
             host: Arc::clone(&ticket_guard.host),
             ticket_guard: Some(ticket_guard),
             result,
--- a/crates/entry/tests/it/forwarding.rs
+++ b/crates/entry/tests/it/forwarding.rs
@@ -524,3 +524,63 @@
     let headers = report["headers"].as_array()?;
     headers.iter().find(|it| it[0] == name)?[1].as_str()
 }
+
+/// Guards against a second copy of an earlier response, which arrives after the next request was sent
+/// on the connection and reaches the next caller.
+#[test]
+fn response_duplicated_late() {
+    run_test(check_duplicates(|_| String::new()));
+}
+
+/// Guards against the same from upstreams that return the id of the attempt, whose connections are
+/// used again.
+#[test]
+fn response_duplicated_late_with_id() {
+    run_test(check_duplicates(|head| {
+        let id = head.lines().find(|it| it.starts_with("kingcupford-attempt-id: "));
+        id.map(|it| format!("{it}\r\n")).unwrap_or_default()
+    }));
+}
+
+/// Checks responses of an upstream that sends each response once more, in front of the next one on
+/// the connection. `headers` returns headers for the response to a request's head.
+async fn check_duplicates(
+    headers: impl Fn(&str) -> String + Send + Sync + 'static,
+) -> anyhow::Result<()> {
+    let headers = Arc::new(headers);
+    let raw = RawUpstream::start(move |mut stream, first_head| {
+        let headers = Arc::clone(&headers);
+        async move {
+            let mut previous = String::new();
+            let mut next_head = Some(first_head);
+            while let Some(head) = next_head {
+                let path = head.split(' ').nth(1).unwrap_or_default();
+                let response = format!(
+                    "HTTP/1.1 200 OK\r\n{}content-length: {}\r\n\r\n{path}",
+                    headers(&head),
+                    path.len()
+                );
+                let both = std::mem::replace(&mut previous, response.clone()) + &response;
+                if stream.write_all(both.as_bytes()).await.is_err() {
+                    return;
+                }
+                next_head = read_head(&mut stream).await;
+            }
+        }
+    })
+    .await?;
+    let change = |it: &mut _| set_instance_addresses(it, "ledger-view", raw.address);
+    let fleet = TestFleet::start_with(settings(1, SITE, 8), change).await?;
+    let key = fleet.issue_key("k", "school-1").await?;
+    let mut answered = 0;
+    for at in 0..40 {
+        let path = format!("/{at}");
+        let response = fleet.get(0, &format!("/ledger-view{path}"), &key).send().await?;
+        if response.status() == 200 {
+            assert_eq!(response.text().await?, path);
+            answered += 1;
+        }
+    }
+    ensure!(answered > 10, "{answered} of 40 answered");
+    Ok(())
+}
--- a/crates/entry/tests/it/session.rs
+++ b/crates/entry/tests/it/session.rs
@@ -94,21 +94,28 @@
     Ok(())
 }
 
-/// Replaces the time left until the deadline and the binding of the other host, which vary.
+/// Replaces the time left until the deadline, the id of the attempt and the binding of the other
+/// host, which vary.
 fn replace_varying_values(text: &str) -> String {
     let mut res = String::new();
-    let mut after_deadline = false;
+    let mut placeholder = None;
     for line in text.lines() {
         let trimmed = line.trim_start();
-        if after_deadline && trimmed.starts_with('"') {
-            res.push_str("      \"(ms)\"\n");
+        if let Some(it) = placeholder
+            && trimmed.starts_with('"')
+        {
+            writeln!(res, "      \"{it}\"").expect("writing to a string succeeds");
         } else if trimmed.starts_with("\"binding\": \"entry-") {
             res.push_str("      \"binding\": \"(another binding)\",\n");
         } else {
             res.push_str(line);
             res.push('\n');
         }
-        after_deadline = trimmed.starts_with("\"kingcupford-deadline-ms\"");
+        placeholder = match trimmed {
+            "\"kingcupford-deadline-ms\"," => Some("(ms)"),
+            "\"kingcupford-attempt-id\"," => Some("(id)"),
+            _ => None,
+        };
     }
     res
 }
--- a/crates/standin/src/upstream/api.rs
+++ b/crates/standin/src/upstream/api.rs
@@ -398,6 +398,7 @@
     async fn call(&self, mut request: Request) -> poem::Result<Response> {
         let api = &self.0;
         let path = request.uri().path().to_owned();
+        let attempt_id = request.headers().get("kingcupford-attempt-id").cloned();
         let connection_token = api.tracker.connection_token(http_util::client_address(&request));
         let served = async {
             match path.as_str() {
@@ -415,6 +416,9 @@
             () = connection_token.cancelled() => return Ok(StatusCode::SERVICE_UNAVAILABLE.into()),
             response = served => response,
         };
+        if let Some(it) = attempt_id {
+            response.headers_mut().insert("kingcupford-attempt-id", it);
+        }
         if api.state.lock().draining_since.is_some() {
             let value = HeaderValue::from_static("true");
             response.headers_mut().insert("kingcupford-draining", value);
