Reset callers of kingcupford-entry whose response breaks off

Callers saw: a response that broke off halfway looked complete, with status 200: in HTTP/1.0, whose callers know no chunks, and in HTTP/1.1 when the upstream's chunk had an extension without end (a body of 0 bytes, ended in order).

Cause: after an error of the response's body the HTTP server is polled once more, and ends the chunks; and it closes the connection in order.

Change: a response that breaks off, or passes its deadline, resets the caller's connection, and nothing more is written to it. In HTTP/2 the HTTP server resets the stream alone, as before.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -85,7 +85,7 @@
     async fn call(&self, request: Request) -> poem::Result<Response> {
         let caller = request.remote_addr().0.as_socket_addr().copied();
         let client = caller.map_or(IpAddr::from([127, 0, 0, 1]), |it| it.ip());
-        let guard = self.host.connections.begin_request(caller);
+        let guard = self.host.connections.begin_request(caller, request.version());
         let header_bytes: usize =
             request.headers().iter().map(|(k, v)| k.as_str().len() + v.len()).sum();
         let target_bytes =
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -10,7 +10,7 @@
 };
 
 use futures_util::FutureExt as _;
-use http::uri::Scheme;
+use http::{Version, uri::Scheme};
 use parking_lot::Mutex;
 use poem::{
     listener::{Acceptor, Listener, TcpAcceptor, TcpListener},
@@ -61,7 +61,11 @@
 
     /// Records the start of a request on the caller's connection. The end is recorded when the
     /// guard is dropped.
-    pub(crate) fn begin_request(self: &Arc<Self>, caller: Option<SocketAddr>) -> RequestGuard {
+    pub(crate) fn begin_request(
+        self: &Arc<Self>,
+        caller: Option<SocketAddr>,
+        version: Version,
+    ) -> RequestGuard {
         let mut closed = CancellationToken::new();
         if let Some(caller) = caller {
             let mut open = self.open.lock();
@@ -71,7 +75,8 @@
                 closed = open[index].closed.clone();
             }
         }
-        RequestGuard { connections: Arc::clone(self), caller, closed }
+        let is_multiplexed = version >= Version::HTTP_2;
+        RequestGuard { connections: Arc::clone(self), caller, is_multiplexed, closed }
     }
 
     /// Returns the number of connections without a running request whose last response may not be
@@ -146,6 +151,8 @@
 pub(crate) struct RequestGuard {
     connections: Arc<Connections>,
     caller: Option<SocketAddr>,
+    /// Whether the connection carries other requests, as in HTTP/2.
+    is_multiplexed: bool,
     closed: CancellationToken,
 }
 
@@ -154,6 +161,20 @@
     pub(crate) fn connection_closed(&self) -> &CancellationToken {
         &self.closed
     }
+
+    /// Ends the caller's connection by a reset, so that the part of a response that was sent does
+    /// not look complete. In HTTP/2 only the response's stream is reset, by the HTTP server.
+    pub(crate) fn reset_connection(&self) {
+        let Some(caller) = self.caller.filter(|_| !self.is_multiplexed) else { return };
+        let open = self.connections.open.lock();
+        if let Ok(index) = open.binary_search_by_key(&caller, |it| it.caller)
+            && let Err(error) = SockRef::from(&*open[index].stream).set_linger(Some(Duration::ZERO))
+        {
+            log::debug!("connection of a caller could not be reset: {error}");
+        }
+        drop(open);
+        self.closed.cancel();
+    }
 }
 
 impl Drop for RequestGuard {
@@ -282,7 +303,9 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // An orderly end would precede the reset of a connection.
+        self.check_open(context)?;
         Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/crates/entry/src/response_stream.rs
+++ b/crates/entry/src/response_stream.rs
@@ -40,7 +40,7 @@
     deadline: Pin<Box<Sleep>>,
     caller_closed: Pin<Box<WaitForCancellationFutureOwned>>,
     /// Prevents the caller's connection from counting as idle.
-    _request_guard: RequestGuard,
+    request_guard: RequestGuard,
     /// Regions between which the response is sent, `None` within a region or if the region of this
     /// host is unknown.
     link: Option<(RegionId, RegionId)>,
@@ -70,7 +70,7 @@
             result,
             deadline: Box::pin(sleep_until(deadline + BODY_GRACE)),
             caller_closed: Box::pin(request_guard.connection_closed().clone().cancelled_owned()),
-            _request_guard: request_guard,
+            request_guard,
             link: None,
             bandwidth_wait: None,
             delayed_chunk: None,
@@ -84,6 +84,13 @@
         self
     }
 
+    /// Ends a response that is incomplete. The HTTP server would end the chunks in order, or the
+    /// connection of a caller that knows no chunks.
+    fn break_off(&self, error: std::io::Error) -> Poll<Option<std::io::Result<Bytes>>> {
+        self.request_guard.reset_connection();
+        Poll::Ready(Some(Err(error)))
+    }
+
     /// Reports the result to the engine, once.
     fn finish(&mut self, result: AttemptResult) {
         if let Some(mut ticket_guard) = self.ticket_guard.take() {
@@ -156,7 +163,7 @@
             let result = AttemptResult { outcome: AttemptOutcome::TimedOut, ..self.result };
             self.finish(result);
             let error = std::io::Error::new(std::io::ErrorKind::TimedOut, "deadline passed");
-            return Poll::Ready(Some(Err(error)));
+            return self.break_off(error);
         }
         if let Some(bandwidth_wait) = &mut self.bandwidth_wait {
             if bandwidth_wait.as_mut().poll(context).is_pending() {
@@ -174,7 +181,7 @@
                 let outcome = AttemptOutcome::Broken { response_started: true };
                 let result = AttemptResult { outcome, ..self.result };
                 self.finish(result);
-                Poll::Ready(Some(Err(error)))
+                self.break_off(error)
             }
             Poll::Ready(None) => {
                 let result = self.result;
--- a/crates/entry/tests/it/forwarding.rs
+++ b/crates/entry/tests/it/forwarding.rs
@@ -584,3 +584,97 @@
     ensure!(answered > 10, "{answered} of 40 answered");
     Ok(())
 }
+
+/// Guards against a part of a response that looks complete to a caller that knows no chunks: its
+/// only sign is how the connection ends.
+#[test]
+fn response_breaks_off_http_1_0() {
+    run_test(async {
+        let raw = RawUpstream::start(|mut stream, _| async move {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
+            let _ = stream.write_all(head.as_bytes()).await;
+            sleep(Duration::from_millis(100)).await;
+        })
+        .await?;
+        let change = |it: &mut _| set_instance_addresses(it, "ledger-view", raw.address);
+        let fleet = TestFleet::start_with(settings(1, SITE, 8), change).await?;
+        let key = fleet.issue_key("k", "school-1").await?;
+        for version in ["1.0", "1.1"] {
+            let mut caller = TcpStream::connect(fleet.host(0).caller).await?;
+            let head = format!(
+                "GET /ledger-view/a HTTP/{version}\r\nhost: x\r\nauthorization: {key}\r\n\r\n"
+            );
+            caller.write_all(head.as_bytes()).await?;
+            let mut received = Vec::new();
+            let end = caller.read_to_end(&mut received).await;
+            let text = String::from_utf8_lossy(&received);
+            ensure!(text.contains(" 200 "), "HTTP/{version}: {text}");
+            let is_complete = end.is_ok() && (version == "1.0" || text.ends_with("0\r\n\r\n"));
+            ensure!(!is_complete, "HTTP/{version}: {text}");
+        }
+        Ok(())
+    });
+}
+
+/// Guards against bytes without end that are read for ever, are kept in memory, or reach the caller
+/// as a response.
+#[test]
+fn response_without_end() {
+    run_test(async {
+        let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let parts = [
+            (String::new(), "no response "),
+            ("HTTP/1.1 200 OK\r\n".to_owned(), "x-more: of this\r\n"),
+            (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+            (format!("{chunked}2;"), "extension"),
+            (format!("{chunked}2\r\nok\r\n0\r\n"), "x-more: of this\r\n"),
+        ];
+        let next_part = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+        let closed = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+        let (part, closed_count) = (Arc::clone(&next_part), Arc::clone(&closed));
+        let all_parts = parts.clone();
+        let raw = RawUpstream::start(move |mut stream, _| {
+            let (start, repeated) =
+                all_parts[part.load(std::sync::atomic::Ordering::SeqCst)].clone();
+            let closed_count = Arc::clone(&closed_count);
+            async move {
+                let _ = stream.write_all(start.as_bytes()).await;
+                let repeated = repeated.repeat(500);
+                while stream.write_all(repeated.as_bytes()).await.is_ok() {}
+                closed_count.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+            }
+        })
+        .await?;
+        let change = |it: &mut _| set_instance_addresses(it, "photo-drop", raw.address);
+        let fleet = TestFleet::start_with(settings(1, SITE, 8), change).await?;
+        let key = fleet.issue_key("k", "school-1").await?;
+        let binding = fleet.binding(0, &key).await?;
+        let resident_bytes_before = fleet.host(0).resident_bytes()?;
+        for (at, part) in parts.iter().enumerate() {
+            next_part.store(at, std::sync::atomic::Ordering::SeqCst);
+            let upload = fleet.client.post(fleet.url(0, "/photo-drop/class")).body("x");
+            let upload = upload.header("authorization", &key);
+            let upload = upload.header("kingcupford-deadline-ms", "700");
+            let upload = upload.header("kingcupford-request-id", format!("{binding}.{at}"));
+            let sent_at = Instant::now();
+            // A host that streams the body may have sent the head before the body breaks off.
+            if let Ok(response) = upload.send().await {
+                let status = response.status().as_u16();
+                ensure!([200, 502, 504].contains(&status), "{part:?}: {status}");
+                let is_complete = status == 200 && response.bytes().await.is_ok();
+                ensure!(!is_complete, "{part:?}");
+            }
+            let took = sent_at.elapsed();
+            ensure!(took < Duration::from_millis(3_000), "{part:?}: {took:?}");
+            let received = raw.received_count();
+            wait_until("the connection is closed", Duration::from_secs(5), || async {
+                closed.load(std::sync::atomic::Ordering::SeqCst) == received
+            })
+            .await?;
+        }
+        let growth_bytes = fleet.host(0).resident_bytes()?.saturating_sub(resident_bytes_before);
+        println!("resident memory grew by {growth_bytes} bytes");
+        ensure!(growth_bytes < MAX_GROWTH_BYTES, "memory grew by {growth_bytes} bytes");
+        Ok(())
+    });
+}
