Test a start beside a host that tells an old view

A host is cut off from the platform, which then withdraws a key and deregisters an instance; a process that knows neither starts beside it and follows it at first.

The store reads linearizably only, so an answer from an old copy reaches a process through another host alone.

--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -20,8 +20,8 @@
 
 use crate::{
     harness::{
-        Harness, MAX_CONFIG_DELAY, MemoryStore, listen_addresses, spawn_process, spawn_process_in,
-        wait_for, with_process,
+        Harness, MAX_CONFIG_DELAY, MAX_REVOCATION_DELAY, MemoryStore, listen_addresses,
+        spawn_process, spawn_process_in, wait_for, with_process,
     },
     upstream::{Behaviour, Upstream},
 };
@@ -526,6 +526,68 @@
         .await;
 }
 
+/// Guards against a process that starts beside a host which is cut off from the platform and still
+/// tells an old view, and that takes a revoked key or an instance that left from it.
+#[tokio::test]
+async fn restart_beside_old_view() {
+    let first = Upstream::start("i1", Behaviour::Echo).await;
+    let second = Upstream::start("i2", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let client = Client::builder().no_proxy().build().unwrap();
+            let start = |name, store: &Arc<MemoryStore>, listen| {
+                spawn_process(name, listen, store);
+                Harness { store: Arc::clone(store), listen, client: client.clone() }
+            };
+            let old_host = start("n1", &store, listen_addresses());
+            old_host.register(&first);
+            old_host.register(&second);
+            old_host.wait_for_status("/read/1", 200).await;
+            wait_for(async || store.contains("hosts/n1")).await;
+            let listen = listen_addresses();
+            let entry = serde_json::json!({
+                "name": "n2", "zone": "z1", "peer_address": listen.peers,
+                "public_addresses": [listen.callers], "state": "live",
+            });
+            store.put("hosts/n2", &entry.to_string());
+            sleep(Duration::from_millis(500)).await;
+            *store.is_unavailable.lock() = true;
+            let current_store = Arc::new(MemoryStore::from_copy(store.copy()));
+            current_store.put("config/main", "2 other");
+            current_store.remove("servers/i1");
+            let changed_at = Instant::now();
+            let new_host = start("n2", &current_store, listen);
+            let mut sent_to_first = None;
+            let mut served = 0;
+            while changed_at.elapsed() < Duration::from_secs(7) {
+                let sent_after = changed_at.elapsed();
+                if sent_after > Duration::from_secs(5) && sent_to_first.is_none() {
+                    sent_to_first = Some(first.requests().len());
+                }
+                let path = format!("/read/{}", sent_after.as_millis());
+                for key in ["good", "other"] {
+                    let url = format!("http://{}{path}", listen.callers);
+                    let request = client.get(url).header("host", "host.example");
+                    let request = request.header("x-id", &path).header("x-key", key);
+                    let Ok(response) = request.send().await else { continue };
+                    let is_served = response.status() == 200;
+                    if key == "good" {
+                        assert!(!is_served || sent_after < MAX_REVOCATION_DELAY, "{sent_after:?}");
+                    } else {
+                        served += usize::from(is_served);
+                    }
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+            assert_eq!(Some(first.requests().len()), sent_to_first);
+            assert!(served > 20, "{served}");
+            new_host.wait_for_status("/read/1", 401).await;
+        })
+        .await;
+}
+
 /// Registers a host `n2` at `address` and sends heartbeats from there: it reads the platform and has
 /// a version of the manifest.
 async fn spawn_heartbeats(host: &Harness, address: SocketAddr, manifest_version: u64) {
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -81,6 +81,11 @@
         self.objects.lock().clone()
     }
 
+    /// Creates a store with the state of another one.
+    pub(crate) fn from_copy(copy: StoreCopy) -> Self {
+        Self { objects: Mutex::new(copy), ..Self::default() }
+    }
+
     /// Goes back to a copy; revisions since then are given out again.
     pub(crate) fn restore(&self, copy: StoreCopy) {
         *self.objects.lock() = copy;
