--- a/crates/gateway/tests/it/lookups.rs
+++ b/crates/gateway/tests/it/lookups.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use kingcupford_steer::PROTOCOL_VERSION;
+use kingcupford_steer::{
+    Heartbeat, HostState, PROTOCOL_VERSION, RolloutTally, ServiceLoad, TeamDemand, name_hash,
+};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
 use reqwest::Client;
 use tokio::{net::UdpSocket, task::LocalSet, time::sleep};
 
@@ -122,3 +125,69 @@
         })
         .await;
 }
+
+/// Guards against a damaged heartbeat that ends the process or its reception of heartbeats.
+#[tokio::test]
+async fn heartbeats_damaged() {
+    with_process(&[], async |harness| {
+        let listen = harness.listen;
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let entry = serde_json::json!({
+            "name": "damaged", "zone": "z1", "peer_address": socket.local_addr().unwrap(),
+            "public_addresses": [socket.local_addr().unwrap()], "state": "live",
+        });
+        harness.store.put("hosts/damaged", &entry.to_string());
+        let mut rng = SmallRng::seed_from_u64(22);
+        for sequence in 1..=4000 {
+            let heartbeat = Heartbeat {
+                protocol_version: PROTOCOL_VERSION,
+                sender: "damaged".to_owned(),
+                incarnation: 1,
+                sequence,
+                ack: None,
+                state: HostState::Serving,
+                link_mbps: 100,
+                manifest_version: 1,
+                view_age_ms: Some(10),
+                platform_age_ms: Some(10),
+                team_demand: vec![TeamDemand {
+                    team_hash: name_hash("acme"),
+                    requests_per_16_s: 160,
+                    claimed_per_16_s: 160,
+                    admitted: 10,
+                }],
+                service_loads: vec![ServiceLoad {
+                    service_hash: name_hash("svc"),
+                    utilization: 0.5,
+                    shift_share: Some(0.1),
+                }],
+                rollout_tallies: vec![RolloutTally::default()],
+                quarantine_updates: Vec::new(),
+            };
+            let mut bytes =
+                bincode::encode_to_vec(&heartbeat, bincode::config::standard()).unwrap();
+            for _ in 0..rng.random_range(1..=4) {
+                let at = rng.random_range(0..bytes.len());
+                match rng.random_range(0..4) {
+                    0 => bytes.truncate(at + 1),
+                    1 => bytes.insert(at, rng.random()),
+                    2 => bytes[at] = *[0, 250, 251, 252, 253, 255].choose(&mut rng).unwrap(),
+                    _ => bytes[at] = rng.random(),
+                }
+            }
+            socket.send_to(&bytes, listen.peers).await.unwrap();
+            if sequence % 20 == 0 {
+                sleep(Duration::from_millis(1)).await;
+            }
+        }
+        let other = listen_addresses();
+        spawn_process("n2", other, &harness.store);
+        let url = format!("http://{}/v1/lookup?zone=z1", listen.lookup);
+        wait_for(async || {
+            let Ok(response) = harness.client.get(&url).send().await else { return false };
+            response.text().await.unwrap_or_default().contains(&other.callers.to_string())
+        })
+        .await;
+    })
+    .await;
+}
