Reset connections after 100 informational responses

Callers saw: with an upstream that answers with 1xx heads without end, a request took until its timeout (504), and `kingcupford-node` read the heads all the while, at the speed of the link.

Cause: the HTTP library skips any number of informational responses.

Change: `crates/gateway` and `crates/entry` count them for each request, and reset the connection at the 101st; the caller gets 502 at once.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -60,6 +60,13 @@
     task: AbortHandle,
 }
 
+impl Connection {
+    /// Handle that resets the connection.
+    pub(crate) fn reset_handle(&self) -> AbortHandle {
+        self.task.clone()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -5,7 +5,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     task::{Context, Poll, ready},
     time::Duration,
@@ -36,6 +36,9 @@
 /// Maximum length of a load report.
 const MAX_REPORT_BYTES: usize = 16 * 1024;
 
+/// Maximum number of informational responses (1xx) before the response to a request.
+const MAX_INFORMATIONAL_RESPONSES: u32 = 100;
+
 /// HTTP clients for upstreams.
 pub(crate) struct UpstreamClient {
     /// Connections for the requests of callers.
@@ -141,6 +144,7 @@
         if idempotent && let Some(mut connection) = self.pool.take(address).await {
             // Set before the call, because a future that is dropped may have sent bytes.
             byte_sent.store(true, Ordering::Release);
+            limit_informational_responses(&mut request, &connection);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     return self.check_response(response, connection, &attempt_id, true);
@@ -157,6 +161,7 @@
             SendFailure::UNREACHABLE
         })?;
         byte_sent.store(true, Ordering::Release);
+        limit_informational_responses(&mut request, &connection);
         match connection.sender.try_send_request(request).await {
             Ok(response) => self.check_response(response, connection, &attempt_id, false),
             Err(mut error) => {
@@ -266,6 +271,16 @@
     Some(request)
 }
 
+/// Resets the connection after too many informational responses.
+fn limit_informational_responses(request: &mut Request<AttemptBody>, connection: &Connection) {
+    let (reset, count) = (connection.reset_handle(), AtomicU32::new(0));
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL_RESPONSES {
+            reset.abort();
+        }
+    });
+}
+
 /// Turns a response by which the upstream shed the request into a failure.
 fn reject_shed(response: UpstreamResponse) -> Result<UpstreamResponse, SendFailure> {
     let not_run = HeaderValue::from_static("not-run");
--- a/crates/entry/tests/it/forwarding.rs
+++ b/crates/entry/tests/it/forwarding.rs
@@ -631,16 +631,20 @@
         ];
         let next_part = Arc::new(std::sync::atomic::AtomicUsize::new(0));
         let closed = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+        let sent_bytes = Arc::new(std::sync::atomic::AtomicUsize::new(0));
         let (part, closed_count) = (Arc::clone(&next_part), Arc::clone(&closed));
+        let sent_count = Arc::clone(&sent_bytes);
         let all_parts = parts.clone();
         let raw = RawUpstream::start(move |mut stream, _| {
             let (start, repeated) =
                 all_parts[part.load(std::sync::atomic::Ordering::SeqCst)].clone();
-            let closed_count = Arc::clone(&closed_count);
+            let (closed_count, sent_count) = (Arc::clone(&closed_count), Arc::clone(&sent_count));
             async move {
                 let _ = stream.write_all(start.as_bytes()).await;
                 let repeated = repeated.repeat(500);
-                while stream.write_all(repeated.as_bytes()).await.is_ok() {}
+                while stream.write_all(repeated.as_bytes()).await.is_ok() {
+                    sent_count.fetch_add(repeated.len(), std::sync::atomic::Ordering::SeqCst);
+                }
                 closed_count.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
             }
         })
@@ -671,6 +675,9 @@
                 closed.load(std::sync::atomic::Ordering::SeqCst) == received
             })
             .await?;
+            let sent_bytes = sent_bytes.swap(0, std::sync::atomic::Ordering::SeqCst);
+            // Socket buffers hold most of it.
+            ensure!(sent_bytes < 32 << 20, "{part:?}: {sent_bytes} bytes");
         }
         let growth_bytes = fleet.host(0).resident_bytes()?.saturating_sub(resident_bytes_before);
         println!("resident memory grew by {growth_bytes} bytes");
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,11 @@
 //! An HTTP exchange with one instance: the request and its response.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header};
@@ -20,6 +25,9 @@
 /// request can be repeated when the response breaks off.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
 
+/// Maximum number of informational responses (1xx) before the response to a request.
+const MAX_INFORMATIONAL_RESPONSES: u32 = 100;
+
 /// A request that is ready to be sent to an instance.
 pub(crate) struct UpstreamRequest {
     pub(crate) key: InstanceKey,
@@ -104,6 +112,12 @@
     *request.method_mut() = upstream_request.method.clone();
     *request.uri_mut() = upstream_request.uri;
     *request.headers_mut() = upstream_request.headers;
+    let (reset, informational_count) = (connection.reset_handle(), AtomicU32::new(0));
+    hyper::ext::on_informational(&mut request, move |_| {
+        if informational_count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL_RESPONSES {
+            reset.abort();
+        }
+    });
     let response = connection.sender.send_request(request).await;
     let response = response.map_err(|error| {
         log::debug!("no response from the instance at {}: {error}", upstream_request.address);
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -137,6 +137,9 @@
             assert_eq!(response.headers()["kingcupford-outcome"], "unknown", "{part:?}");
             assert!(sent_at.elapsed() < Duration::from_millis(1050), "{part:?}");
             wait_for(async || upstream.cancelled.load(Ordering::SeqCst) == 1).await;
+            let sent_bytes = upstream.endless_bytes.load(Ordering::SeqCst);
+            // Socket buffers hold most of it.
+            assert!(sent_bytes < 32 << 20, "{part:?}: {sent_bytes}");
             // The process serves on.
             upstream.set_behaviour(Behaviour::Echo);
             harness.wait_for_status("/read/1", 200).await;
@@ -145,6 +148,24 @@
     }
 }
 
+/// Guards against an instance that goes on to get requests although it answers each with bytes
+/// without end.
+#[tokio::test]
+async fn response_without_end_ejected() {
+    let first = Upstream::start("i1", Behaviour::Endless(EndlessPart::Head)).await;
+    let second = Upstream::start("i2", Behaviour::Echo).await;
+    with_process(&[&first, &second], async |harness| {
+        for at in 0..200 {
+            let request = harness.request("GET", &format!("/read/{at}"), &format!("id-{at}"));
+            assert_eq!(request.send().await.unwrap().status(), 200, "{at}");
+        }
+        let sent = first.requests().len();
+        println!("{sent} of 200 sent to the instance");
+        assert!((1..20).contains(&sent), "{sent}");
+    })
+    .await;
+}
+
 /// Guards against a body without end that is collected in memory, or that goes on after the caller
 /// has left.
 #[tokio::test]
