Test damaged responses of a reader

A host that another one follows answers each list and watch with damaged bytes: noise, cut bodies, impossible lengths, the wrong encoding, LZ4 of 64 MB of zeros. The host turns to the platform and applies a later manifest.

--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -588,6 +588,69 @@
         .await;
 }
 
+/// Guards against a damaged response of a reader that ends the process, takes memory without bound,
+/// or keeps the host from following the platform.
+#[tokio::test]
+async fn reader_sends_damaged_responses() {
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            let keys: Vec<String> = (0..500).map(|it| format!("key-of-a-caller-{it}")).collect();
+            store.put("config/main", &format!("1 good,{}", keys.join(",")));
+            let listen = listen_addresses();
+            spawn_process("n1", listen, &store);
+            let client = Client::builder().no_proxy().build().unwrap();
+            let host = Harness { store: Arc::clone(&store), listen, client };
+            host.wait_until_ready().await;
+            let url = format!("http://{}/list?prefix=config/", listen.peers);
+            let valid = async |encoding: &str| {
+                let request = host.client.get(&url).header("accept-encoding", encoding);
+                request.send().await.unwrap().bytes().await.unwrap().to_vec()
+            };
+            let (plain, lz4) = (valid("identity").await, valid("lz4").await);
+            let is_lz4 = true;
+            let bodies: Vec<(bool, Vec<u8>)> = vec![
+                (!is_lz4, Vec::new()),
+                (!is_lz4, vec![0xa5; 2000]),
+                (!is_lz4, vec![253; 40]),
+                (!is_lz4, plain[..plain.len() / 2].to_vec()),
+                (is_lz4, plain),
+                (!is_lz4, lz4.clone()),
+                (is_lz4, lz4[..lz4.len() / 2].to_vec()),
+                (is_lz4, vec![1, 2]),
+                (is_lz4, vec![255; 40]),
+                (is_lz4, lz4_flex::block::compress_prepend_size(&vec![0; 64 << 20])),
+                (is_lz4, lz4_flex::block::compress_prepend_size(&[253; 40])),
+            ];
+            let body_count = bodies.len();
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let sent = Arc::new(AtomicUsize::new(0));
+            let sent_count = Arc::clone(&sent);
+            tokio::spawn(async move {
+                loop {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    let (is_lz4, body) = &bodies[sent_count.fetch_add(1, Relaxed) % body_count];
+                    let encoding = if *is_lz4 { "content-encoding: lz4\r\n" } else { "" };
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\n{encoding}content-length: {}\r\nconnection: close\r\n\r\n",
+                        body.len()
+                    );
+                    let response = [head.as_bytes(), body].concat();
+                    tokio::spawn(async move {
+                        let _ = stream.read(&mut [0; 4096]).await;
+                        let _ = stream.write_all(&response).await;
+                    });
+                }
+            });
+            spawn_heartbeats(&host, address, 1).await;
+            wait_for(async || sent.load(Relaxed) > 2 * body_count).await;
+            store.put("config/main", "2 other");
+            host.wait_for_status("/read/1", 401).await;
+        })
+        .await;
+}
+
 /// Registers a host `n2` at `address` and sends heartbeats from there: it reads the platform and has
 /// a version of the manifest.
 async fn spawn_heartbeats(host: &Harness, address: SocketAddr, manifest_version: u64) {
