Serve accepted connections of kingcupford-entry in a planned shutdown

Callers saw: at the end of the drain notice, connections that were accepted or queued and whose request was not read yet were closed without an answer.

Cause: the HTTP server cancels a connection on which it has read nothing as soon as it is told to stop, and the kernel resets the queued connections of a listener that is closed.

Change: at the end of the notice the queued connections are accepted and the listener is closed; the HTTP server is told to stop 500 ms later.

Measured: terminate_accepted_connections opens 100 connections 100 ms before the end of the notice and sends a request on each 100 ms after it.

--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -36,6 +36,10 @@
     upstream::UpstreamClient,
 };
 
+/// Time after the listener for callers is closed within which requests on accepted connections must
+/// begin to arrive.
+const RECEIVE_TIME: Duration = Duration::from_millis(500);
+
 /// State that the listeners and control loops of one host share.
 pub(crate) struct Host {
     pub(crate) settings: Settings,
@@ -96,6 +100,8 @@
     admin_address: SocketAddr,
     /// Cancelled to close the listener for callers.
     listener_closed: CancellationToken,
+    /// Cancelled when idle connections of callers are to be closed.
+    callers_stopped: CancellationToken,
     /// Tasks of the servers and control loops.
     tasks: TaskTracker,
 }
@@ -151,7 +157,9 @@
         });
         let tasks = TaskTracker::new();
         let listener_closed = CancellationToken::new();
-        let caller_address = serve_callers(&host, &tasks, &listener_closed).await?;
+        let callers_stopped = CancellationToken::new();
+        let caller_address =
+            serve_callers(&host, &tasks, &listener_closed, &callers_stopped).await?;
         let admin_address = serve_admin(&host, &tasks).await?;
         control::spawn(&host, &tasks, peer_inbox);
         Event::HostStarted.log(format_args!(
@@ -160,7 +168,7 @@
             host.settings.zone,
             host.transport.local_address(),
         ));
-        Ok(Self { host, caller_address, admin_address, listener_closed, tasks })
+        Ok(Self { host, caller_address, admin_address, listener_closed, callers_stopped, tasks })
     }
 
     /// Returns the address at which callers are accepted.
@@ -196,6 +204,9 @@
             // ends.
             tokio::time::sleep(Duration::from_millis(host.settings.drain_notice_ms)).await;
             self.listener_closed.cancel();
+            // The HTTP server closes connections whose request it has not begun to read.
+            tokio::time::sleep(RECEIVE_TIME).await;
+            self.callers_stopped.cancel();
             // The end of a response can still be buffered for a slow caller after its request has
             // ended.
             while host.engine.lock().in_flight() > 0 || host.connections.undelivered() > 0 {
@@ -210,13 +221,14 @@
         };
         let running = host.engine.lock().in_flight();
         let undelivered =
-            if self.listener_closed.is_cancelled() { host.connections.undelivered() } else { 0 };
+            if self.callers_stopped.is_cancelled() { host.connections.undelivered() } else { 0 };
         let cut_requests = if is_drained { 0 } else { running + undelivered };
         if cut_requests > 0 {
             host.metrics.requests_cut.inc_by(cut_requests as u64);
             Event::RequestsCut.log(format_args!("{cut_requests} requests"));
         }
         self.listener_closed.cancel();
+        self.callers_stopped.cancel();
         host.requests_cancelled.cancel();
         host.engine.lock().start_handover(Instant::now());
         self.wait_for_handover().await;
@@ -233,6 +245,7 @@
     /// Stops the host immediately, without a drain or a handover of the share, as a crash would.
     pub fn abort(self) {
         self.listener_closed.cancel();
+        self.callers_stopped.cancel();
         self.host.requests_cancelled.cancel();
         self.host.loops_stopped.cancel();
     }
@@ -286,9 +299,14 @@
     host: &Arc<Host>,
     tasks: &TaskTracker,
     listener_closed: &CancellationToken,
+    callers_stopped: &CancellationToken,
 ) -> anyhow::Result<SocketAddr> {
     let connections = Arc::clone(&host.connections);
-    let listener = CallerListener::new(host.settings.listen, Arc::clone(&connections));
+    let listener = CallerListener::new(
+        host.settings.listen,
+        Arc::clone(&connections),
+        listener_closed.clone(),
+    );
     let acceptor = match &host.settings.tls {
         None => listener.into_acceptor().await?.boxed(),
         Some(tls) => {
@@ -306,10 +324,10 @@
     tasks.spawn(async move { loops_stopped.run_until_cancelled(sweep).await });
     let server = Server::new_with_acceptor(acceptor);
     let api = CallerApi::new(Arc::clone(host));
-    let listener_closed = listener_closed.clone();
+    let callers_stopped = callers_stopped.clone();
     let deadline = Duration::from_millis(host.settings.shutdown_deadline_ms);
     tasks.spawn(async move {
-        let signal = listener_closed.cancelled();
+        let signal = callers_stopped.cancelled();
         let _ = server.run_with_graceful_shutdown(api, signal, Some(deadline)).await;
     });
     Ok(address)
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -1,6 +1,7 @@
 //! Listener for callers, which detects disconnected callers and closes idle connections.
 
 use std::{
+    collections::VecDeque,
     io,
     net::{Shutdown, SocketAddr},
     pin::Pin,
@@ -13,13 +14,13 @@
 use http::{Version, uri::Scheme};
 use parking_lot::Mutex;
 use poem::{
-    listener::{Acceptor, Listener, TcpAcceptor, TcpListener},
+    listener::{Acceptor, Listener},
     web::{LocalAddr, RemoteAddr},
 };
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     time::{Instant, interval},
 };
 use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
@@ -192,12 +193,19 @@
 pub(crate) struct CallerListener {
     address: SocketAddr,
     connections: Arc<Connections>,
+    /// Cancelled when no further connections are to be queued.
+    closing: CancellationToken,
 }
 
 impl CallerListener {
-    /// Creates a listener; the address is bound by [`Listener::into_acceptor`].
-    pub(crate) fn new(address: SocketAddr, connections: Arc<Connections>) -> Self {
-        Self { address, connections }
+    /// Creates a listener; the address is bound by [`Listener::into_acceptor`]. Once `closing` is
+    /// cancelled, it accepts the connections that are queued, and closes.
+    pub(crate) fn new(
+        address: SocketAddr,
+        connections: Arc<Connections>,
+        closing: CancellationToken,
+    ) -> Self {
+        Self { address, connections, closing }
     }
 }
 
@@ -205,34 +213,79 @@
     type Acceptor = CallerAcceptor;
 
     async fn into_acceptor(self) -> io::Result<CallerAcceptor> {
-        let inner = TcpListener::bind(self.address).into_acceptor().await?;
-        Ok(CallerAcceptor { inner, connections: self.connections })
+        let listener = TcpListener::bind(self.address).await?;
+        let address = listener.local_addr()?;
+        let Self { connections, closing, .. } = self;
+        let (listener, queued) = (Some(listener), VecDeque::new());
+        Ok(CallerAcceptor { listener, address, queued, connections, closing })
     }
 }
 
 /// Acceptor of [`CallerListener`]; TLS is layered on top of it.
 pub(crate) struct CallerAcceptor {
-    inner: TcpAcceptor,
+    /// `None` once the listener is closed.
+    listener: Option<TcpListener>,
+    address: SocketAddr,
+    /// Connections that were queued when the listener was closed.
+    queued: VecDeque<(TcpStream, SocketAddr)>,
     connections: Arc<Connections>,
+    closing: CancellationToken,
+}
+
+impl CallerAcceptor {
+    /// Waits for the next connection; without a listener and a queued connection, for ever.
+    async fn next_connection(&mut self) -> io::Result<(TcpStream, SocketAddr)> {
+        if let Some(listener) = &self.listener {
+            tokio::select! {
+                biased;
+                () = self.closing.cancelled() => self.close_listener(),
+                res = listener.accept() => return res,
+            }
+        }
+        match self.queued.pop_front() {
+            Some(it) => Ok(it),
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Accepts the queued connections, which the kernel resets when a listener is closed, and closes
+    /// the listener.
+    fn close_listener(&mut self) {
+        let Some(listener) = self.listener.take() else { return };
+        let listener = match listener.into_std() {
+            Ok(it) => it,
+            Err(error) => {
+                log::warn!("queued connections could not be accepted: {error}");
+                return;
+            }
+        };
+        // The listener does not block; without a queued connection, `accept` fails.
+        while let Ok((stream, caller)) = listener.accept() {
+            match stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+                Ok(it) => self.queued.push_back((it, caller)),
+                Err(error) => log::warn!("queued connection could not be accepted: {error}"),
+            }
+        }
+    }
 }
 
 impl Acceptor for CallerAcceptor {
     type Io = CallerStream;
 
     fn local_addr(&self) -> Vec<LocalAddr> {
-        self.inner.local_addr()
+        vec![LocalAddr(self.address.into())]
     }
 
     async fn accept(&mut self) -> io::Result<(CallerStream, LocalAddr, RemoteAddr, Scheme)> {
         loop {
-            let (stream, local, remote, scheme) = self.inner.accept().await?;
-            let Some(caller) = remote.0.as_socket_addr().copied() else { continue };
+            let (stream, caller) = self.next_connection().await?;
             let stream = Arc::new(stream);
             let Some(closed) = self.connections.insert(caller, &stream) else { continue };
             let close_signal = Box::pin(closed.clone().cancelled_owned());
             let connections = Arc::clone(&self.connections);
             let stream = CallerStream { stream, caller, closed, close_signal, connections };
-            return Ok((stream, local, remote, scheme));
+            let local = LocalAddr(self.address.into());
+            return Ok((stream, local, RemoteAddr(caller.into()), Scheme::HTTP));
         }
     }
 }
--- a/crates/entry/tests/it/shutdown.rs
+++ b/crates/entry/tests/it/shutdown.rs
@@ -8,7 +8,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpSocket, TcpStream},
-    time::{Instant, sleep},
+    time::{Instant, sleep, sleep_until},
 };
 
 use crate::support::{TestFleet, read_head, run_test, settings, wait_until};
@@ -114,6 +114,118 @@
     });
 }
 
+/// Guards against a planned shutdown under load that cuts requests, also those on connections that
+/// were just accepted.
+#[test]
+fn terminate_under_load() {
+    run_test(async {
+        let mut busy = settings(1, SITE, 64);
+        busy.drain_notice_ms = 500;
+        let mut fleet = TestFleet::start(busy).await?;
+        let address = fleet.host(0).caller;
+        let callers: Vec<_> =
+            (0..100).map(|it| tokio::spawn(call_until_refused(address, it))).collect();
+        sleep(Duration::from_millis(500)).await;
+        fleet.host(0).signal("TERM")?;
+        let (mut answered, mut cut) = (0, Vec::new());
+        for it in callers {
+            let outcome = it.await?;
+            answered += outcome.0;
+            cut.extend(outcome.1);
+        }
+        println!("{answered} answered, cut {cut:?}");
+        ensure!(answered > 200, "{answered} answered");
+        // A later request may cross the closing of its connection, and a connection the closing of
+        // the listener.
+        cut.retain(|it| it.0 == 0 || !fleet.executions(&it.1).is_empty());
+        ensure!(cut.len() <= 5, "cut: {cut:?}");
+        let mut host = fleet.hosts[0].take().context("the host is not running")?;
+        let status = host.wait(Duration::from_secs(20)).await?;
+        assert_eq!(status.code(), Some(0), "{}", host.log());
+        Ok(())
+    });
+}
+
+/// Guards against connections that were accepted right before the end of the drain notice, and are
+/// closed although their request arrives.
+#[test]
+fn terminate_accepted_connections() {
+    run_test(async {
+        let mut short = settings(1, SITE, 64);
+        short.drain_notice_ms = 500;
+        let mut fleet = TestFleet::start(short).await?;
+        let address = fleet.host(0).caller;
+        let signalled = Instant::now();
+        fleet.host(0).signal("TERM")?;
+        sleep(Duration::from_millis(400)).await;
+        let mut connections = Vec::new();
+        for _ in 0..100 {
+            connections.extend(TcpStream::connect(address).await);
+        }
+        sleep_until(signalled + Duration::from_millis(600)).await;
+        let (mut answered, mut cut) = (0, 0);
+        for stream in &mut connections {
+            let request = b"GET /ledger-view/open HTTP/1.1\r\nhost: x\r\n\r\n";
+            let is_sent = stream.write_all(request).await.is_ok();
+            // Later requests may arrive after the host has stopped waiting for them.
+            if signalled.elapsed() > Duration::from_millis(750) {
+                break;
+            }
+            match read_head(stream).await {
+                Some(_) if is_sent => answered += 1,
+                _ => cut += 1,
+            }
+        }
+        println!("{answered} answered, {cut} cut");
+        ensure!(cut == 0, "{cut} cut, {answered} answered");
+        let mut host = fleet.hosts[0].take().context("the host is not running")?;
+        let status = host.wait(Duration::from_secs(20)).await?;
+        assert_eq!(status.code(), Some(0), "{}", host.log());
+        Ok(())
+    });
+}
+
+/// Length of the body that follows a head.
+fn body_length(head: &str) -> usize {
+    let length = head.lines().find_map(|it| it.strip_prefix("content-length: "));
+    length.and_then(|it| it.parse().ok()).unwrap_or(0)
+}
+
+/// Sends requests on new and kept connections until the host accepts none. Returns the number of
+/// answered requests, and of the others the number on the connection and the tag.
+async fn call_until_refused(
+    address: std::net::SocketAddr,
+    caller: usize,
+) -> (usize, Vec<(usize, String)>) {
+    let (mut answered, mut cut) = (0, Vec::new());
+    for connection in 0.. {
+        let Ok(mut stream) = TcpStream::connect(address).await else { break };
+        for at in 0..4 {
+            let tag = format!("{caller}-{connection}-{at}");
+            let head = format!(
+                "GET /ledger-view/open HTTP/1.1\r\nhost: x\r\nx-request-tag: {tag}\r\n\r\n"
+            );
+            let sent = stream.write_all(head.as_bytes()).await;
+            let response = match sent {
+                Ok(()) => read_head(&mut stream).await,
+                Err(_) => None,
+            };
+            let body = response.as_deref().map(body_length);
+            let mut body = vec![0; body.unwrap_or_default()];
+            let (Some(response), Ok(_)) = (response, stream.read_exact(&mut body).await) else {
+                cut.push((at, tag));
+                break;
+            };
+            answered += 1;
+            if response.contains("connection: close") {
+                break;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+    (answered, cut)
+}
+
 /// Guards against a shutdown that idle connections of callers delay.
 #[test]
 fn terminate_with_idle_connections() {
