--- a/crates/entry/tests/it/forwarding.rs
+++ b/crates/entry/tests/it/forwarding.rs
@@ -524,3 +524,164 @@
     let headers = report["headers"].as_array()?;
     headers.iter().find(|it| it[0] == name)?[1].as_str()
 }
+
+/// Guards against a second copy of an earlier response, which arrives after the next request was sent
+/// on the connection and reaches the next caller.
+#[test]
+fn response_duplicated_late() {
+    run_test(check_duplicates(|_| String::new()));
+}
+
+/// Guards against the same from upstreams that return the id of the attempt, whose connections are
+/// used again.
+#[test]
+fn response_duplicated_late_with_id() {
+    run_test(check_duplicates(|head| {
+        let id = head.lines().find(|it| it.starts_with("kingcupford-attempt-id: "));
+        id.map(|it| format!("{it}\r\n")).unwrap_or_default()
+    }));
+}
+
+/// Checks responses of an upstream that sends each response once more, in front of the next one on
+/// the connection. `headers` returns headers for the response to a request's head.
+async fn check_duplicates(
+    headers: impl Fn(&str) -> String + Send + Sync + 'static,
+) -> anyhow::Result<()> {
+    let headers = Arc::new(headers);
+    let raw = RawUpstream::start(move |mut stream, first_head| {
+        let headers = Arc::clone(&headers);
+        async move {
+            let mut previous = String::new();
+            let mut next_head = Some(first_head);
+            while let Some(head) = next_head {
+                let path = head.split(' ').nth(1).unwrap_or_default();
+                let response = format!(
+                    "HTTP/1.1 200 OK\r\n{}content-length: {}\r\n\r\n{path}",
+                    headers(&head),
+                    path.len()
+                );
+                let both = std::mem::replace(&mut previous, response.clone()) + &response;
+                if stream.write_all(both.as_bytes()).await.is_err() {
+                    return;
+                }
+                next_head = read_head(&mut stream).await;
+            }
+        }
+    })
+    .await?;
+    let change = |it: &mut _| set_instance_addresses(it, "ledger-view", raw.address);
+    let fleet = TestFleet::start_with(settings(1, SITE, 8), change).await?;
+    let key = fleet.issue_key("k", "school-1").await?;
+    let mut answered = 0;
+    for at in 0..40 {
+        let path = format!("/{at}");
+        let response = fleet.get(0, &format!("/ledger-view{path}"), &key).send().await?;
+        if response.status() == 200 {
+            assert_eq!(response.text().await?, path);
+            answered += 1;
+        }
+    }
+    ensure!(answered > 10, "{answered} of 40 answered");
+    Ok(())
+}
+
+/// Guards against a part of a response that looks complete to a caller that knows no chunks: its
+/// only sign is how the connection ends.
+#[test]
+fn response_breaks_off_http_1_0() {
+    run_test(async {
+        let raw = RawUpstream::start(|mut stream, _| async move {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
+            let _ = stream.write_all(head.as_bytes()).await;
+            sleep(Duration::from_millis(100)).await;
+        })
+        .await?;
+        let change = |it: &mut _| set_instance_addresses(it, "ledger-view", raw.address);
+        let fleet = TestFleet::start_with(settings(1, SITE, 8), change).await?;
+        let key = fleet.issue_key("k", "school-1").await?;
+        for version in ["1.0", "1.1"] {
+            let mut caller = TcpStream::connect(fleet.host(0).caller).await?;
+            let head = format!(
+                "GET /ledger-view/a HTTP/{version}\r\nhost: x\r\nauthorization: {key}\r\n\r\n"
+            );
+            caller.write_all(head.as_bytes()).await?;
+            let mut received = Vec::new();
+            let end = caller.read_to_end(&mut received).await;
+            let text = String::from_utf8_lossy(&received);
+            ensure!(text.contains(" 200 "), "HTTP/{version}: {text}");
+            let is_complete = end.is_ok() && (version == "1.0" || text.ends_with("0\r\n\r\n"));
+            ensure!(!is_complete, "HTTP/{version}: {text}");
+        }
+        Ok(())
+    });
+}
+
+/// Guards against bytes without end that are read for ever, are kept in memory, or reach the caller
+/// as a response.
+#[test]
+fn response_without_end() {
+    run_test(async {
+        let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let parts = [
+            (String::new(), "no response "),
+            ("HTTP/1.1 200 OK\r\n".to_owned(), "x-more: of this\r\n"),
+            (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+            (format!("{chunked}2;"), "extension"),
+            (format!("{chunked}2\r\nok\r\n0\r\n"), "x-more: of this\r\n"),
+        ];
+        let next_part = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+        let closed = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+        let sent_bytes = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+        let (part, closed_count) = (Arc::clone(&next_part), Arc::clone(&closed));
+        let sent_count = Arc::clone(&sent_bytes);
+        let all_parts = parts.clone();
+        let raw = RawUpstream::start(move |mut stream, _| {
+            let (start, repeated) =
+                all_parts[part.load(std::sync::atomic::Ordering::SeqCst)].clone();
+            let (closed_count, sent_count) = (Arc::clone(&closed_count), Arc::clone(&sent_count));
+            async move {
+                let _ = stream.write_all(start.as_bytes()).await;
+                let repeated = repeated.repeat(500);
+                while stream.write_all(repeated.as_bytes()).await.is_ok() {
+                    sent_count.fetch_add(repeated.len(), std::sync::atomic::Ordering::SeqCst);
+                }
+                closed_count.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+            }
+        })
+        .await?;
+        let change = |it: &mut _| set_instance_addresses(it, "photo-drop", raw.address);
+        let fleet = TestFleet::start_with(settings(1, SITE, 8), change).await?;
+        let key = fleet.issue_key("k", "school-1").await?;
+        let binding = fleet.binding(0, &key).await?;
+        let resident_bytes_before = fleet.host(0).resident_bytes()?;
+        for (at, part) in parts.iter().enumerate() {
+            next_part.store(at, std::sync::atomic::Ordering::SeqCst);
+            let upload = fleet.client.post(fleet.url(0, "/photo-drop/class")).body("x");
+            let upload = upload.header("authorization", &key);
+            let upload = upload.header("kingcupford-deadline-ms", "700");
+            let upload = upload.header("kingcupford-request-id", format!("{binding}.{at}"));
+            let sent_at = Instant::now();
+            // A host that streams the body may have sent the head before the body breaks off.
+            if let Ok(response) = upload.send().await {
+                let status = response.status().as_u16();
+                ensure!([200, 502, 504].contains(&status), "{part:?}: {status}");
+                let is_complete = status == 200 && response.bytes().await.is_ok();
+                ensure!(!is_complete, "{part:?}");
+            }
+            let took = sent_at.elapsed();
+            ensure!(took < Duration::from_millis(3_000), "{part:?}: {took:?}");
+            let received = raw.received_count();
+            wait_until("the connection is closed", Duration::from_secs(5), || async {
+                closed.load(std::sync::atomic::Ordering::SeqCst) == received
+            })
+            .await?;
+            let sent_bytes = sent_bytes.swap(0, std::sync::atomic::Ordering::SeqCst);
+            // Socket buffers hold most of it.
+            ensure!(sent_bytes < 32 << 20, "{part:?}: {sent_bytes} bytes");
+        }
+        let growth_bytes = fleet.host(0).resident_bytes()?.saturating_sub(resident_bytes_before);
+        println!("resident memory grew by {growth_bytes} bytes");
+        ensure!(growth_bytes < MAX_GROWTH_BYTES, "memory grew by {growth_bytes} bytes");
+        Ok(())
+    });
+}
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -23,8 +23,8 @@
 
 use crate::{
     harness::{
-        Harness, MAX_CONFIG_DELAY, MemoryStore, listen_addresses, run_process_until, settings,
-        spawn_process, spawn_process_in, wait_for, with_process,
+        Harness, MAX_CONFIG_DELAY, MAX_REVOCATION_DELAY, MemoryStore, listen_addresses,
+        run_process_until, settings, spawn_process, spawn_process_in, wait_for, with_process,
     },
     upstream::{Behaviour, Upstream},
 };
@@ -837,6 +837,131 @@
         .await;
 }
 
+/// Guards against a process that starts beside a host which is cut off from the platform and still
+/// tells an old view, and that takes a revoked key or an instance that left from it.
+#[tokio::test]
+async fn restart_beside_old_view() {
+    let first = Upstream::start("i1", Behaviour::Echo).await;
+    let second = Upstream::start("i2", Behaviour::Echo).await;
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let client = Client::builder().no_proxy().build().unwrap();
+            let start = |name, store: &Arc<MemoryStore>, listen| {
+                spawn_process(name, listen, store);
+                Harness { store: Arc::clone(store), listen, client: client.clone() }
+            };
+            let old_host = start("n1", &store, listen_addresses());
+            old_host.register(&first);
+            old_host.register(&second);
+            old_host.wait_for_status("/read/1", 200).await;
+            wait_for(async || store.contains("hosts/n1")).await;
+            let listen = listen_addresses();
+            let entry = serde_json::json!({
+                "name": "n2", "zone": "z1", "peer_address": listen.peers,
+                "public_addresses": [listen.callers], "state": "live",
+            });
+            store.put("hosts/n2", &entry.to_string());
+            sleep(Duration::from_millis(500)).await;
+            *store.is_unavailable.lock() = true;
+            let current_store = Arc::new(MemoryStore::from_copy(store.copy()));
+            current_store.put("config/main", "2 other");
+            current_store.remove("servers/i1");
+            let changed_at = Instant::now();
+            let new_host = start("n2", &current_store, listen);
+            let mut sent_to_first = None;
+            let mut served = 0;
+            while changed_at.elapsed() < Duration::from_secs(7) {
+                let sent_after = changed_at.elapsed();
+                if sent_after > Duration::from_secs(5) && sent_to_first.is_none() {
+                    sent_to_first = Some(first.requests().len());
+                }
+                let path = format!("/read/{}", sent_after.as_millis());
+                for key in ["good", "other"] {
+                    let url = format!("http://{}{path}", listen.callers);
+                    let request = client.get(url).header("host", "host.example");
+                    let request = request.header("x-id", &path).header("x-key", key);
+                    let Ok(response) = request.send().await else { continue };
+                    let is_served = response.status() == 200;
+                    if key == "good" {
+                        assert!(!is_served || sent_after < MAX_REVOCATION_DELAY, "{sent_after:?}");
+                    } else {
+                        served += usize::from(is_served);
+                    }
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+            assert_eq!(Some(first.requests().len()), sent_to_first);
+            assert!(served > 20, "{served}");
+            new_host.wait_for_status("/read/1", 401).await;
+        })
+        .await;
+}
+
+/// Guards against a damaged response of a reader that ends the process, takes memory without bound,
+/// or keeps the host from following the platform.
+#[tokio::test]
+async fn reader_sends_damaged_responses() {
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            let keys: Vec<String> = (0..500).map(|it| format!("key-of-a-caller-{it}")).collect();
+            store.put("config/main", &format!("1 good,{}", keys.join(",")));
+            let listen = listen_addresses();
+            spawn_process("n1", listen, &store);
+            let client = Client::builder().no_proxy().build().unwrap();
+            let host = Harness { store: Arc::clone(&store), listen, client };
+            host.wait_until_ready().await;
+            let url = format!("http://{}/list?prefix=config/", listen.peers);
+            let valid = async |encoding: &str| {
+                let request = host.client.get(&url).header("accept-encoding", encoding);
+                request.send().await.unwrap().bytes().await.unwrap().to_vec()
+            };
+            let (plain, lz4) = (valid("identity").await, valid("lz4").await);
+            let is_lz4 = true;
+            let bodies: Vec<(bool, Vec<u8>)> = vec![
+                (!is_lz4, Vec::new()),
+                (!is_lz4, vec![0xa5; 2000]),
+                (!is_lz4, vec![253; 40]),
+                (!is_lz4, plain[..plain.len() / 2].to_vec()),
+                (is_lz4, plain),
+                (!is_lz4, lz4.clone()),
+                (is_lz4, lz4[..lz4.len() / 2].to_vec()),
+                (is_lz4, vec![1, 2]),
+                (is_lz4, vec![255; 40]),
+                (is_lz4, lz4_flex::block::compress_prepend_size(&vec![0; 64 << 20])),
+                (is_lz4, lz4_flex::block::compress_prepend_size(&[253; 40])),
+            ];
+            let body_count = bodies.len();
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let sent = Arc::new(AtomicUsize::new(0));
+            let sent_count = Arc::clone(&sent);
+            tokio::spawn(async move {
+                loop {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    let (is_lz4, body) = &bodies[sent_count.fetch_add(1, Relaxed) % body_count];
+                    let encoding = if *is_lz4 { "content-encoding: lz4\r\n" } else { "" };
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\n{encoding}content-length: {}\r\nconnection: close\r\n\r\n",
+                        body.len()
+                    );
+                    let response = [head.as_bytes(), body].concat();
+                    tokio::spawn(async move {
+                        let _ = stream.read(&mut [0; 4096]).await;
+                        let _ = stream.write_all(&response).await;
+                    });
+                }
+            });
+            spawn_heartbeats(&host, address, 1).await;
+            wait_for(async || sent.load(Relaxed) > 2 * body_count).await;
+            store.put("config/main", "2 other");
+            host.wait_for_status("/read/1", 401).await;
+        })
+        .await;
+}
+
 /// Registers a host `n2` at `address` and sends heartbeats from there: it reads the platform and has
 /// a version of the manifest.
 async fn spawn_heartbeats(host: &Harness, address: SocketAddr, manifest_version: u64) {
