--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/standin/*.rs; do
+for source in review/*.rs; do
   name=$(basename "$source" .rs)
-  [ "$name" = common ] || rustc -O --edition 2024 -o "target/review/$name" "$source"
+  if [ "$name" != common ]; then rustc -O --edition 2024 -o "target/review/$name" "$source"; fi
 done
--- a/review/standin/common.rs
+++ b/review/common.rs
@@ -568,6 +568,13 @@
         self.process = Some(process);
     }
 
+    /// Renders the settings anew with `first_start` false, as for every later start.
+    pub fn mark_restarted(&self) {
+        let text = fs::read_to_string(&self.settings_path).unwrap_or_default();
+        let text = text.replace("first_start: true", "first_start: false");
+        fs::write(&self.settings_path, text).unwrap_or_else(|e| cannot_run(&e.to_string()));
+    }
+
     /// Sends a signal to the process, by its id.
     pub fn signal(&self, signal: &str) {
         let Some(process) = &self.process else { return };
--- a/review/standin/run.sh
+++ b/review/run_case.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the program of a case: run.sh FOLDER PROGRAM. Ends every process that the program started.
+# Runs the program of a case: run_case.sh FOLDER PROGRAM. Ends every process that the program started.
 # Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case couldn't run.
 case_dir=$(cd "$1" && pwd) || exit 2
 cd "$case_dir/../.." || exit 2
