Write the last log lines of a process before it ends

What operators saw: no process that was stopped ever logged DrainFinished, RequestsCut or ProcessStopped, nor what became of the requests that still ran.

Cause: the writer thread writes every 100 ms, and the process ended without waiting for it.

--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -9,7 +9,7 @@
 pub use crate::{
     event::Event,
     line_limit::report_suppressed_lines,
-    logs::{LogSettings, init_logs, init_stdout_logs},
+    logs::{LogSettings, flush_stdout_logs, init_logs, init_stdout_logs},
     metrics::{CallLabels, Metrics, OutcomeLabels, RefusalLabels, TeamLabels, TrafficLabels},
 };
 pub use prometheus_client::metrics::{counter::Counter, family::Family};
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -1,12 +1,20 @@
 //! Log output of the process, based on `fern`.
 
-use std::{io, str::FromStr as _, time::SystemTime};
+use std::{
+    io,
+    str::FromStr as _,
+    sync::OnceLock,
+    time::{Duration, SystemTime},
+};
 
 use anyhow::Context as _;
 use log::LevelFilter;
 
 use crate::{line_limit, line_writer::LineWriter};
 
+/// Writer of the lines for standard output, once they are logged there.
+static STDOUT_WRITER: OnceLock<LineWriter> = OnceLock::new();
+
 /// Log level and source name of a process.
 #[derive(Debug, Clone)]
 pub struct LogSettings {
@@ -46,6 +54,7 @@
         .with_context(|| format!("unknown log level `{}` (hint: use info)", settings.level))?;
     let source = settings.source.clone();
     let writer = LineWriter::start(io::stdout()).context("cannot start the log writer thread")?;
+    let flushed_writer = writer.clone();
     let output = fern::Output::call(move |record| writer.push(&record.args().to_string()));
     line_limit::enable();
     fern::Dispatch::new()
@@ -63,7 +72,15 @@
         .level_for("kingcupford", level)
         .chain(output)
         .apply()
-        .context("a logger is already installed")
+        .context("a logger is already installed")?;
+    STDOUT_WRITER.get_or_init(|| flushed_writer);
+    Ok(())
+}
+
+/// Waits until the lines logged so far are written to standard output, at most for `timeout`: a
+/// process that ends loses the others. Returns whether they are written.
+pub fn flush_stdout_logs(timeout: Duration) -> bool {
+    STDOUT_WRITER.get().is_none_or(|it| it.flush(timeout))
 }
 
 /// Formats a message as `key=value` fields. The details of an event follow its code and name; any
