Log what a shutdown does to each request

A request that the end of the process cuts was logged as if its caller had left, and a response that did not get through was not logged at all, so that three hypotheses about requests cut in a planned stop could not be told apart.

Change: RequestCut names a request that the end of the process cuts; ResponseCut a response whose connection was reset before it was sent, or closed with unread bytes; DrainClosing the time at which a process stops taking requests. Lines of requests that arrived in a shutdown have in_shutdown_ms.

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -13,9 +13,11 @@
 };
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http_body::{Body, Frame, SizeHint};
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
+use kingcupford_telemetry::Event;
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -27,6 +29,7 @@
 use crate::{
     forward,
     listener::{accept_connections, accept_queued},
+    request_log::LoggedId,
     response::ResponseBody,
     state::State,
 };
@@ -68,6 +71,10 @@
     received_at: Cell<Option<Instant>>,
     /// Whether the end of the connection must be a reset.
     is_broken: Cell<bool>,
+    /// Whether the caller closed the connection for sending.
+    is_closed_by_caller: Cell<bool>,
+    /// Id of the last request whose response began; `None` if there is none or it has no id.
+    responded_id: RefCell<Option<HeaderValue>>,
     /// Requests a close as soon as no request is running on the connection.
     close_requested: Notify,
 }
@@ -80,6 +87,8 @@
             idle_since: Cell::new(now),
             received_at: Cell::new(Some(now)),
             is_broken: Cell::new(false),
+            is_closed_by_caller: Cell::new(false),
+            responded_id: RefCell::new(None),
             close_requested: Notify::new(),
         }
     }
@@ -99,6 +108,15 @@
         SockRef::from(&self.stream).peek(&mut byte).is_ok_and(|it| it > 0)
     }
 
+    /// Logs that the caller may not get the whole response to the last request.
+    fn log_response_cut(&self, reason: &str) {
+        let id = self.responded_id.borrow();
+        if let Some(id) = id.as_ref() {
+            let id = LoggedId::new(id.to_str().unwrap_or("-"));
+            Event::ResponseCut.log(format_args!("id={id} reason=\"{reason}\""));
+        }
+    }
+
     /// Waits until the rest of a request that has begun to arrive is overdue.
     async fn stalls(&self) {
         loop {
@@ -184,8 +202,12 @@
         let service = service_fn(move |request| {
             let state = Rc::clone(&state);
             let busy = BusyGuard::new(Rc::clone(&tracked));
+            let id = request.headers().get(&state.settings().headers.request_id).cloned();
+            tracked.responded_id.replace(None);
+            let tracked = Rc::clone(&tracked);
             async move {
                 let res = forward::handle(state, request).await;
+                tracked.responded_id.replace(id);
                 Ok::<_, Infallible>(res.map(|body| TrackedBody { body, _busy: busy }))
             }
         });
@@ -270,6 +292,11 @@
 impl Drop for CallerStream {
     fn drop(&mut self) {
         let connection = &self.0;
+        if connection.is_busy.get() {
+            connection.log_response_cut("response incomplete");
+        } else if !connection.is_closed_by_caller.get() && connection.has_unread_bytes() {
+            connection.log_response_cut("bytes of the caller are unread");
+        }
         // At the end of the process, a response may still be sent on the connection.
         let is_incomplete = connection.is_broken.get() || connection.is_busy.get();
         if is_incomplete
@@ -294,6 +321,8 @@
                     buffer.advance(length);
                     if length > 0 {
                         connection.received_at.set(Some(Instant::now()));
+                    } else if buffer.remaining() > 0 {
+                        connection.is_closed_by_caller.set(true);
                     }
                     return Poll::Ready(Ok(()));
                 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -157,7 +157,11 @@
 impl Drop for RequestLogGuard {
     fn drop(&mut self) {
         if !self.is_ended {
-            self.log.finish(&self.state, RequestOutcome::Abandoned);
+            let outcome = match self.state.phase.get() {
+                Phase::Ended => RequestOutcome::Cut,
+                Phase::Serving | Phase::Draining | Phase::Closing => RequestOutcome::Abandoned,
+            };
+            self.log.finish(&self.state, outcome);
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -220,6 +220,7 @@
 ) {
     let settings = state.settings();
     let started_at = Instant::now();
+    state.shutdown_started_at.set(Some(started_at));
     state.phase.set(Phase::Draining);
     let in_flight = state.in_flight.get();
     Event::DrainStarted.log(format_args!(
@@ -231,6 +232,12 @@
     let drain_time = drain_time.min(settings.shutdown_grace.mul_f64(MAX_DRAIN_FRACTION));
     sleep_until(started_at + drain_time).await;
     state.phase.set(Phase::Closing);
+    Event::DrainClosing.log(format_args!(
+        "in_flight={} connections={} after_ms={}",
+        state.in_flight.get(),
+        caller_connections.len(),
+        started_at.elapsed().as_millis()
+    ));
     caller_connections.stop_accepting();
     if let Err(error) = accepting.await {
         log::warn!("accepting connections failed: {error}");
@@ -246,8 +253,13 @@
         // Connections on which a request was arriving were left open.
         caller_connections.close_all();
     }
+    state.phase.set(Phase::Ended);
     let cut = state.in_flight.get();
     let event = if cut > 0 { Event::RequestsCut } else { Event::DrainFinished };
-    event.log(format_args!("cut={cut} took_ms={}", started_at.elapsed().as_millis()));
+    event.log(format_args!(
+        "cut={cut} connections={} took_ms={}",
+        caller_connections.len(),
+        started_at.elapsed().as_millis()
+    ));
     Event::ProcessStopped.log(format_args!("reason=\"SIGTERM\""));
 }
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -14,8 +14,8 @@
 
 /// Data for the log line of a request.
 pub(crate) struct RequestLog {
-    /// Sanitized request id, or `-`.
-    pub(crate) id: String,
+    /// Request id, or `-`.
+    pub(crate) id: LoggedId,
     /// Time at which the head was read.
     pub(crate) arrived: Instant,
     /// How the request was admitted.
@@ -54,17 +54,14 @@
     Failed(StatusCode, &'static str),
     /// The caller disconnected.
     Abandoned,
+    /// The process ended.
+    Cut,
 }
 
 impl RequestLog {
-    /// Creates the log data of a request that has just arrived. Characters of the id that could be
-    /// mistaken for another field are replaced by `?`.
+    /// Creates the log data of a request that has just arrived.
     pub(crate) fn new(id: &str, arrived: Instant) -> Self {
-        let id = id
-            .chars()
-            .take(MAX_LOGGED_ID_CHARS)
-            .map(|it| if it.is_ascii_alphanumeric() || "-_.".contains(it) { it } else { '?' });
-        Self { id: id.collect(), arrived, plan: None, refusal: None, attempts: Vec::new() }
+        Self { id: LoggedId::new(id), arrived, plan: None, refusal: None, attempts: Vec::new() }
     }
 
     /// Writes the log line and updates the request metrics.
@@ -91,6 +88,7 @@
                 (Event::RequestFailed, "unknown", status.as_u16(), reason)
             }
             RequestOutcome::Abandoned => (Event::RequestAbandoned, "abandoned", 0, "caller left"),
+            RequestOutcome::Cut => (Event::RequestCut, "unknown", 0, "end of the process"),
         };
         if matches!(request_outcome, RequestOutcome::Answered(_)) {
             let labels = TeamLabels { tenant: team.clone(), service: service.clone() };
@@ -100,12 +98,37 @@
         metrics.requests.get_or_create(&labels).inc();
         let id = &self.id;
         let took_ms = duration.as_millis();
+        let shutdown_started_at = state.shutdown_started_at.get();
+        let arrived_in_shutdown = shutdown_started_at
+            .and_then(|it| self.arrived.checked_duration_since(it))
+            .map(|it| format!(" in_shutdown_ms={}", it.as_millis()))
+            .unwrap_or_default();
         event.log(format_args!(
-            "id={id} status={status} reason=\"{reason}\" outcome={outcome} took_ms={took_ms}{self}"
+            "id={id} status={status} reason=\"{reason}\" outcome={outcome} took_ms={took_ms}{arrived_in_shutdown}{self}"
         ));
     }
 }
 
+/// Request id as it is logged.
+pub(crate) struct LoggedId(String);
+
+impl LoggedId {
+    /// Replaces characters that could be mistaken for another field by `?`.
+    pub(crate) fn new(id: &str) -> Self {
+        let chars = id
+            .chars()
+            .take(MAX_LOGGED_ID_CHARS)
+            .map(|it| if it.is_ascii_alphanumeric() || "-_.".contains(it) { it } else { '?' });
+        Self(chars.collect())
+    }
+}
+
+impl fmt::Display for LoggedId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 impl fmt::Display for RequestLog {
     /// Writes the fields that explain the decision, each with a leading space.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,8 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     pub(crate) phase: Cell<Phase>,
+    /// Start of the graceful shutdown.
+    pub(crate) shutdown_started_at: Cell<Option<Instant>>,
     /// Number of running requests.
     pub(crate) in_flight: Cell<usize>,
     /// Copy of the followed objects for other hosts.
@@ -40,6 +42,8 @@
     Draining,
     /// The process finishes running requests and refuses new ones.
     Closing,
+    /// The process ends; requests that are still running are cut.
+    Ended,
 }
 
 impl State {
@@ -53,6 +57,7 @@
             pool: Pool::default(),
             metrics: Metrics::new(),
             phase: Cell::new(Phase::Serving),
+            shutdown_started_at: Cell::new(None),
             in_flight: Cell::new(0),
             mirror: Mirror::default(),
             rollout_object_versions: RefCell::default(),
@@ -77,7 +82,7 @@
     /// State of this host as peers and lookups see it.
     pub(crate) fn host_state(&self, now: Instant) -> HostState {
         match self.phase.get() {
-            Phase::Draining | Phase::Closing => HostState::Draining,
+            Phase::Draining | Phase::Closing | Phase::Ended => HostState::Draining,
             Phase::Serving if self.steering.borrow().has_confirmed_view(now) => HostState::Serving,
             Phase::Serving => HostState::Unready,
         }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -35,6 +35,8 @@
     ProcessStopped = 1011,
     /// Lines of an event were suppressed because they exceeded the limit per second.
     LinesLeftOut = 1012,
+    /// A process that shuts down has stopped taking requests.
+    DrainClosing = 1013,
     /// A configuration version became active.
     ConfigActive = 2001,
     /// A configuration version was rejected as unusable.
@@ -116,6 +118,11 @@
     RequestFailed = 8003,
     /// The caller disconnected before the response.
     RequestAbandoned = 8004,
+    /// The process ended before the response; the request may have run.
+    RequestCut = 8005,
+    /// A connection of a caller was reset before the response was sent completely, or closed with
+    /// bytes of the caller unread, which makes the kernel reset it.
+    ResponseCut = 8006,
 }
 
 impl Event {
@@ -150,10 +157,13 @@
             | Self::ViewStale
             | Self::LinesLeftOut
             | Self::RequestFailed
+            | Self::RequestCut
+            | Self::ResponseCut
             | Self::FingerprintQuarantined
             | Self::RolloutStopped => log::Level::Warn,
             Self::HostStarted
             | Self::DrainStarted
+            | Self::DrainClosing
             | Self::DrainFinished
             | Self::CertificatesReloaded
             | Self::ConfigActive
