Reproduce requests that the end of a planned stop cuts

shut_down_request_longer_than_grace sends orders from 0.8 to 1.2 s after the stop of a process that exits after 1.7 s; they take 0.7 s at their instance.

--- a/crates/gateway/tests/it/shutdown.rs
+++ b/crates/gateway/tests/it/shutdown.rs
@@ -397,6 +397,77 @@
     assert!(cut.len() <= 2, "{} cut of {answered}", cut.len());
 }
 
+/// Settings of a process that ends 1.7 s after the stop, half a second after its drain time.
+fn short_grace_settings() -> GatewaySettings {
+    GatewaySettings { shutdown_grace: Duration::from_millis(2000), ..stop_settings() }
+}
+
+/// Guards against requests that are taken late in a planned stop, run at an instance, and are cut by
+/// the end of the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shut_down_request_longer_than_grace() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    let settings = short_grace_settings();
+    let address = settings.listen.callers;
+    let (stop, process) = spawn_thread(settings, &upstream).await;
+    let before = upstream.requests().len();
+    upstream.set_behaviour(Behaviour::Takes(Duration::from_millis(700)));
+    let stopped_at = Instant::now();
+    stop.send(()).unwrap();
+    let mut running = Vec::new();
+    for at in 0..40 {
+        // From 0.8 s to 1.2 s after the stop; the route's timeout is 0.8 s.
+        sleep_until(stopped_at + Duration::from_millis(800 + 10 * at)).await;
+        let Ok(mut stream) = TcpStream::connect(address).await else { break };
+        running.push(tokio::spawn(async move {
+            let text = request_text(&format!("late-{at}"));
+            let chunked = text.replace("\r\n\r\n", "\r\ntransfer-encoding: chunked\r\n\r\n");
+            let text = if at % 2 == 0 { text } else { chunked + "4\r\nbody\r\n0\r\n\r\n" };
+            stream.write_all(text.as_bytes()).await.unwrap();
+            read_response(&mut stream).await
+        }));
+    }
+    let (mut refused, mut cut) = (0, 0);
+    let sent = running.len();
+    for it in running {
+        match it.await.unwrap() {
+            Some(head) if head.contains(" 200 ") => {}
+            Some(head) if head.contains(" 503 ") => refused += 1,
+            Some(head) => panic!("{head}"),
+            None => cut += 1,
+        }
+    }
+    process.join().unwrap();
+    assert_eq!(cut, 0, "of {sent}");
+    assert!(sent > 30, "{sent}");
+    assert_eq!(upstream.requests().len() - before, sent - refused, "of {sent}");
+}
+
+/// Guards against a planned stop that refuses requests which end before the process does.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shut_down_request_within_grace() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    let settings = short_grace_settings();
+    let address = settings.listen.callers;
+    let (stop, process) = spawn_thread(settings, &upstream).await;
+    upstream.set_behaviour(Behaviour::Takes(Duration::from_millis(150)));
+    let stopped_at = Instant::now();
+    stop.send(()).unwrap();
+    let mut statuses = Vec::new();
+    // The route's timeout of 0.8 s ends before the process, and so does the caller's deadline later.
+    for (at, (after_ms, deadline_ms)) in [(100, 5000), (500, 5000), (1000, 200)].iter().enumerate()
+    {
+        sleep_until(stopped_at + Duration::from_millis(*after_ms)).await;
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let text = request_text(&format!("id-{at}"));
+        let text = text.replace("x-key", &format!("x-deadline: {deadline_ms}\r\nx-key"));
+        stream.write_all(text.as_bytes()).await.unwrap();
+        statuses.push(read_status(stream.into_std().unwrap()).await);
+    }
+    assert_eq!(statuses, [Some(200), Some(200), Some(200)]);
+    process.join().unwrap();
+}
+
 /// Guards against a response that is cut by the end of the process and looks complete to a caller
 /// that knows no chunks.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/gateway/tests/it/upstream.rs
+++ b/crates/gateway/tests/it/upstream.rs
@@ -25,6 +25,8 @@
     Echo,
     /// Responds with the body of the request after 20 ms.
     Slow,
+    /// Responds with the body of the request after this time.
+    Takes(Duration),
     /// Responds that the request did not run.
     Shed,
     /// Responds after 400 ms that the request did not run.
@@ -223,6 +225,10 @@
                 sleep(Duration::from_millis(20)).await;
                 ok("", &body)
             }
+            Behaviour::Takes(time) => {
+                sleep(time).await;
+                ok("", &body)
+            }
             Behaviour::Silent => {
                 if closes_within(&mut stream, 60_000).await {
                     cancelled.fetch_add(1, Ordering::SeqCst);
