Refuse requests that the exit of a host would cut

What callers saw: orders that a host had taken after its SIGTERM, and passed on, ended with a reset and without an answer, though an instance ran them.

Cause: a host that shuts down takes requests for three lookup TTLs and 0.6 s, and exits 0.3 s before the end of the grace. It gave each request the whole time of its caller and its route, which may end after the exit: of a deadline of 2.5 s and a grace of 6 s, 0.4 s are missing. The same holds for an attempt that begins in the shutdown, for a request whose body arrives then or that was shed.

Change: the shutdown has a schedule with its exit. A request, and an attempt, begins only if its deadline and the time for sending the response end before the exit; others are refused as not run, with Retry-After 0, so that callers go to another host at once. All that begins in a shutdown ends before the exit, by construction.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -34,9 +34,16 @@
 /// Time after which a refused caller may retry, unless a better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Time after which a caller that is refused because of a shutdown may retry: another host may take
+/// the request at once.
+const SHUTDOWN_RETRY_AFTER: Duration = Duration::ZERO;
+
 /// Time beyond the deadline within which a response that is being sent may end.
 const MAX_RESPONSE_OVERRUN: Duration = Duration::from_millis(200);
 
+/// Reason of refusals that a shutdown causes.
+const SHUTTING_DOWN: &str = "shutting down";
+
 /// Minimum time until the deadline for which an attempt is still started.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -179,8 +186,8 @@
         drain_body(body);
         return log_guard.finish_refused(
             StatusCode::SERVICE_UNAVAILABLE,
-            "shutting down",
-            Some(DEFAULT_RETRY_AFTER),
+            SHUTTING_DOWN,
+            Some(SHUTDOWN_RETRY_AFTER),
         );
     }
     state.check_suspension(arrived);
@@ -227,6 +234,15 @@
     let timeout = timeouts.into_iter().flatten().min();
     let response_ends_by = timeout.map(|it| arrived + it + MAX_RESPONSE_OVERRUN);
     let deadline = arrived + timeout.unwrap_or(DEFAULT_TIMEOUT);
+    if !ends_before_exit(state, deadline) {
+        state.steering.borrow_mut().refund(&plan);
+        drain_body(body);
+        return log_guard.finish_refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            SHUTTING_DOWN,
+            Some(SHUTDOWN_RETRY_AFTER),
+        );
+    }
     let body = match timeout_at(deadline, read_body(body, max_body_bytes)).await {
         Ok(Ok(it)) => it,
         Ok(Err(BodyError::TooLarge)) => {
@@ -408,6 +424,9 @@
     if attempts.until_deadline < MIN_TIME_LEFT {
         return Err(AttemptRefusal { reason: "no time is left", retry_after: DEFAULT_RETRY_AFTER });
     }
+    if !ends_before_exit(state, request.deadline) {
+        return Err(AttemptRefusal { reason: SHUTTING_DOWN, retry_after: SHUTDOWN_RETRY_AFTER });
+    }
     if !request.body.can_send() {
         return Err(AttemptRefusal {
             reason: "body cannot be sent again",
@@ -560,6 +579,11 @@
     log_guard.finish_refused(status, reason, retry_after)
 }
 
+/// Whether a request with this deadline ends before the process exits, if a shutdown has started.
+fn ends_before_exit(state: &State, deadline: Instant) -> bool {
+    state.shutdown.get().is_none_or(|it| it.allows(deadline + MAX_RESPONSE_OVERRUN))
+}
+
 /// Whether callers take a status for the statement that the request did not run and will not run.
 fn states_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
     platform_sync::{ObjectCodec, PlatformSync},
     relay,
     settings::{GatewaySettings, SettingsSource},
+    shutdown::ShutdownSchedule,
     state::{Phase, State},
 };
 
@@ -30,21 +31,6 @@
 /// Interval between checks for changed settings, which may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Number of lookup TTLs for which callers may still connect during a shutdown; some callers keep a
-/// lookup response for three TTLs.
-const DRAIN_LOOKUP_TTLS: u32 = 3;
-
-/// Time after the last lookup TTL for requests that are still on their way.
-const DRAIN_MARGIN: Duration = Duration::from_millis(600);
-
-/// Time before the end of the shutdown grace period at which the process exits even if requests are
-/// running.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
-
-/// Fraction of the shutdown grace period after which no connections are accepted, whatever the
-/// lookup TTL.
-const MAX_DRAIN_FRACTION: f64 = 0.7;
-
 /// Interval between checks for running requests during a shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -219,8 +205,10 @@
     accepting: JoinHandle<()>,
 ) {
     let settings = state.settings();
-    let started_at = Instant::now();
-    state.shutdown_started_at.set(Some(started_at));
+    let schedule =
+        ShutdownSchedule::new(Instant::now(), settings.shutdown_grace, settings.lookup_ttl);
+    let ShutdownSchedule { started_at, closes_at, exits_at } = schedule;
+    state.shutdown.set(Some(schedule));
     state.phase.set(Phase::Draining);
     let in_flight = state.in_flight.get();
     Event::DrainStarted.log(format_args!(
@@ -228,9 +216,7 @@
         caller_connections.len(),
         settings.shutdown_grace.as_millis()
     ));
-    let drain_time = settings.lookup_ttl * DRAIN_LOOKUP_TTLS + DRAIN_MARGIN;
-    let drain_time = drain_time.min(settings.shutdown_grace.mul_f64(MAX_DRAIN_FRACTION));
-    sleep_until(started_at + drain_time).await;
+    sleep_until(closes_at).await;
     state.phase.set(Phase::Closing);
     Event::DrainClosing.log(format_args!(
         "in_flight={} connections={} after_ms={}",
@@ -243,12 +229,11 @@
         log::warn!("accepting connections failed: {error}");
     }
     caller_connections.close_all();
-    let deadline = started_at + settings.shutdown_grace.saturating_sub(EXIT_MARGIN);
     tokio::select! {
         () = sync.deregister_host() => {}
-        () = sleep_until(deadline) => {}
+        () = sleep_until(exits_at) => {}
     }
-    while (state.in_flight.get() > 0 || caller_connections.len() > 0) && Instant::now() < deadline {
+    while (state.in_flight.get() > 0 || caller_connections.len() > 0) && Instant::now() < exits_at {
         sleep(DRAIN_POLL_INTERVAL).await;
         // Connections on which a request was arriving were left open.
         caller_connections.close_all();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod request_log;
 mod response;
 mod settings;
+mod shutdown;
 mod state;
 
 pub use crate::{
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -98,9 +98,10 @@
         metrics.requests.get_or_create(&labels).inc();
         let id = &self.id;
         let took_ms = duration.as_millis();
-        let shutdown_started_at = state.shutdown_started_at.get();
-        let arrived_in_shutdown = shutdown_started_at
-            .and_then(|it| self.arrived.checked_duration_since(it))
+        let arrived_in_shutdown = state
+            .shutdown
+            .get()
+            .and_then(|it| self.arrived.checked_duration_since(it.started_at))
             .map(|it| format!(" in_shutdown_ms={}", it.as_millis()))
             .unwrap_or_default();
         event.log(format_args!(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,9 @@
 use kingcupford_telemetry::{Event, Metrics};
 use tokio::time::Instant;
 
-use crate::{clock, mirror::Mirror, pool::Pool, settings::GatewaySettings};
+use crate::{
+    clock, mirror::Mirror, pool::Pool, settings::GatewaySettings, shutdown::ShutdownSchedule,
+};
 
 /// Shared state of the process.
 pub(crate) struct State {
@@ -20,8 +22,8 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     pub(crate) phase: Cell<Phase>,
-    /// Start of the graceful shutdown.
-    pub(crate) shutdown_started_at: Cell<Option<Instant>>,
+    /// Schedule of the graceful shutdown, once it has started.
+    pub(crate) shutdown: Cell<Option<ShutdownSchedule>>,
     /// Number of running requests.
     pub(crate) in_flight: Cell<usize>,
     /// Copy of the followed objects for other hosts.
@@ -57,7 +59,7 @@
             pool: Pool::default(),
             metrics: Metrics::new(),
             phase: Cell::new(Phase::Serving),
-            shutdown_started_at: Cell::new(None),
+            shutdown: Cell::new(None),
             in_flight: Cell::new(0),
             mirror: Mirror::default(),
             rollout_object_versions: RefCell::default(),
--- a/crates/gateway/tests/it/shutdown.rs
+++ b/crates/gateway/tests/it/shutdown.rs
@@ -468,23 +468,46 @@
     process.join().unwrap();
 }
 
+/// Guards against a request that is taken before a planned stop, whose body arrives after it, and
+/// which is then passed on and cut by the end of the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shut_down_body_after_stop() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    let settings =
+        GatewaySettings { shutdown_grace: Duration::from_millis(700), ..stop_settings() };
+    let address = settings.listen.callers;
+    let (stop, process) = spawn_thread(settings, &upstream).await;
+    let before = upstream.requests().len();
+    upstream.set_behaviour(Behaviour::Takes(Duration::from_millis(600)));
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = request_text("id-1").replace("\r\n\r\n", "\r\ncontent-length: 4\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    stop.send(()).unwrap();
+    sleep(Duration::from_millis(50)).await;
+    stream.write_all(b"body").await.unwrap();
+    let head = read_response(&mut stream).await;
+    process.join().unwrap();
+    assert!(head.is_some_and(|it| it.contains(" 503 ")), "the request was cut");
+    assert_eq!(upstream.requests().len(), before);
+}
+
 /// Guards against a response that is cut by the end of the process and looks complete to a caller
 /// that knows no chunks.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn shut_down_cuts_response_http_1_0() {
     let upstream = Upstream::start("i1", Behaviour::Endless(EndlessPart::Body)).await;
     let settings =
-        GatewaySettings { shutdown_grace: Duration::from_millis(2000), ..stop_settings() };
+        GatewaySettings { shutdown_grace: Duration::from_millis(700), ..stop_settings() };
     let address = settings.listen.callers;
     let (stop, process) = spawn_thread(settings, &upstream).await;
-    let stopped_at = Instant::now();
-    stop.send(()).unwrap();
-    // The route's timeout is after the end of the process.
-    sleep_until(stopped_at + Duration::from_millis(1100)).await;
     let mut stream = TcpStream::connect(address).await.unwrap();
     let request = request_text("id-1").replace("HTTP/1.1", "HTTP/1.0");
     stream.write_all(request.as_bytes()).await.unwrap();
     let mut received = vec![0; 65_536];
+    assert!(stream.read(&mut received).await.unwrap() > 0);
+    // The process ends half a second later, before the route's timeout.
+    stop.send(()).unwrap();
     let end = loop {
         match stream.read(&mut received).await {
             Ok(1..) => {}
