Take requests in a shutdown that are expected to end before the exit

What callers would have seen: a host that shuts down refused every request whose deadline lies after its exit. With deadlines of 4 to 20 s and a grace of 6 to 10 s these are nearly all, from the SIGTERM on, although their work takes 1 to 3 s; each refusal costs a caller its only retry. Retries of requests from before the SIGTERM were refused in the same way.

Change: such an attempt begins if three times its expected latency is left before the exit. Its instance gets a deadline before the exit, stops its work there and responds itself, so that the request has a whole response; the host's own deadline for it, for the body of a request and for a streamed response ends before the exit as well. Others are refused as before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -21,6 +21,7 @@
     request_body::RequestBody,
     request_log::{AttemptLog, RefusalLog, RequestLog, RequestOutcome},
     response::{self, ExecutionOutcome, ResponseBody},
+    shutdown::AttemptDeadline,
     state::{Phase, State},
 };
 
@@ -234,16 +235,8 @@
     let timeout = timeouts.into_iter().flatten().min();
     let response_ends_by = timeout.map(|it| arrived + it + MAX_RESPONSE_OVERRUN);
     let deadline = arrived + timeout.unwrap_or(DEFAULT_TIMEOUT);
-    if !ends_before_exit(state, deadline) {
-        state.steering.borrow_mut().refund(&plan);
-        drain_body(body);
-        return log_guard.finish_refused(
-            StatusCode::SERVICE_UNAVAILABLE,
-            SHUTTING_DOWN,
-            Some(SHUTDOWN_RETRY_AFTER),
-        );
-    }
-    let body = match timeout_at(deadline, read_body(body, max_body_bytes)).await {
+    let read_by = state.shutdown.get().map_or(deadline, |it| deadline.min(it.last_end()));
+    let body = match timeout_at(read_by, read_body(body, max_body_bytes)).await {
         Ok(Ok(it)) => it,
         Ok(Err(BodyError::TooLarge)) => {
             state.steering.borrow_mut().refund(&plan);
@@ -424,15 +417,13 @@
     if attempts.until_deadline < MIN_TIME_LEFT {
         return Err(AttemptRefusal { reason: "no time is left", retry_after: DEFAULT_RETRY_AFTER });
     }
-    if !ends_before_exit(state, request.deadline) {
-        return Err(AttemptRefusal { reason: SHUTTING_DOWN, retry_after: SHUTDOWN_RETRY_AFTER });
-    }
     if !request.body.can_send() {
         return Err(AttemptRefusal {
             reason: "body cannot be sent again",
             retry_after: DEFAULT_RETRY_AFTER,
         });
     }
+    let shutdown = state.shutdown.get();
     let mut steering = state.steering.borrow_mut();
     let (key, expected_latency) = match steering.select_instance(plan, tried_instances, now) {
         Selection::Instance { key, expected_latency, .. } => (key, expected_latency),
@@ -449,6 +440,16 @@
             });
         }
     };
+    let deadline = match shutdown {
+        None => AttemptDeadline { caller: request.deadline, instance: request.deadline },
+        Some(schedule) => {
+            let deadline = schedule.attempt_deadline(now, request.deadline, expected_latency);
+            deadline.ok_or(AttemptRefusal {
+                reason: SHUTTING_DOWN,
+                retry_after: SHUTDOWN_RETRY_AFTER,
+            })?
+        }
+    };
     if attempts.made > 0 && !steering.consume_retry(plan, now) {
         return Err(AttemptRefusal {
             reason: "retry budget is spent",
@@ -468,6 +469,11 @@
         pool::max_idle_connections(max_connections, steering.members.known_count());
     steering.record_sent(plan, key, now);
     drop(steering);
+    request.deadline = deadline.caller;
+    if let Some(it) = shutdown {
+        let ends_by = request.response_ends_by.unwrap_or(it.exits_at);
+        request.response_ends_by = Some(ends_by.min(it.exits_at));
+    }
     attempts.made += 1;
     let attempt_index = log_guard.log.attempts.len();
     log_guard.log.attempts.push(AttemptLog {
@@ -483,7 +489,7 @@
     if let Ok(id) = HeaderValue::from_str(&id) {
         headers.insert(&names.target_instance, id);
     }
-    let remaining_ms = attempts.until_deadline.as_millis() as u64;
+    let remaining_ms = deadline.instance.saturating_duration_since(now).as_millis() as u64;
     headers.insert(&names.deadline_ms, HeaderValue::from(remaining_ms));
     let (body, is_body_sent) = request.body.attempt_body();
     let upstream_request = UpstreamRequest {
@@ -579,11 +585,6 @@
     log_guard.finish_refused(status, reason, retry_after)
 }
 
-/// Whether a request with this deadline ends before the process exits, if a shutdown has started.
-fn ends_before_exit(state: &State, deadline: Instant) -> bool {
-    state.shutdown.get().is_none_or(|it| it.allows(deadline + MAX_RESPONSE_OVERRUN))
-}
-
 /// Whether callers take a status for the statement that the request did not run and will not run.
 fn states_not_run(status: StatusCode) -> bool {
     matches!(
