--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -77,8 +77,8 @@
     Ok(())
 }
 
-/// Waits until the lines logged so far are written to standard output, at most for `timeout`: a
-/// process that ends loses the others. Returns whether they are written.
+/// Waits until the lines logged so far are handed to standard output, at most for `timeout`: a
+/// process that ends loses the others. Returns whether they were, also if the output failed.
 pub fn flush_stdout_logs(timeout: Duration) -> bool {
     STDOUT_WRITER.get().is_none_or(|it| it.flush(timeout))
 }
