Ignore reports of instances that the platform executes late

Cause: the platform may execute a report seconds after it was sent. The sequence of reports was not read, so that an old `ready` counted as news after `draining`; the same held for reports of a former process of the instance, and of one that had left.

Change: registrations carry their sequence; one that is older than the known one of the same process, of an earlier process, or of an instance that left is not applied, and followers do not get it.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -587,9 +587,11 @@
             self.apply_missing(prefix, &name, &event, until);
             return;
         }
-        if prefix == names.instance_prefix && self.is_outdated_copy(&name, &event) {
-            // Hosts that start do not know that the instance left.
-            self.state.mirror.apply_change(prefix, &event.name, None, event.era);
+        if prefix == names.instance_prefix && self.is_outdated_registration(&name, &event) {
+            if event.restoration == Restoration::Copied {
+                // Hosts that start do not know that the instance left.
+                self.state.mirror.apply_change(prefix, &event.name, None, event.era);
+            }
             return;
         }
         if prefix == names.manifest_prefix
@@ -669,22 +671,21 @@
         version >= active_version
     }
 
-    /// Whether the registration of an instance comes from the copy from which the platform was
-    /// restored, and the instance is known to have left or to be draining since.
-    fn is_outdated_copy(&self, id: &str, event: &WatchEvent) -> bool {
-        let is_copied = event.restoration == Restoration::Copied;
-        let Some(object) = event.object.as_ref().filter(|_| is_copied) else { return false };
+    /// Whether the registration of an instance is older than what this host knows of the instance.
+    fn is_outdated_registration(&self, id: &str, event: &WatchEvent) -> bool {
+        let Some(object) = event.object.as_ref() else { return false };
         let steering = self.state.steering.borrow();
         let zone_map = &steering.settings().zone_map;
         let Ok(registration) = self.codec.decode_instance(id, &object.bytes, zone_map) else {
             return false;
         };
-        let is_outdated = steering.instances.is_outdated(&registration, Instant::now());
+        let is_copied = event.restoration == Restoration::Copied;
+        let is_outdated = steering.instances.is_outdated(&registration, is_copied, Instant::now());
         if is_outdated {
             let version = object.version;
-            Event::InstanceRejected.log(format_args!(
-                "instance={id} object_version={version} reason=\"it left after the platform's copy\""
-            ));
+            let reason = if is_copied { "it left after the platform's copy" } else { "outdated" };
+            Event::InstanceRejected
+                .log(format_args!("instance={id} object_version={version} reason=\"{reason}\""));
         }
         is_outdated
     }
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -101,6 +101,28 @@
     .await;
 }
 
+/// Guards against an old report of a draining instance that the platform executes late.
+#[tokio::test]
+async fn late_report_draining_instance() {
+    let first = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[], async |harness| {
+        let report = |state: &str, sequence: u32| {
+            harness.store.put("servers/i1", &format!("{} {state} {sequence}", first.address));
+        };
+        report("ready", 9);
+        harness.wait_for_status("/read/1", 200).await;
+        report("draining", 13);
+        harness.wait_for_status("/read/1", 503).await;
+        report("ready", 10);
+        sleep(Duration::from_millis(300)).await;
+        let response = harness.request("GET", "/read/1", "id-1").send().await.unwrap();
+        assert_eq!(response.status(), 503);
+        report("ready", 14);
+        harness.wait_for_status("/read/1", 200).await;
+    })
+    .await;
+}
+
 /// Guards against platform calls that grow with the number of hosts, and against a region that
 /// receives no updates when the reader cannot reach the platform.
 #[tokio::test]
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -291,7 +291,7 @@
         Manifest::new(version.parse()?, routes, vec![service], vec![team], limits)
     }
 
-    /// Format: `ADDRESS STATE`.
+    /// Format: `ADDRESS STATE`, or `ADDRESS STATE SEQUENCE`.
     fn decode_instance(
         &self,
         id: &str,
@@ -299,7 +299,9 @@
         zone_map: &ZoneMap,
     ) -> anyhow::Result<InstanceRegistration> {
         let text = std::str::from_utf8(value)?;
-        let (address, state) = text.split_once(' ').context("no state")?;
+        let mut words = text.split(' ');
+        let (address, state) = words.next().zip(words.next()).context("no state")?;
+        let sequence = words.next().map(str::parse).transpose()?;
         let state = if state == "ready" { ServingState::Ready } else { ServingState::Draining };
         Ok(InstanceRegistration {
             id: id.to_owned(),
@@ -311,6 +313,7 @@
             state,
             cold_remaining: Duration::ZERO,
             started_unix_ms: None,
+            sequence,
         })
     }
 
--- a/crates/steer/src/instance.rs
+++ b/crates/steer/src/instance.rs
@@ -45,6 +45,8 @@
     pub cold_remaining: Duration,
     /// Start time, which distinguishes a restart under the same id.
     pub started_unix_ms: Option<u64>,
+    /// Number that the instance raises with each registration since its start.
+    pub sequence: Option<u64>,
 }
 
 /// Load that an instance reports with a response.
--- a/crates/steer/src/instance_registry.rs
+++ b/crates/steer/src/instance_registry.rs
@@ -67,6 +67,7 @@
 struct Departure {
     id: String,
     started_unix_ms: Option<u64>,
+    sequence: Option<u64>,
     left_at: Instant,
 }
 
@@ -163,27 +164,42 @@
         self.departures.push_back(Departure {
             id: registration.id.clone(),
             started_unix_ms: registration.started_unix_ms,
+            sequence: registration.sequence,
             left_at: now,
         });
     }
 
-    /// Whether an instance is known to have left or to be draining, although its registration says
-    /// that it is ready. The registration is then from before that, as a copy from which the platform
-    /// was restored may contain it.
-    pub fn is_outdated(&self, registration: &InstanceRegistration, now: Instant) -> bool {
-        let is_same = |id: &str, started_unix_ms: Option<u64>| {
-            id == registration.id && started_unix_ms == registration.started_unix_ms
+    /// Whether a registration is older than what is known of the instance: the platform executed an
+    /// earlier report late, or was restored from a copy (`is_copied`). In a copy, registrations
+    /// without a sequence are outdated if the instance left or is draining.
+    pub fn is_outdated(
+        &self,
+        registration: &InstanceRegistration,
+        is_copied: bool,
+        now: Instant,
+    ) -> bool {
+        let precedes = |known: Option<u64>| match registration.sequence.zip(known) {
+            Some((sequence, known)) => Some(sequence < known),
+            None => None,
         };
         let known = self.key(&registration.id).and_then(|it| self.get(it));
-        let known = known.map(|it| &it.registration);
-        if let Some(it) = known.filter(|it| is_same(&it.id, it.started_unix_ms)) {
-            return it.state == ServingState::Draining && registration.state == ServingState::Ready;
+        if let Some(it) = known.map(|it| &it.registration) {
+            if it.started_unix_ms == registration.started_unix_ms {
+                let is_ready_again =
+                    it.state == ServingState::Draining && registration.state == ServingState::Ready;
+                return precedes(it.sequence) == Some(true) || is_copied && is_ready_again;
+            }
+            let starts = registration.started_unix_ms.zip(it.started_unix_ms);
+            if starts.is_some_and(|(start, known)| start < known) {
+                return true;
+            }
         }
-        let recent = self
-            .departures
-            .iter()
-            .filter(|it| now.saturating_duration_since(it.left_at) < DEPARTURE_RETENTION);
-        recent.into_iter().any(|it| is_same(&it.id, it.started_unix_ms))
+        let departures = self.departures.iter().filter(|it| {
+            it.id == registration.id
+                && it.started_unix_ms == registration.started_unix_ms
+                && now.saturating_duration_since(it.left_at) < DEPARTURE_RETENTION
+        });
+        departures.into_iter().any(|it| is_copied || precedes(it.sequence) == Some(true))
     }
 
     /// Marks an instance as cold for a time, as reported with a response.
--- a/crates/steer/tests/it/common.rs
+++ b/crates/steer/tests/it/common.rs
@@ -122,6 +122,7 @@
         state: ServingState::Ready,
         cold_remaining: Duration::ZERO,
         started_unix_ms: Some(1),
+        sequence: None,
     }
 }
 
--- a/crates/steer/tests/it/instance_registry.rs
+++ b/crates/steer/tests/it/instance_registry.rs
@@ -82,8 +82,34 @@
         |unix_ms| InstanceRegistration { started_unix_ms: Some(unix_ms), ..instance("i1", "a1") };
     registry.register(started(1), now);
     registry.register(started(2), now);
-    assert!(registry.is_outdated(&started(1), now));
-    assert!(!registry.is_outdated(&started(2), now));
+    assert!(registry.is_outdated(&started(1), true, now));
+    assert!(!registry.is_outdated(&started(2), true, now));
+}
+
+/// Guards against an old report that the platform executes late and that brings back an instance
+/// which is leaving or has left, and against a report that is ignored although it is new.
+#[tokio::test(start_paused = true)]
+async fn is_outdated_late_report() {
+    let now = Instant::now();
+    let mut registry = InstanceRegistry::default();
+    let report = |start: u64, sequence: u64, state: ServingState| InstanceRegistration {
+        started_unix_ms: Some(start),
+        sequence: Some(sequence),
+        state,
+        ..instance("i1", "a1")
+    };
+    registry.register(report(5, 13, ServingState::Draining), now);
+    let is_outdated = |registry: &InstanceRegistry, start, sequence| {
+        registry.is_outdated(&report(start, sequence, ServingState::Ready), false, now)
+    };
+    assert!(is_outdated(&registry, 5, 10));
+    assert!(is_outdated(&registry, 4, 99));
+    assert!(!is_outdated(&registry, 5, 14));
+    assert!(!is_outdated(&registry, 6, 1));
+    registry.deregister("i1", Lapse::Gone, now);
+    assert!(is_outdated(&registry, 5, 10));
+    assert!(!is_outdated(&registry, 5, 14));
+    assert!(!is_outdated(&registry, 6, 1));
 }
 
 /// Guards against an instance that is removed within the grace of a second restoration.
