An entry of one name no longer replaces the host of another name

A host lost another one, for good, once an entry under a third name carried that host's name: heartbeats were refused, as they came from another address than the odd entry's.

Cause: a host was registered under the name in the entry's value, without comparing it with the name of the object.

Change: such an entry is refused with one log line.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -837,7 +837,8 @@
             return;
         };
         let entry = self.codec.decode_host(&object.bytes);
-        let member = entry.and_then(|it| member_from_entry(it, &steering.settings().zone_map));
+        let member =
+            entry.and_then(|it| member_from_entry(name, it, &steering.settings().zone_map));
         match member {
             Ok(it) => {
                 let own = steering.settings().own_host.locality;
@@ -851,8 +852,13 @@
 }
 
 /// Converts the registration of a host; an error names the invalid field.
-fn member_from_entry(entry: HostEntry, zone_map: &ZoneMap) -> anyhow::Result<Member> {
+fn member_from_entry(
+    registered_name: &str,
+    entry: HostEntry,
+    zone_map: &ZoneMap,
+) -> anyhow::Result<Member> {
     let HostEntry { name, zone, peer_address, public_addresses, state: _, seen_era: _ } = entry;
+    anyhow::ensure!(name == registered_name, "name `{name}` differs from the object's name");
     let locality = zone_map.locality(&zone);
     let locality =
         locality.ok_or_else(|| anyhow::anyhow!("zone `{zone}` is not in the settings"))?;
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -962,6 +962,35 @@
         .await;
 }
 
+/// Guards against a host that is lost because an entry of another name claims to be its entry.
+#[tokio::test]
+async fn host_entry_of_another_name() {
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let client = Client::builder().no_proxy().build().unwrap();
+            let [listen, other] = [listen_addresses(), listen_addresses()];
+            spawn_process("n1", listen, &store);
+            spawn_process("n2", other, &store);
+            let host = Harness { store: Arc::clone(&store), listen, client };
+            let url = format!("http://{}/v1/lookup?zone=z1", listen.lookup);
+            let knows_other = async || {
+                let Ok(response) = host.client.get(&url).send().await else { return false };
+                response.text().await.unwrap_or_default().contains(&other.callers.to_string())
+            };
+            wait_for(knows_other).await;
+            let entry = json!({
+                "name": "n2", "zone": "z1", "peer_address": "127.0.0.1:9",
+                "public_addresses": ["127.0.0.1:9"], "state": "live",
+            });
+            store.put("hosts/odd", &entry.to_string());
+            sleep(Duration::from_millis(600)).await;
+            wait_for(knows_other).await;
+        })
+        .await;
+}
+
 /// Registers a host `n2` at `address` and sends heartbeats from there: it reads the platform and has
 /// a version of the manifest.
 async fn spawn_heartbeats(host: &Harness, address: SocketAddr, manifest_version: u64) {
