Large odd entries no longer make the relayed list too long

Hosts that follow the platform through another one lost the list of instances, and called the platform themselves again and again, once a few odd entries of 1 MB each were among the registrations.

Cause: the host that relays sends the values of entries that it rejects as well; a response of more than 8 MB is dropped by its receivers.

Change: a rejected value of more than 4096 bytes is relayed empty. Its receivers reject it as well, and the former entry of that name still ends. Smaller ones are relayed as before, since hosts whose settings have another zone may accept them.

--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -100,6 +100,10 @@
 /// Delay before a failed registration of this host is repeated.
 const ANNOUNCE_RETRY_DELAY_MS: u64 = 300;
 
+/// Maximum size of the value of a rejected object that is sent to other hosts: several times that of
+/// a valid registration, which hosts with other settings may accept.
+const MAX_REJECTED_BYTES: usize = 4096;
+
 /// Names of the platform's objects. Each prefix ends with a slash.
 #[derive(Debug, Clone, Copy)]
 pub struct ObjectNames {
@@ -598,7 +602,8 @@
             // Hosts that start must not get what this one rejects.
             return;
         }
-        let object = event.object.as_ref().map(|it| (it.version, it.bytes.clone()));
+        let object = event.object.as_ref();
+        let object = object.map(|it| (it.version, self.relayed_value(prefix, &name, &it.bytes)));
         self.state.mirror.apply_change(prefix, &event.name, object, event.era);
         if prefix == names.manifest_prefix {
             // Applied above.
@@ -613,6 +618,26 @@
         }
     }
 
+    /// Value of an object for the hosts that follow this one. A large one that is rejected is left
+    /// empty, which they reject as well: with a few of them no list would be short enough to be sent.
+    fn relayed_value(&self, prefix: &str, name: &str, value: &Bytes) -> Bytes {
+        if value.len() <= MAX_REJECTED_BYTES {
+            return value.clone();
+        }
+        let names = self.codec.object_names();
+        let is_valid = if prefix == names.instance_prefix {
+            let steering = self.state.steering.borrow();
+            self.codec.decode_instance(name, value, &steering.settings().zone_map).is_ok()
+        } else if prefix == names.rollout_prefix {
+            self.codec.decode_rollout(name, value).is_ok()
+        } else if prefix == names.host_prefix {
+            self.codec.decode_host(value).is_ok()
+        } else {
+            prefix == names.manifest_prefix
+        };
+        if is_valid { value.clone() } else { Bytes::new() }
+    }
+
     /// Handles that an object is missing in the copy from which the platform was restored. Its writer
     /// may write it again until `until`, so that it is not treated as deleted before.
     fn apply_missing(&self, prefix: &str, name: &str, event: &WatchEvent, until: Instant) {
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -962,6 +962,34 @@
         .await;
 }
 
+/// Guards against a relayed list that is longer than hosts accept because of odd entries.
+#[tokio::test]
+async fn relayed_list_large_odd_entries() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[&upstream], async |harness| {
+        harness.wait_for_status("/read/1", 200).await;
+        let odd = "x".repeat(1 << 20);
+        for at in 0..9 {
+            harness.store.put(&format!("servers/odd{at}"), &odd);
+            harness.store.put(&format!("hosts/odd{at}"), &odd);
+        }
+        let list = async |prefix: &str| {
+            let url = format!("http://{}/list?prefix={prefix}", harness.listen.peers);
+            harness.client.get(&url).send().await.unwrap().bytes().await.unwrap()
+        };
+        let contains =
+            |list: &[u8], name: &str| list.windows(name.len()).any(|it| it == name.as_bytes());
+        for prefix in ["servers/", "hosts/"] {
+            let last = format!("{prefix}odd8");
+            wait_for(async || contains(&list(prefix).await, &last)).await;
+            let list = list(prefix).await;
+            assert!(list.len() < 64 << 10, "{prefix}: {} bytes", list.len());
+        }
+        harness.wait_for_status("/read/1", 200).await;
+    })
+    .await;
+}
+
 /// Guards against a host that is lost because an entry of another name claims to be its entry.
 #[tokio::test]
 async fn host_entry_of_another_name() {
