A log line is cut at 8 KiB, so that an odd entry hides no other lines

Lines were missing from the log after an odd entry of up to 1 MB: its rejection names the unreadable value, and a line longer than the buffer of 512 KiB is dropped, or fills it so that the lines after it are.

Change: the text of a line ends with an ellipsis after 8192 bytes, and an open quotation mark is closed.

--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -7,6 +7,9 @@
 
 use crate::{line_limit, line_writer::LineWriter};
 
+/// Maximum size of the text of a line; several times that of the longest reason for a rejection.
+const MAX_TEXT_BYTES: usize = 8192;
+
 /// Log level and source name of a process.
 #[derive(Debug, Clone)]
 pub struct LogSettings {
@@ -76,13 +79,24 @@
     event.unwrap_or_else(|| format!("message=\"{}\"", text.replace('"', "'")))
 }
 
-/// Escapes control characters, so that text from the network cannot start a new log line.
+/// Escapes control characters, so that text from the network cannot start a new log line, and cuts a
+/// long text, so that it does not displace other lines.
 fn escape_control_characters(text: &str) -> String {
-    text.chars()
-        .flat_map(|it| {
-            let escaped = it.is_control().then(|| it.escape_default());
-            let plain = escaped.is_none().then_some(it);
-            escaped.into_iter().flatten().chain(plain)
-        })
-        .collect()
+    let mut res = String::with_capacity(text.len().min(MAX_TEXT_BYTES));
+    for it in text.chars() {
+        if res.len() >= MAX_TEXT_BYTES {
+            res.push('\u{2026}');
+            // The last field may be quoted.
+            if res.matches('"').count() % 2 == 1 {
+                res.push('"');
+            }
+            break;
+        }
+        if it.is_control() {
+            res.extend(it.escape_default());
+        } else {
+            res.push(it);
+        }
+    }
+    res
 }
