A list whose page repeats itself ends after two calls instead of 200

The store's read calls were used up by one list when a page named the entry after which it was asked for as its last again, as can happen with odd entries behind it.

Cause: only the maximum number of pages ended such a list.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -260,6 +260,10 @@
                 Some(listing) => listing.objects.extend(page.listing.objects),
                 None => res = Some(page.listing),
             }
+            if page.next_after.is_some() && page.next_after == after {
+                log::warn!("list of `{prefix}` does not go on after a page");
+                return CallOutcome::Unavailable;
+            }
             after = page.next_after;
             if after.is_none() {
                 break;
