A rollout with numbers near the end of their range is followed

A stored rollout with such a number ended a development build, and a release build went on past the deadline of such a rollout, since the sum of its times began again at 0.

Cause: times, the generation and the renewal of a stored rollout were added and multiplied without regard to their range.

Change: these sums end at the largest number.

--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -328,7 +328,7 @@
         now: Instant,
     ) -> RolloutWrite {
         rollout.elapsed_ms = elapsed_ms;
-        rollout.renewal += 1;
+        rollout.renewal = rollout.renewal.saturating_add(1);
         rollout.write_id = self.rng.random();
         if let Some(it) = input.assessment
             && it.rollout == rollout.key()
--- a/crates/rollout/src/operator.rs
+++ b/crates/rollout/src/operator.rs
@@ -124,7 +124,7 @@
         service: request.service.clone(),
         from: request.from.clone(),
         to: request.to.clone(),
-        generation: current.map_or(1, |it| it.generation + 1),
+        generation: current.map_or(1, |it| it.generation.saturating_add(1)),
         started_unix_ms: request.now_unix_ms,
         duration_ms,
         elapsed_ms: 0,
@@ -133,7 +133,7 @@
         state: State::Running,
         reason: None,
         controller: None,
-        renewal: current.map_or(0, |it| it.renewal + 1),
+        renewal: current.map_or(0, |it| it.renewal.saturating_add(1)),
         write_id: request.write_id,
         exposure: Vec::new(),
         thin_routes: Vec::new(),
@@ -158,7 +158,7 @@
     res.changed_at_ms = res.elapsed_ms;
     res.state = State::RollingBack;
     res.reason = Some(Reason::Operator { note: note.to_owned() });
-    res.renewal += 1;
+    res.renewal = res.renewal.saturating_add(1);
     res.write_id = write_id;
     Ok(res)
 }
--- a/crates/rollout/src/sequential.rs
+++ b/crates/rollout/src/sequential.rs
@@ -81,7 +81,8 @@
     ) -> Self {
         // Restarts are planned for 1.5 times the duration, since outages can delay the end of a
         // rollout past its deadline.
-        let restarts_left = (duration_ms * 3 / 2 / RESTART_INTERVAL.as_millis() as u64).max(1);
+        let restarts_left =
+            (duration_ms.saturating_mul(3) / 2 / RESTART_INTERVAL.as_millis() as u64).max(1);
         Self {
             hypotheses,
             log_wealth: [0.5f64.ln(); ALTERNATIVE_COUNT],
--- a/crates/rollout/src/timeline.rs
+++ b/crates/rollout/src/timeline.rs
@@ -64,8 +64,9 @@
     pub fn can_meet_deadline(&self, stage: Stage, changed_at_ms: u64, elapsed_ms: u64) -> bool {
         let remaining_stages =
             Stage::ORDER.iter().filter(|it| **it > stage && **it != Stage::All).count();
-        let stage_end_ms = elapsed_ms.max(changed_at_ms + self.min_stage_ms);
-        stage_end_ms + remaining_stages as u64 * self.min_stage_ms <= self.last_stage_deadline_ms
+        let stage_end_ms = elapsed_ms.max(changed_at_ms.saturating_add(self.min_stage_ms));
+        let remaining_ms = self.min_stage_ms.saturating_mul(remaining_stages as u64);
+        stage_end_ms.saturating_add(remaining_ms) <= self.last_stage_deadline_ms
     }
 }
 
@@ -92,7 +93,9 @@
             *self = Self::new(rollout, now);
         }
         let passed_ms = now.saturating_duration_since(self.updated_at).as_millis() as u64;
-        self.base_ms = (self.base_ms + passed_ms)
+        self.base_ms = self
+            .base_ms
+            .saturating_add(passed_ms)
             .max(rollout.elapsed_ms)
             .max(unix_ms.saturating_sub(rollout.started_unix_ms));
         // Keeps the sub-millisecond remainder, so that frequent calls lose no time.
