Test of an instance whose entry becomes unreadable while it is used

An instance whose entry was replaced by an unreadable one gets no further requests, the others go on, and a readable entry brings it back. This held before; the test passed without a change.

--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -101,6 +101,31 @@
     .await;
 }
 
+/// Guards against requests to an instance whose entry became unreadable, against other instances that
+/// are lost with it, and against an instance that stays unused after its entry is readable again.
+#[tokio::test]
+async fn instance_entry_unreadable() {
+    let first = Upstream::start("i1", Behaviour::Echo).await;
+    let second = Upstream::start("i2", Behaviour::Echo).await;
+    with_process(&[&first, &second], async |harness| {
+        harness.wait_for_status("/read/1", 200).await;
+        harness.store.put("servers/i1", "unreadable");
+        sleep(Duration::from_millis(500)).await;
+        let before = first.requests().len();
+        for at in 0..30 {
+            let request = harness.request("GET", "/read/1", &format!("id-{at}"));
+            let request = request.header("x-object", at.to_string());
+            assert_eq!(request.send().await.unwrap().status(), 200);
+        }
+        assert_eq!(first.requests().len(), before);
+        harness.store.put("servers/i2", "unreadable");
+        harness.wait_for_status("/read/1", 503).await;
+        harness.register(&first);
+        harness.wait_for_status("/read/1", 200).await;
+    })
+    .await;
+}
+
 /// Guards against platform calls that grow with the number of hosts, and against a region that
 /// receives no updates when the reader cannot reach the platform.
 #[tokio::test]
