--- a/crates/gateway/src/platform_sync.rs
+++ b/crates/gateway/src/platform_sync.rs
@@ -100,6 +100,10 @@
 /// Delay before a failed registration of this host is repeated.
 const ANNOUNCE_RETRY_DELAY_MS: u64 = 300;
 
+/// Maximum size of the value of a rejected object that is sent to other hosts: several times that of
+/// a valid registration, which hosts with other settings may accept.
+const MAX_REJECTED_BYTES: usize = 4096;
+
 /// Names of the platform's objects. Each prefix ends with a slash.
 #[derive(Debug, Clone, Copy)]
 pub struct ObjectNames {
@@ -600,7 +604,8 @@
             // Hosts that start must not get what this one rejects.
             return;
         }
-        let object = event.object.as_ref().map(|it| (it.version, it.bytes.clone()));
+        let object = event.object.as_ref();
+        let object = object.map(|it| (it.version, self.relayed_value(prefix, &name, &it.bytes)));
         self.state.mirror.apply_change(prefix, &event.name, object, event.era);
         if prefix == names.manifest_prefix {
             // Applied above.
@@ -615,6 +620,26 @@
         }
     }
 
+    /// Value of an object for the hosts that follow this one. A large one that is rejected is left
+    /// empty, which they reject as well: with a few of them no list would be short enough to be sent.
+    fn relayed_value(&self, prefix: &str, name: &str, value: &Bytes) -> Bytes {
+        if value.len() <= MAX_REJECTED_BYTES {
+            return value.clone();
+        }
+        let names = self.codec.object_names();
+        let is_valid = if prefix == names.instance_prefix {
+            let steering = self.state.steering.borrow();
+            self.codec.decode_instance(name, value, &steering.settings().zone_map).is_ok()
+        } else if prefix == names.rollout_prefix {
+            self.codec.decode_rollout(name, value).is_ok()
+        } else if prefix == names.host_prefix {
+            self.codec.decode_host(value).is_ok()
+        } else {
+            prefix == names.manifest_prefix
+        };
+        if is_valid { value.clone() } else { Bytes::new() }
+    }
+
     /// Handles that an object is missing in the copy from which the platform was restored. Its writer
     /// may write it again until `until`, so that it is not treated as deleted before.
     fn apply_missing(&self, prefix: &str, name: &str, event: &WatchEvent, until: Instant) {
@@ -838,7 +863,8 @@
             return;
         };
         let entry = self.codec.decode_host(&object.bytes);
-        let member = entry.and_then(|it| member_from_entry(it, &steering.settings().zone_map));
+        let member =
+            entry.and_then(|it| member_from_entry(name, it, &steering.settings().zone_map));
         match member {
             Ok(it) => {
                 let own = steering.settings().own_host.locality;
@@ -852,8 +878,13 @@
 }
 
 /// Converts the registration of a host; an error names the invalid field.
-fn member_from_entry(entry: HostEntry, zone_map: &ZoneMap) -> anyhow::Result<Member> {
+fn member_from_entry(
+    registered_name: &str,
+    entry: HostEntry,
+    zone_map: &ZoneMap,
+) -> anyhow::Result<Member> {
     let HostEntry { name, zone, peer_address, public_addresses, state: _, seen_era: _ } = entry;
+    anyhow::ensure!(name == registered_name, "name `{name}` differs from the object's name");
     let locality = zone_map.locality(&zone);
     let locality =
         locality.ok_or_else(|| anyhow::anyhow!("zone `{zone}` is not in the settings"))?;
--- a/crates/gateway/tests/it/follow.rs
+++ b/crates/gateway/tests/it/follow.rs
@@ -123,6 +123,31 @@
     .await;
 }
 
+/// Guards against requests to an instance whose entry became unreadable, against other instances that
+/// are lost with it, and against an instance that stays unused after its entry is readable again.
+#[tokio::test]
+async fn instance_entry_unreadable() {
+    let first = Upstream::start("i1", Behaviour::Echo).await;
+    let second = Upstream::start("i2", Behaviour::Echo).await;
+    with_process(&[&first, &second], async |harness| {
+        harness.wait_for_status("/read/1", 200).await;
+        harness.store.put("servers/i1", "unreadable");
+        sleep(Duration::from_millis(500)).await;
+        let before = first.requests().len();
+        for at in 0..30 {
+            let request = harness.request("GET", "/read/1", &format!("id-{at}"));
+            let request = request.header("x-object", at.to_string());
+            assert_eq!(request.send().await.unwrap().status(), 200);
+        }
+        assert_eq!(first.requests().len(), before);
+        harness.store.put("servers/i2", "unreadable");
+        harness.wait_for_status("/read/1", 503).await;
+        harness.register(&first);
+        harness.wait_for_status("/read/1", 200).await;
+    })
+    .await;
+}
+
 /// Guards against platform calls that grow with the number of hosts, and against a region that
 /// receives no updates when the reader cannot reach the platform.
 #[tokio::test]
@@ -984,6 +1009,63 @@
         .await;
 }
 
+/// Guards against a relayed list that is longer than hosts accept because of odd entries.
+#[tokio::test]
+async fn relayed_list_large_odd_entries() {
+    let upstream = Upstream::start("i1", Behaviour::Echo).await;
+    with_process(&[&upstream], async |harness| {
+        harness.wait_for_status("/read/1", 200).await;
+        let odd = "x".repeat(1 << 20);
+        for at in 0..9 {
+            harness.store.put(&format!("servers/odd{at}"), &odd);
+            harness.store.put(&format!("hosts/odd{at}"), &odd);
+        }
+        let list = async |prefix: &str| {
+            let url = format!("http://{}/list?prefix={prefix}", harness.listen.peers);
+            harness.client.get(&url).send().await.unwrap().bytes().await.unwrap()
+        };
+        let contains =
+            |list: &[u8], name: &str| list.windows(name.len()).any(|it| it == name.as_bytes());
+        for prefix in ["servers/", "hosts/"] {
+            let last = format!("{prefix}odd8");
+            wait_for(async || contains(&list(prefix).await, &last)).await;
+            let list = list(prefix).await;
+            assert!(list.len() < 64 << 10, "{prefix}: {} bytes", list.len());
+        }
+        harness.wait_for_status("/read/1", 200).await;
+    })
+    .await;
+}
+
+/// Guards against a host that is lost because an entry of another name claims to be its entry.
+#[tokio::test]
+async fn host_entry_of_another_name() {
+    LocalSet::new()
+        .run_until(async {
+            let store = Arc::new(MemoryStore::default());
+            store.put("config/main", "1 good");
+            let client = Client::builder().no_proxy().build().unwrap();
+            let [listen, other] = [listen_addresses(), listen_addresses()];
+            spawn_process("n1", listen, &store);
+            spawn_process("n2", other, &store);
+            let host = Harness { store: Arc::clone(&store), listen, client };
+            let url = format!("http://{}/v1/lookup?zone=z1", listen.lookup);
+            let knows_other = async || {
+                let Ok(response) = host.client.get(&url).send().await else { return false };
+                response.text().await.unwrap_or_default().contains(&other.callers.to_string())
+            };
+            wait_for(knows_other).await;
+            let entry = json!({
+                "name": "n2", "zone": "z1", "peer_address": "127.0.0.1:9",
+                "public_addresses": ["127.0.0.1:9"], "state": "live",
+            });
+            store.put("hosts/odd", &entry.to_string());
+            sleep(Duration::from_millis(600)).await;
+            wait_for(knows_other).await;
+        })
+        .await;
+}
+
 /// Registers a host `n2` at `address` and sends heartbeats from there: it reads the platform and has
 /// a version of the manifest.
 async fn spawn_heartbeats(host: &Harness, address: SocketAddr, manifest_version: u64) {
