gateway: budget for the responses that a host buffers in all

Callers of a host whose instances send most of a response and then nothing got 504 at the timeout, and the host kept all of it until then: up to 256 KiB for each request, with no bound on the sum. On a machine of 160 MB, some hundred such requests (callers may open 2050 connections at 4100 descriptors) are more than its memory, and the process is killed with the requests of all other callers.

Cause: the limit of buffered bytes held for one response only.

A response for which nothing is left is streamed from there on, as one of more than 256 KiB is; it is cut with a reset at its timeout. The bytes are given back when the last of them was sent, or when the exchange is dropped. A first chunk alone takes nothing: small responses stay as they were.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -135,7 +135,7 @@
         && (head.headers.contains_key(&settings.headers.not_run)
             || head.status == StatusCode::MISDIRECTED_REQUEST);
     let reuse = reuse_timeout(&head.headers);
-    let start = read_body_start(&mut body).await?;
+    let start = read_body_start(state, &mut body).await?;
     let body = match start {
         (start, true) => {
             // An instance that is still reading this request would take the next one for the rest
@@ -163,10 +163,16 @@
     Ok(UpstreamResponse { status: head.status, headers: head.headers, body, instance_status })
 }
 
-/// Reads a body up to the buffer limit; returns the bytes and whether they are the whole body.
-async fn read_body_start(body: &mut Incoming) -> Result<(Bytes, bool), ExchangeError> {
+/// Reads a body up to the buffer limit, or until the host's budget is used up; returns the bytes and
+/// whether they are the whole body. A first chunk alone is still in the connection's read buffer and
+/// takes nothing from the budget.
+async fn read_body_start(
+    state: &State,
+    body: &mut Incoming,
+) -> Result<(Bytes, bool), ExchangeError> {
     let mut first_chunk: Option<Bytes> = None;
     let mut collected = BytesMut::new();
+    let mut reservation = state.response_budget.reservation();
     loop {
         let frame = match body.frame().await {
             None => break,
@@ -185,11 +191,14 @@
             collected.extend_from_slice(&it);
         }
         collected.extend_from_slice(&data);
-        if collected.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            return Ok((collected.freeze(), false));
+        let max_total_bytes = state.settings().max_buffered_response_bytes;
+        if collected.len() > MAX_BUFFERED_RESPONSE_BYTES
+            || !reservation.grow_to(collected.len(), max_total_bytes)
+        {
+            return Ok((reservation.hold(collected), false));
         }
     }
-    Ok((first_chunk.unwrap_or_else(|| collected.freeze()), true))
+    Ok((first_chunk.unwrap_or_else(|| reservation.hold(collected)), true))
 }
 
 /// Checks that a response belongs to the request and that an instance produced it.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! exchanges heartbeats with other hosts, and follows the platform's object store.
 
 mod attempt;
+mod buffer_budget;
 mod caller_body;
 mod caller_connections;
 mod clock;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,13 +11,17 @@
 use kingcupford_telemetry::{Event, Metrics};
 use tokio::time::Instant;
 
-use crate::{clock, mirror::Mirror, pool::Pool, settings::GatewaySettings};
+use crate::{
+    buffer_budget::BufferBudget, clock, mirror::Mirror, pool::Pool, settings::GatewaySettings,
+};
 
 /// Shared state of the process.
 pub(crate) struct State {
     pub(crate) settings: RefCell<Rc<GatewaySettings>>,
     pub(crate) steering: RefCell<Steering>,
     pub(crate) pool: Pool,
+    /// Budget for buffered responses.
+    pub(crate) response_budget: BufferBudget,
     pub(crate) metrics: Metrics,
     pub(crate) phase: Cell<Phase>,
     /// Number of running requests.
@@ -51,6 +55,7 @@
             settings: RefCell::new(Rc::new(settings)),
             steering: RefCell::new(steering),
             pool: Pool::default(),
+            response_budget: BufferBudget::default(),
             metrics: Metrics::new(),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
+use futures_util::future::join_all;
+use kingcupford_gateway::GatewaySettings;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpSocket, TcpStream},
@@ -9,8 +11,8 @@
 };
 
 use crate::{
-    harness::{wait_for, with_process},
-    upstream::{Behaviour, EndlessPart, Upstream, header},
+    harness::{listen_addresses, settings, wait_for, with_process, with_settings},
+    upstream::{Behaviour, EndlessPart, STALLED_BYTES, Upstream, header},
 };
 
 /// Guards against a request that is changed on the way, or that reveals the caller's API key to an
@@ -185,6 +187,54 @@
     .await;
 }
 
+/// Guards against incomplete responses of many requests that are kept in memory until their
+/// timeouts, and that together exceed the memory of the machine.
+#[tokio::test]
+async fn responses_stalled_total_bytes() {
+    const REQUESTS: usize = 60;
+    let mut upstreams = Vec::new();
+    for at in 0..4 {
+        upstreams.push(Upstream::start(&format!("i{at}"), Behaviour::Stalled).await);
+    }
+    let refs: Vec<&Upstream> = upstreams.iter().collect();
+    let connections =
+        || upstreams.iter().map(|it| it.connections.load(Ordering::SeqCst)).sum::<usize>();
+    let settings = GatewaySettings {
+        max_buffered_response_bytes: 2 << 20,
+        ..settings("own", "z1", listen_addresses())
+    };
+    with_settings(settings, &refs, async |harness| {
+        let requests = (0..REQUESTS).map(|at| {
+            let request = harness.request("POST", "/order/1", &format!("id-{at}"));
+            async {
+                let response = request.send().await.unwrap();
+                let status = response.status().as_u16();
+                // An incomplete response must not look complete.
+                assert!(status != 200 || response.bytes().await.is_err());
+                status
+            }
+        });
+        let statuses = join_all(requests).await;
+        let count = |status| statuses.iter().filter(|it| **it == status).count();
+        println!("{} held, {} streamed", count(504), count(200));
+        assert_eq!(count(504) + count(200), REQUESTS, "{statuses:?}");
+        let held_bytes = count(504) * STALLED_BYTES;
+        assert!(held_bytes > 0 && held_bytes <= 2 << 20, "{held_bytes} bytes held");
+        // The budget is free again: large responses are buffered, and their connections kept.
+        upstreams.iter().for_each(|it| it.set_behaviour(Behaviour::Echo));
+        harness.wait_for_status("/read/1", 200).await;
+        let opened = connections();
+        for at in 0..20 {
+            let request = harness.request("GET", "/read/1", &format!("large-{at}"));
+            let response = request.body(vec![b'x'; STALLED_BYTES]).send().await.unwrap();
+            assert_eq!(response.status(), 200);
+            assert_eq!(response.bytes().await.unwrap().len(), STALLED_BYTES);
+        }
+        assert!(connections() <= opened + 8, "{} opened", connections() - opened);
+    })
+    .await;
+}
+
 /// Guards against a second response on a connection that is taken for the response to the next
 /// request.
 #[tokio::test]
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    future::pending,
     net::SocketAddr,
     sync::{
         Arc,
@@ -181,7 +182,7 @@
     ) -> CallOutcome<WatchResponse> {
         let until = Instant::now() + wait;
         if *self.watches_hang.lock() {
-            std::future::pending::<()>().await;
+            pending::<()>().await;
         }
         loop {
             let changed = self.changed.notified();
@@ -411,6 +412,7 @@
         shutdown_grace: Duration::from_secs(6),
         lookup_ttl: Duration::from_secs(1),
         max_caller_connections: 100,
+        max_buffered_response_bytes: 16 << 20,
         summary: "test".to_owned(),
     }
 }
@@ -499,11 +501,21 @@
 
 /// Runs a test against one process with a valid manifest and the given instances.
 pub(crate) async fn with_process(upstreams: &[&Upstream], test: impl AsyncFnOnce(Harness)) {
+    with_settings(settings("own", "z1", listen_addresses()), upstreams, test).await;
+}
+
+/// Runs a test against one process with the given settings, a valid manifest and instances.
+pub(crate) async fn with_settings(
+    settings: GatewaySettings,
+    upstreams: &[&Upstream],
+    test: impl AsyncFnOnce(Harness),
+) {
     LocalSet::new()
         .run_until(async {
             let store = Arc::new(MemoryStore::default());
-            let listen = listen_addresses();
-            spawn_process("own", listen, &store);
+            let listen = settings.listen;
+            let process_store = Arc::clone(&store);
+            tokio::task::spawn_local(run_process_until(settings, process_store, pending()));
             let client = Client::builder().no_proxy().build().unwrap();
             let harness = Harness { store, listen, client };
             harness.store.put("config/main", "1 good");
--- a/crates/gateway/tests/it/upstream.rs
+++ b/crates/gateway/tests/it/upstream.rs
@@ -65,6 +65,8 @@
     /// Closes the connection gracefully within a chunked response that is larger than what the
     /// process buffers.
     LargeTruncated,
+    /// Sends 200 KiB of a response of 250 KiB, and nothing more.
+    Stalled,
     /// Responds with bytes without end.
     Endless(EndlessPart),
 }
@@ -105,6 +107,9 @@
     }
 }
 
+/// Bytes of the body that [`Behaviour::Stalled`] sends.
+pub(crate) const STALLED_BYTES: usize = 200 * 1024;
+
 /// A request as an instance read it.
 #[derive(Debug, Clone)]
 pub(crate) struct RecordedRequest {
@@ -229,6 +234,17 @@
                 }
                 return;
             }
+            Behaviour::Stalled => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 256000\r\n\r\n"
+                );
+                let _ = stream.write_all(head.as_bytes()).await;
+                let _ = stream.write_all(&[b'x'; STALLED_BYTES]).await;
+                if closes_within(&mut stream, 60_000).await {
+                    cancelled.fetch_add(1, Ordering::SeqCst);
+                }
+                return;
+            }
             Behaviour::Shed | Behaviour::ShedLate => format!(
                 "HTTP/1.1 503 Busy\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             )
