gateway: test bytes without end after a complete response

No fault: the HTTP library ends an idle connection on which bytes arrive, and each of 20 requests gets its own response. Passes on the code before it too.

--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -238,6 +238,23 @@
     .await;
 }
 
+/// Guards against an instance that sends bytes without end after a complete response, on a
+/// connection that is kept for the next request.
+#[tokio::test]
+async fn bytes_without_end_after_response() {
+    let upstream = Upstream::start("i1", Behaviour::Endless(EndlessPart::Afterwards)).await;
+    with_process(&[&upstream], async |harness| {
+        for at in 0..20 {
+            let request = harness.request("GET", "/read/1", &format!("id-{at}"));
+            let response = request.send().await.unwrap();
+            assert_eq!(response.status(), 200);
+            assert_eq!(response.text().await.unwrap(), "ok");
+        }
+        wait_for(async || upstream.cancelled.load(Ordering::SeqCst) == 20).await;
+    })
+    .await;
+}
+
 /// Guards against a second response on a connection that is taken for the response to the next
 /// request.
 #[tokio::test]
--- a/crates/gateway/tests/it/upstream.rs
+++ b/crates/gateway/tests/it/upstream.rs
@@ -88,6 +88,8 @@
     ChunkExtension,
     /// Headers after the last chunk.
     Trailers,
+    /// Bytes after a complete response.
+    Afterwards,
 }
 
 impl EndlessPart {
@@ -102,6 +104,7 @@
             Self::UnsealedBody => (format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\n\r\n"), "body "),
             Self::Body => (format!("{sealed}\r\n"), "body "),
             Self::ChunkExtension => (format!("{chunked}2;"), "extension"),
+            Self::Afterwards => (format!("{sealed}content-length: 2\r\n\r\nok"), "more "),
             Self::Trailers => (format!("{chunked}2\r\nok\r\n0\r\n"), "x-more: of this\r\n"),
         }
     }
