gateway: budget for the request bodies that a host buffers in all

A host keeps the body of a request, up to 512 KiB, while it arrives and until the response, for another instance. Callers that send slowly, or uploads to slow instances, add up: 2050 connections of callers may hold 1 GB, on machines of 160 to 512 MB, and the process is killed with all other requests.

Cause: no bound on the sum; and a body of small chunks was kept in the read buffers with its framing, several times its length.

--- a/crates/gateway/src/buffer_budget.rs
+++ b/crates/gateway/src/buffer_budget.rs
@@ -1,4 +1,4 @@
-//! Budget for the bytes of responses that are buffered in all exchanges together.
+//! Budget for the bytes of bodies that are buffered in all exchanges together.
 
 use std::sync::{
     Arc,
@@ -13,7 +13,7 @@
     used_bytes: Arc<AtomicUsize>,
 }
 
-/// Part of the budget that one response takes, until it is dropped.
+/// Part of the budget that one body takes, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Reservation {
     budget: BufferBudget,
@@ -47,7 +47,7 @@
         true
     }
 
-    /// Converts the bytes of the response; the reservation lasts until the last of them was sent.
+    /// Converts the bytes of the body; the reservation lasts until the last of them was sent.
     pub(crate) fn hold(self, bytes: BytesMut) -> Bytes {
         Bytes::from_owner(ReservedBytes { bytes, _reservation: self })
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -223,7 +223,7 @@
     let timeout = timeouts.into_iter().flatten().min();
     let response_ends_by = timeout.map(|it| arrived + it + MAX_RESPONSE_OVERRUN);
     let deadline = arrived + timeout.unwrap_or(DEFAULT_TIMEOUT);
-    let body = match timeout_at(deadline, read_body(body, max_body_bytes)).await {
+    let body = match timeout_at(deadline, read_body(state, body, max_body_bytes)).await {
         Ok(Ok(it)) => it,
         Ok(Err(BodyError::TooLarge)) => {
             state.steering.borrow_mut().refund(&plan);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,9 @@
     pub lookup_ttl: Duration,
     /// Maximum number of open connections from callers.
     pub max_caller_connections: usize,
+    /// Maximum number of bytes of request bodies that are buffered at once; beyond it, bodies are
+    /// streamed.
+    pub max_buffered_request_bytes: usize,
     /// Maximum number of bytes of responses that are buffered at once; beyond it, responses are
     /// streamed.
     pub max_buffered_response_bytes: usize,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,8 @@
     pub(crate) settings: RefCell<Rc<GatewaySettings>>,
     pub(crate) steering: RefCell<Steering>,
     pub(crate) pool: Pool,
+    /// Budget for buffered request bodies.
+    pub(crate) request_budget: BufferBudget,
     /// Budget for buffered responses.
     pub(crate) response_budget: BufferBudget,
     pub(crate) metrics: Metrics,
@@ -55,6 +57,7 @@
             settings: RefCell::new(Rc::new(settings)),
             steering: RefCell::new(steering),
             pool: Pool::default(),
+            request_budget: BufferBudget::default(),
             response_budget: BufferBudget::default(),
             metrics: Metrics::new(),
             phase: Cell::new(Phase::Serving),
--- a/crates/gateway/tests/it/forwarding.rs
+++ b/crates/gateway/tests/it/forwarding.rs
@@ -255,6 +255,53 @@
     .await;
 }
 
+/// Guards against bodies of many requests that arrive slowly, are kept in memory until their
+/// timeouts, and together exceed the memory of the machine.
+#[tokio::test]
+async fn request_bodies_stalled_total_bytes() {
+    const REQUESTS: usize = 60;
+    const SENT_BYTES: usize = 200 * 1024;
+    let mut upstreams = Vec::new();
+    for at in 0..4 {
+        upstreams.push(Upstream::start(&format!("i{at}"), Behaviour::Echo).await);
+    }
+    let refs: Vec<&Upstream> = upstreams.iter().collect();
+    let settings = GatewaySettings {
+        max_buffered_request_bytes: 2 << 20,
+        ..settings("own", "z1", listen_addresses())
+    };
+    let address = settings.listen.callers;
+    with_settings(settings, &refs, async |harness| {
+        let send_part = async |id: String| {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            let head = format!(
+                "POST /photo/1 HTTP/1.1\r\nhost: host.example\r\nx-id: {id}\r\nx-key: good\r\n\
+                 content-length: 256000\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&[b'x'; SENT_BYTES]).await.unwrap();
+            let mut status = [0; 12];
+            stream.read_exact(&mut status).await.unwrap();
+            String::from_utf8_lossy(&status[9..]).into_owned()
+        };
+        let statuses = join_all((0..REQUESTS).map(|at| send_part(format!("id-{at}")))).await;
+        let count = |status| statuses.iter().filter(|it| *it == status).count();
+        println!("{} held, {} streamed", count("408"), count("504"));
+        assert_eq!(count("408") + count("504"), REQUESTS, "{statuses:?}");
+        let held_bytes = count("408") * SENT_BYTES;
+        assert!(held_bytes <= 2 << 20, "{held_bytes} bytes held");
+        assert!(upstreams.iter().all(|it| it.requests().is_empty()));
+        // The budget is free again.
+        assert_eq!(send_part("alone".to_owned()).await, "408");
+        harness.wait_for_status("/read/1", 200).await;
+        let request = harness.request("POST", "/photo/1", "large");
+        let response = request.body(vec![b'x'; SENT_BYTES]).send().await.unwrap();
+        assert_eq!(response.status(), 200);
+        assert_eq!(response.bytes().await.unwrap().len(), SENT_BYTES);
+    })
+    .await;
+}
+
 /// Guards against a second response on a connection that is taken for the response to the next
 /// request.
 #[tokio::test]
--- a/crates/gateway/tests/it/harness.rs
+++ b/crates/gateway/tests/it/harness.rs
@@ -412,6 +412,7 @@
         shutdown_grace: Duration::from_secs(6),
         lookup_ttl: Duration::from_secs(1),
         max_caller_connections: 100,
+        max_buffered_request_bytes: 16 << 20,
         max_buffered_response_bytes: 16 << 20,
         summary: "test".to_owned(),
     }
