--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -236,7 +236,7 @@
     let response_ends_by = timeout.map(|it| arrived + it + MAX_RESPONSE_OVERRUN);
     let deadline = arrived + timeout.unwrap_or(DEFAULT_TIMEOUT);
     let read_by = state.shutdown.get().map_or(deadline, |it| deadline.min(it.last_end()));
-    let body = match timeout_at(read_by, read_body(body, max_body_bytes)).await {
+    let body = match timeout_at(read_by, read_body(state, body, max_body_bytes)).await {
         Ok(Ok(it)) => it,
         Ok(Err(BodyError::TooLarge)) => {
             state.steering.borrow_mut().refund(&plan);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,7 +12,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    clock, mirror::Mirror, pool::Pool, settings::GatewaySettings, shutdown::ShutdownSchedule,
+    buffer_budget::BufferBudget, clock, mirror::Mirror, pool::Pool, settings::GatewaySettings,
+    shutdown::ShutdownSchedule,
 };
 
 /// Shared state of the process.
@@ -20,6 +21,10 @@
     pub(crate) settings: RefCell<Rc<GatewaySettings>>,
     pub(crate) steering: RefCell<Steering>,
     pub(crate) pool: Pool,
+    /// Budget for buffered request bodies.
+    pub(crate) request_budget: BufferBudget,
+    /// Budget for buffered responses.
+    pub(crate) response_budget: BufferBudget,
     pub(crate) metrics: Metrics,
     pub(crate) phase: Cell<Phase>,
     /// Schedule of the graceful shutdown, once it has started.
@@ -57,6 +62,8 @@
             settings: RefCell::new(Rc::new(settings)),
             steering: RefCell::new(steering),
             pool: Pool::default(),
+            request_budget: BufferBudget::default(),
+            response_budget: BufferBudget::default(),
             metrics: Metrics::new(),
             phase: Cell::new(Phase::Serving),
             shutdown: Cell::new(None),
