Refuse requests that the end of an entry host would cut

What callers saw: an order that kingcupford-entry took after its SIGTERM and passed on was given up at shutdown_deadline_ms with 502 and the outcome unknown, while an upstream ran it.

Cause: a host that shuts down takes requests until drain_notice_ms and 500 ms more, and gave each the whole time of its caller and its route, which may end after the cut. The same holds for an attempt that begins in the shutdown: of a request that waited for a slot, or that failed at another instance.

Change: the engine knows the time of the cut. From the start of a shutdown a request is admitted, and an attempt begins, only if the deadline and the time for the end of the response lie before the cut. Others are refused as shutting-down, 503, not run, with Retry-After 0; requests that wait for a slot are refused at once, and their slots are free for others. All that begins in a shutdown ends before the cut.

--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -79,6 +79,10 @@
         if now >= deadline {
             return Err(Refusal::new(RefusalReason::DeadlinePassed));
         }
+        if self.may_be_cut(deadline) {
+            let retry_after = Duration::ZERO;
+            return Err(Refusal::new(RefusalReason::ShuttingDown).with_retry_after(retry_after));
+        }
         let team_name = team.map_or("", |it| snapshot.teams[it].name.as_str());
         let fingerprint = Quarantine::fingerprint(
             team_name,
--- a/crates/engine/src/completion.rs
+++ b/crates/engine/src/completion.rs
@@ -87,7 +87,12 @@
     }
 
     /// Releases the permit of the current attempt and records its result.
-    fn record_attempt_end(&mut self, index: usize, result: &AttemptResult, now: Instant) {
+    pub(crate) fn record_attempt_end(
+        &mut self,
+        index: usize,
+        result: &AttemptResult,
+        now: Instant,
+    ) {
         let request = &mut self.requests[index];
         let Some(placement) = request.placement.take() else { return };
         request.tried_instances.push(placement.instance);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -19,6 +19,11 @@
 /// Team id that stands for requests on open routes in fair queues and in the request id table.
 pub(crate) const OPEN_ROUTE_TEAM: TeamId = TeamId(u16::MAX);
 
+/// Time beyond the deadline within which the body of a response whose head arrived before the
+/// deadline may end. Otherwise the response of an upstream that answers right at the deadline would
+/// be cut before the caller learns the outcome.
+pub const MAX_RESPONSE_OVERRUN: Duration = Duration::from_millis(250);
+
 /// Limits of an [`Engine`] and the settings of its components.
 #[derive(Debug, Clone)]
 pub struct EngineSettings {
@@ -82,6 +87,8 @@
     pub(crate) host_table_built_at: Option<Instant>,
     /// Set by [`Engine::set_draining`] and never cleared, unlike a drain by the active preset.
     pub(crate) is_shutting_down: bool,
+    /// Time at which a shutdown cuts the requests that still run, see [`Engine::set_cut_at`].
+    pub(crate) cut_at: Option<Instant>,
     /// Time at which the evidence and the stops of rollouts are next sent to peers.
     pub(crate) next_evidence_at: Instant,
     pub(crate) events: EventTracker,
@@ -224,6 +231,7 @@
             next_ticket: 1,
             host_table_built_at: None,
             is_shutting_down: false,
+            cut_at: None,
             next_evidence_at: now,
             events: EventTracker::default(),
             peer_incarnations: Vec::new(),
@@ -284,6 +292,17 @@
         self.fleet.set_draining(now);
     }
 
+    /// Sets the time at which a shutdown cuts the requests that still run. From now on no attempt
+    /// starts whose request may run longer.
+    pub fn set_cut_at(&mut self, cut_at: Instant) {
+        self.cut_at = Some(cut_at);
+    }
+
+    /// Returns whether a request with this deadline may run beyond the end of a shutdown.
+    pub(crate) fn may_be_cut(&self, deadline: Instant) -> bool {
+        self.cut_at.is_some_and(|it| deadline + MAX_RESPONSE_OVERRUN > it)
+    }
+
     /// Returns the index of a request in `requests`.
     pub(crate) fn request_index(&self, ticket: Ticket) -> Option<usize> {
         self.requests.binary_search_by_key(&ticket, |it| it.ticket).ok()
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use crate::{
     control::{LEDGER_NAME, PendingConfig, ROLLOUT_PREFIX},
-    engine::{Engine, EngineSettings, Health, Status},
+    engine::{Engine, EngineSettings, Health, MAX_RESPONSE_OVERRUN, Status},
     events::EngineEvent,
     lookup::{LookupAnswer, LookupHost, LookupQuery},
     message::{Envelope, Message, RolloutStop},
--- a/crates/engine/src/placement.rs
+++ b/crates/engine/src/placement.rs
@@ -59,6 +59,9 @@
         let Some(index) = self.request_index(ticket) else {
             return StartOutcome::Refused(Refusal::new(RefusalReason::BadRequest));
         };
+        if self.may_be_cut(self.requests[index].deadline) {
+            return self.refuse_admitted(index, RefusalReason::ShuttingDown, now);
+        }
         if self.requests[index].is_ready {
             self.requests[index].is_ready = false;
             return StartOutcome::Attempt(self.build_attempt(index));
@@ -148,7 +151,7 @@
         StartOutcome::Wait { until }
     }
 
-    /// Ends an admitted request that could not be placed in time.
+    /// Ends an admitted request whose attempt cannot start.
     fn refuse_admitted(
         &mut self,
         index: usize,
@@ -170,8 +173,18 @@
             draining: false,
             latency: Duration::ZERO,
         };
+        let was_placed = request.placement.is_some();
+        if was_placed {
+            self.record_attempt_end(index, &result, now);
+        }
         self.close_request(index, &result, now);
-        let retry_after = Duration::from_secs(1);
+        if was_placed {
+            self.dispatch_waiting(now);
+        }
+        let retry_after = match reason {
+            RefusalReason::ShuttingDown => Duration::ZERO,
+            _ => Duration::from_secs(1),
+        };
         StartOutcome::Refused(
             Refusal::new(reason).with_outcome(outcome).with_retry_after(retry_after),
         )
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -182,6 +182,8 @@
     UpstreamFailed,
     /// This host has no configuration yet or is catching up after a pause of its process.
     NotReady,
+    /// This host ends before the deadline of the request.
+    ShuttingDown,
     /// The request is malformed.
     BadRequest,
 }
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -222,6 +222,46 @@
     assert_eq!(repeat, (RefusalReason::RequestIdUnknown, Outcome::Unknown));
 }
 
+/// Guards against an attempt that starts in a shutdown and is cut at its end: of a new request, of
+/// one that waits for a slot and of one that has failed at another instance.
+#[test]
+fn start_attempt_beyond_shutdown() {
+    let mut host = TestHost::new();
+    let admitted = |host: &mut TestHost| match host.admit("katalog", None) {
+        Admission::Admitted(it) => it,
+        other => panic!("{other:?}"),
+    };
+    let tickets: Vec<_> = (0..6).map(|_| admitted(&mut host)).collect();
+    let starts = tickets.iter().map(|it| host.engine.start_attempt(*it, host.now));
+    let running = starts.filter(|it| matches!(it, StartOutcome::Attempt(_))).count();
+    assert_eq!(running, 4);
+    host.engine.set_draining(host.now);
+    host.engine.set_cut_at(host.now + Duration::from_secs(5));
+    assert_eq!(host.refusal("katalog", None), (RefusalReason::ShuttingDown, Outcome::NotRun));
+    let assert_refused = |host: &mut TestHost, ticket| {
+        let start = host.engine.start_attempt(ticket, host.now);
+        let StartOutcome::Refused(it) = start else { panic!("{start:?}") };
+        assert_eq!((it.reason, it.outcome), (RefusalReason::ShuttingDown, Outcome::NotRun));
+        assert_eq!(it.retry_after, Some(Duration::ZERO));
+    };
+    // The end of a request places the first one that waits.
+    host.engine.abandon(tickets[0], host.now);
+    assert_eq!(host.engine.ready_tickets().collect::<Vec<_>>(), [tickets[4]]);
+    assert_refused(&mut host, tickets[4]);
+    assert_refused(&mut host, tickets[5]);
+    assert_eq!(host.engine.in_flight(), 3);
+    // The slot of a refused request is free for one that ends in time.
+    host.engine.set_cut_at(host.now + Duration::from_secs(6));
+    let ticket = admitted(&mut host);
+    let start = host.engine.start_attempt(ticket, host.now);
+    assert!(matches!(start, StartOutcome::Attempt(_)), "{start:?}");
+    host.engine.set_cut_at(host.now + Duration::from_secs(5));
+    let unreachable = failed_attempt(AttemptOutcome::Unreachable, false);
+    let next = host.engine.finish_attempt(tickets[1], unreachable, host.now);
+    assert!(matches!(next, FinishOutcome::Retry(_)), "{next:?}");
+    assert_refused(&mut host, tickets[1]);
+}
+
 /// Guards against slots that stay in use after the caller disconnected.
 #[test]
 fn abandon_releases_slots() {
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -188,8 +188,8 @@
 
     /// Shuts down gracefully.
     ///
-    /// This host is marked as draining, so that lookup answers stop naming it. After
-    /// `drain_notice_ms` the listener for callers is closed, running requests are finished, and the
+    /// This host is marked as draining, so that lookup answers stop naming it, and refuses requests
+    /// whose deadline lies beyond `shutdown_deadline_ms`. After `drain_notice_ms` the listener for callers is closed, running requests are finished, and the
     /// share of this host is handed over to the other hosts. Requests that still run at
     /// `shutdown_deadline_ms` are cut. Completion of `abort_wait`, for example at a second signal,
     /// cuts them early.
@@ -198,7 +198,14 @@
         let deadline = Duration::from_millis(host.settings.shutdown_deadline_ms);
         let in_flight = host.engine.lock().in_flight();
         Event::DrainStarted.log(format_args!("{in_flight} requests run, deadline {deadline:?}"));
-        host.engine.lock().set_draining(Instant::now());
+        let started_at = Instant::now();
+        {
+            let mut engine = host.engine.lock();
+            engine.set_draining(started_at);
+            engine.set_cut_at(started_at + deadline);
+        }
+        // Requests that wait for a slot and may run beyond the deadline are refused now.
+        host.placed_ticket.send_modify(|_| ());
         let drained = async {
             // Callers with a cached lookup answer may still connect and are served until the notice
             // ends.
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -33,8 +33,10 @@
 /// Returns the HTTP response for a refusal or failure.
 pub(crate) fn to_response(refusal: &Refusal) -> Response {
     let (message, hint) = explain(refusal.reason);
+    // Another host may run the request immediately; other refusals need a wait.
+    let min_ms = u64::from(refusal.reason != RefusalReason::ShuttingDown);
     let retry_after_ms =
-        refusal.retry_after.map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX).max(1));
+        refusal.retry_after.map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX).max(min_ms));
     let outcome = refusal.outcome.to_string();
     let body = RefusalBody {
         outcome: &outcome,
@@ -82,7 +84,8 @@
         | RefusalReason::ServiceBusy
         | RefusalReason::NoUpstream
         | RefusalReason::RequestIdsFull
-        | RefusalReason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+        | RefusalReason::NotReady
+        | RefusalReason::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
@@ -138,6 +141,10 @@
         RefusalReason::DeadlinePassed => ("the deadline passed", "allow more time"),
         RefusalReason::UpstreamFailed => ("the connection to the upstream failed", "see `outcome`"),
         RefusalReason::NotReady => ("this host has no configuration yet", "use another host"),
+        RefusalReason::ShuttingDown => (
+            "this host ends before the deadline of the request",
+            "use another host, with a request id of its binding",
+        ),
         RefusalReason::BadRequest => {
             ("the request is malformed", "check the request line and headers")
         }
--- a/crates/entry/src/response_stream.rs
+++ b/crates/entry/src/response_stream.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt as _};
 use kingcupford_config::RegionId;
-use kingcupford_engine::AttemptResult;
+use kingcupford_engine::{AttemptResult, MAX_RESPONSE_OVERRUN};
 use kingcupford_route::AttemptOutcome;
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 use tokio_util::sync::WaitForCancellationFutureOwned;
@@ -21,11 +21,6 @@
 /// arrive long before this host's share of the cap has refilled.
 const MAX_BANDWIDTH_WAIT: Duration = Duration::from_millis(10);
 
-/// Time beyond the deadline for the body of a response whose head arrived before the deadline.
-/// Otherwise the response of an upstream that answers right at the deadline would be cut before the
-/// caller learns the outcome.
-const BODY_GRACE: Duration = Duration::from_millis(250);
-
 /// Response body on the way to the caller. The request holds the slot of the upstream until the
 /// stream ends or is dropped.
 pub(crate) struct ResponseStream {
@@ -36,7 +31,7 @@
     ticket_guard: Option<TicketGuard>,
     /// Result to report if the body is relayed completely.
     result: AttemptResult,
-    /// Ends at the deadline plus [`BODY_GRACE`].
+    /// Ends at the deadline plus [`MAX_RESPONSE_OVERRUN`].
     deadline: Pin<Box<Sleep>>,
     caller_closed: Pin<Box<WaitForCancellationFutureOwned>>,
     /// Prevents the caller's connection from counting as idle.
@@ -68,7 +63,7 @@
             host: Arc::clone(&ticket_guard.host),
             ticket_guard: Some(ticket_guard),
             result,
-            deadline: Box::pin(sleep_until(deadline + BODY_GRACE)),
+            deadline: Box::pin(sleep_until(deadline + MAX_RESPONSE_OVERRUN)),
             caller_closed: Box::pin(request_guard.connection_closed().clone().cancelled_owned()),
             request_guard,
             link: None,
--- a/crates/entry/tests/it/shutdown.rs
+++ b/crates/entry/tests/it/shutdown.rs
@@ -285,6 +285,51 @@
     });
 }
 
+/// Guards against a request that a host takes late in a planned shutdown, passes on and cuts at the
+/// shutdown deadline while an upstream runs it.
+#[test]
+fn terminate_request_longer_than_deadline() {
+    run_test(async {
+        let mut slow = settings(1, SITE, 64);
+        slow.upstreams.iter_mut().filter(|it| it.service == "deposit-desk").for_each(|it| {
+            it.service_time_ms = 2_500.0;
+        });
+        slow.drain_notice_ms = 2_000;
+        slow.shutdown_deadline_ms = 3_500;
+        let mut fleet = TestFleet::start(slow).await?;
+        let key = fleet.issue_key("k", "school-1").await?;
+        let binding = fleet.binding(0, &key).await?;
+        let signalled = Instant::now();
+        fleet.host(0).signal("TERM")?;
+        let mut orders = Vec::new();
+        for number in 0..8 {
+            sleep_until(signalled + Duration::from_millis(1_300 + number * 60)).await;
+            let tag = format!("late-{number}");
+            let order = fleet.deposit(0, &key, &format!("{binding}.{number}"), &tag);
+            orders.push((tag, tokio::spawn(order.send())));
+            let read = fleet.get(0, "/ledger-view/a", &key);
+            let read = read.header("kingcupford-deadline-ms", "1000").send().await?;
+            ensure!(read.status() == 200, "a read that ends in time got {}", read.status());
+        }
+        for (tag, order) in orders {
+            let response = order.await?.with_context(|| format!("{tag} was cut"))?;
+            let (status, headers) = (response.status(), response.headers().clone());
+            ensure!(headers["kingcupford-outcome"] == "not-run", "{tag}: {status} {headers:?}");
+            assert_eq!((status.as_u16(), &headers["retry-after"]), (503, &"0".parse()?), "{tag}");
+            let body: Value = response.json().await?;
+            assert_eq!(
+                (&body["reason"], &body["retry_after_ms"]),
+                (&"shutting-down".into(), &0.into())
+            );
+            assert!(fleet.executions(&tag).is_empty(), "{tag} ran");
+        }
+        let mut host = fleet.hosts[0].take().context("the host is not running")?;
+        let status = host.wait(Duration::from_secs(20)).await?;
+        assert_eq!(status.code(), Some(0), "{}", host.log());
+        Ok(())
+    });
+}
+
 /// Returns the names of the hosts in the lookup response of a host.
 async fn lookup_names(fleet: &TestFleet, index: usize) -> anyhow::Result<Vec<String>> {
     let url = fleet.url(index, "/v1/lookup?service=ledger-view&client=10.0.0.7");
