Send no request to an upstream right before its deadline

What callers saw: an order that waited for a slot until shortly before its deadline got 504 with the outcome unknown, although it need not have run; an upstream began it and was given up at once.

Cause: a first attempt began as long as the deadline had not passed. Only retries needed 5 ms.

Change: an attempt begins only with 5 ms left. The request is refused as deadline-passed, not run, so its id can be used again, and its slot is free for others.

Tests: start_attempt_before_deadline failed before (the attempt was returned with 3 ms left) and passes.

--- a/crates/engine/src/placement.rs
+++ b/crates/engine/src/placement.rs
@@ -5,7 +5,7 @@
 use kingcupford_config::{InstanceId, RegionId, ServiceId, ShiftId, VersionId};
 use kingcupford_quota::{AcquireOutcome, Holder, Resource};
 use kingcupford_rollout::Side;
-use kingcupford_route::{AllowedRegion, AttemptOutcome, ChoiceQuery, Outcome};
+use kingcupford_route::{AllowedRegion, AttemptOutcome, ChoiceQuery, MIN_ATTEMPT_TIME, Outcome};
 use tokio::time::Instant;
 
 use crate::{
@@ -62,14 +62,14 @@
         if self.may_be_cut(self.requests[index].deadline) {
             return self.refuse_admitted(index, RefusalReason::ShuttingDown, now);
         }
+        if self.requests[index].deadline < now + MIN_ATTEMPT_TIME {
+            return self.refuse_admitted(index, RefusalReason::DeadlinePassed, now);
+        }
         if self.requests[index].is_ready {
             self.requests[index].is_ready = false;
             return StartOutcome::Attempt(self.build_attempt(index));
         }
         let request = &self.requests[index];
-        if now >= request.deadline {
-            return self.refuse_admitted(index, RefusalReason::DeadlinePassed, now);
-        }
         if request.wait_until.is_some_and(|it| now >= it) {
             return self.refuse_admitted(index, RefusalReason::ServiceBusy, now);
         }
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -85,6 +85,16 @@
 
     /// Calls the engine to admit a request of a service.
     fn admit(&mut self, service: &str, request_id: Option<&str>) -> Admission {
+        self.admit_within(service, request_id, None)
+    }
+
+    /// Calls the engine to admit a request with a deadline.
+    fn admit_within(
+        &mut self,
+        service: &str,
+        request_id: Option<&str>,
+        timeout: Option<Duration>,
+    ) -> Admission {
         let head = RequestHead {
             service: service.to_owned(),
             method: "POST".to_owned(),
@@ -94,7 +104,7 @@
             request_id: request_id.map(str::to_owned),
             content_length: None,
             first_bytes: Vec::new(),
-            timeout: None,
+            timeout,
             arrived: self.now,
         };
         self.engine.admit(&head, false, self.now)
@@ -262,6 +272,34 @@
     assert_refused(&mut host, tickets[1]);
 }
 
+/// Guards against a request that waits for a slot, is sent right before its deadline and then may
+/// have run.
+#[test]
+fn start_attempt_before_deadline() {
+    let mut host = TestHost::new();
+    let timeout = Some(Duration::from_millis(500));
+    let ids: Vec<_> = (0..5).map(|it| host.request_id(&it.to_string())).collect();
+    let mut tickets = Vec::new();
+    for id in &ids {
+        let admission = host.admit_within("bestellung", Some(id), timeout);
+        let Admission::Admitted(ticket) = admission else { panic!("{admission:?}") };
+        host.engine.start_attempt(ticket, host.now);
+        tickets.push(ticket);
+    }
+    host.now += Duration::from_millis(497);
+    host.engine.abandon(tickets[0], host.now);
+    assert_eq!(host.engine.ready_tickets().collect::<Vec<_>>(), [tickets[4]]);
+    let start = host.engine.start_attempt(tickets[4], host.now);
+    let StartOutcome::Refused(refusal) = start else { panic!("{start:?}") };
+    let refused = (refusal.reason, refusal.outcome);
+    assert_eq!(refused, (RefusalReason::DeadlinePassed, Outcome::NotRun));
+    // Its slot is free again.
+    let admission = host.admit("bestellung", Some(&ids[4]));
+    let Admission::Admitted(ticket) = admission else { panic!("{admission:?}") };
+    let start = host.engine.start_attempt(ticket, host.now);
+    assert!(matches!(start, StartOutcome::Attempt(_)), "{start:?}");
+}
+
 /// Guards against slots that stay in use after the caller disconnected.
 #[test]
 fn abandon_releases_slots() {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,7 +18,8 @@
     quarantine::{Fingerprint, Quarantine, QuarantineStatus, QuarantineUpdate},
     request_id::{BeginResult, RequestIdTable, RunHandle, RunResult},
     retry::{
-        AttemptOutcome, DEFAULT_MAX_ATTEMPTS, Outcome, RetryContext, RetryDecision, RetryPolicy,
+        AttemptOutcome, DEFAULT_MAX_ATTEMPTS, MIN_ATTEMPT_TIME, Outcome, RetryContext,
+        RetryDecision, RetryPolicy,
     },
     retry_budget::RetryBudget,
 };
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -7,8 +7,9 @@
 /// Attempts per request, the first one included, where the route sets no limit.
 pub const DEFAULT_MAX_ATTEMPTS: u32 = 3;
 
-/// Minimum time left for a retry; with less, the deadline would pass before an upstream answers.
-const MIN_RETRY_TIME: Duration = Duration::from_millis(5);
+/// Minimum time left for an attempt; with less, the deadline would pass before an upstream answers,
+/// and a request that need not have run would count as one that may have run.
+pub const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
 
 /// Execution state of a request, as reported to the caller with the answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString)]
@@ -123,6 +124,6 @@
             && !context.earlier_may_have_run
             && context.attempts < context.max_attempts
             && context.budget_left
-            && context.remaining >= MIN_RETRY_TIME
+            && context.remaining >= MIN_ATTEMPT_TIME
     }
 }
