Lent slots wait for the last response of the borrower

Fault: a host that lent slots used them again 5 s (the longest timeout) and 50 ms after the loan ended, while responses of requests that the borrower began before its end may go on for 250 ms after their deadline. For up to 200 ms a region could run more requests of a service than its slots. The same holds for the time that a reclaimed share is withheld.

Cause: the time for which permits may be in use left out the time in which a response may end.

Change: it is the longest timeout of the service and this time.

Tests: lent_slots_wait_for_last_response failed before (4 of 4 requests began 50 ms before the last response may end) and passes. The engine's tests and the 54 of entry over sockets pass.

--- a/crates/engine/src/caps.rs
+++ b/crates/engine/src/caps.rs
@@ -5,6 +5,8 @@
 use kingcupford_config::{RegionId, ServiceId, Snapshot, VersionId};
 use kingcupford_quota::{Cap, Resource};
 
+use crate::engine::MAX_RESPONSE_OVERRUN;
+
 /// Burst of a link, as the time in which its capacity transfers that many bytes.
 const LINK_BURST_S: f64 = 0.25;
 
@@ -55,11 +57,12 @@
     res
 }
 
-/// Returns the maximum time that a request of a service may run, the longest timeout of its routes.
+/// Returns the maximum time that a request of a service may run: the longest timeout of its routes, and
+/// the time in which the response may end after it.
 fn max_request_duration(snapshot: &Snapshot, service: ServiceId) -> Duration {
     let routes = snapshot.services[service].routes.iter();
     let max_timeout_ms = routes.map(|it| snapshot.routes[*it].timeout_ms).max().unwrap_or_default();
-    Duration::from_millis(max_timeout_ms)
+    Duration::from_millis(max_timeout_ms) + MAX_RESPONSE_OVERRUN
 }
 
 /// Returns how many requests of a service a region may run at the same time.
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -4,11 +4,11 @@
 
 use kingcupford_config::{CallerKey, ConfigVersion, Declarations, KeyDecl, Snapshot};
 use kingcupford_engine::{
-    Admission, AttemptResult, Engine, EngineSettings, FinishOutcome, Message, PresentedKey,
-    RefusalReason, RequestHead, RolloutStop, StartOutcome,
+    Admission, AttemptResult, Engine, EngineSettings, FinishOutcome, MAX_RESPONSE_OVERRUN, Message,
+    PresentedKey, RefusalReason, RequestHead, RolloutStop, StartOutcome,
 };
 use kingcupford_fleet::HostIdentity;
-use kingcupford_quota::WriteOutcome;
+use kingcupford_quota::{LoanId, Message as QuotaMessage, ResourceName, Settings, WriteOutcome};
 use kingcupford_rollout::{MIN_DURATION_MS, Reason, RolloutKey, StartRequest, start};
 use kingcupford_route::{AttemptOutcome, Outcome};
 use tokio::time::Instant;
@@ -300,6 +300,44 @@
     assert!(matches!(start, StartOutcome::Attempt(_)), "{start:?}");
 }
 
+/// Guards against slots that a lender uses while the last responses of the borrower's requests,
+/// which may end after the deadline, still arrive.
+#[test]
+fn lent_slots_wait_for_last_response() {
+    let mut host = TestHost::new();
+    let request = QuotaMessage::LoanRequest {
+        id: LoanId { incarnation: 1, sequence: 1 },
+        renews: None,
+        resource: ResourceName::RegionSlots("katalog".to_owned(), "jura".to_owned()),
+        units: 1_000_000,
+    };
+    let replies = host.engine.receive("entry-2", Message::Quota(request), host.now);
+    let Message::Quota(QuotaMessage::LoanResponse { units, .. }) = &replies[0].message else {
+        panic!("{replies:?}");
+    };
+    assert!(*units > 500_000, "{units} units lent");
+    let attempts = |host: &mut TestHost| {
+        let mut tickets = Vec::new();
+        let mut res = 0;
+        for _ in 0..4 {
+            let admission = host.admit("katalog", None);
+            let Admission::Admitted(ticket) = admission else { panic!("{admission:?}") };
+            let start = host.engine.start_attempt(ticket, host.now);
+            res += usize::from(matches!(start, StartOutcome::Attempt(_)));
+            tickets.push(ticket);
+        }
+        tickets.iter().rev().for_each(|it| host.engine.abandon(*it, host.now));
+        res
+    };
+    // A request that starts right before the loan ends has 5 s.
+    let last_deadline = Settings::default().loan_duration + Duration::from_secs(5);
+    host.run(last_deadline + MAX_RESPONSE_OVERRUN - Duration::from_millis(50));
+    let started = attempts(&mut host);
+    assert!(started < 4, "{started} requests started while the borrower's may run");
+    host.run(Duration::from_millis(150));
+    assert_eq!(attempts(&mut host), 4, "the slots do not return");
+}
+
 /// Guards against slots that stay in use after the caller disconnected.
 #[test]
 fn abandon_releases_slots() {
