--- a/crates/engine/src/placement.rs
+++ b/crates/engine/src/placement.rs
@@ -5,7 +5,7 @@
 use kingcupford_config::{InstanceId, RegionId, ServiceId, ShiftId, VersionId};
 use kingcupford_quota::{AcquireOutcome, Holder, Resource};
 use kingcupford_rollout::Side;
-use kingcupford_route::{AllowedRegion, AttemptOutcome, ChoiceQuery, Outcome};
+use kingcupford_route::{AllowedRegion, AttemptOutcome, ChoiceQuery, MIN_ATTEMPT_TIME, Outcome};
 use tokio::time::Instant;
 
 use crate::{
@@ -59,14 +59,17 @@
         let Some(index) = self.request_index(ticket) else {
             return StartOutcome::Refused(Refusal::new(RefusalReason::BadRequest));
         };
+        if self.may_be_cut(self.requests[index].deadline) {
+            return self.refuse_admitted(index, RefusalReason::ShuttingDown, now);
+        }
+        if self.requests[index].deadline < now + MIN_ATTEMPT_TIME {
+            return self.refuse_admitted(index, RefusalReason::DeadlinePassed, now);
+        }
         if self.requests[index].is_ready {
             self.requests[index].is_ready = false;
             return StartOutcome::Attempt(self.build_attempt(index));
         }
         let request = &self.requests[index];
-        if now >= request.deadline {
-            return self.refuse_admitted(index, RefusalReason::DeadlinePassed, now);
-        }
         if request.wait_until.is_some_and(|it| now >= it) {
             return self.refuse_admitted(index, RefusalReason::ServiceBusy, now);
         }
@@ -148,7 +151,7 @@
         StartOutcome::Wait { until }
     }
 
-    /// Ends an admitted request that could not be placed in time.
+    /// Ends an admitted request whose attempt cannot start.
     fn refuse_admitted(
         &mut self,
         index: usize,
@@ -170,8 +173,18 @@
             draining: false,
             latency: Duration::ZERO,
         };
+        let was_placed = request.placement.is_some();
+        if was_placed {
+            self.record_attempt_end(index, &result, now);
+        }
         self.close_request(index, &result, now);
-        let retry_after = Duration::from_secs(1);
+        if was_placed {
+            self.dispatch_waiting(now);
+        }
+        let retry_after = match reason {
+            RefusalReason::ShuttingDown => Duration::ZERO,
+            _ => Duration::from_secs(1),
+        };
         StartOutcome::Refused(
             Refusal::new(reason).with_outcome(outcome).with_retry_after(retry_after),
         )
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -4,11 +4,11 @@
 
 use kingcupford_config::{CallerKey, ConfigVersion, Declarations, KeyDecl, Snapshot};
 use kingcupford_engine::{
-    Admission, AttemptResult, Engine, EngineSettings, FinishOutcome, Message, PresentedKey,
-    RefusalReason, RequestHead, RolloutStop, StartOutcome,
+    Admission, AttemptResult, Engine, EngineSettings, FinishOutcome, MAX_RESPONSE_OVERRUN, Message,
+    PresentedKey, RefusalReason, RequestHead, RolloutStop, StartOutcome,
 };
 use kingcupford_fleet::HostIdentity;
-use kingcupford_quota::WriteOutcome;
+use kingcupford_quota::{LoanId, Message as QuotaMessage, ResourceName, Settings, WriteOutcome};
 use kingcupford_rollout::{MIN_DURATION_MS, Reason, RolloutKey, StartRequest, start};
 use kingcupford_route::{AttemptOutcome, Outcome};
 use tokio::time::Instant;
@@ -85,6 +85,16 @@
 
     /// Calls the engine to admit a request of a service.
     fn admit(&mut self, service: &str, request_id: Option<&str>) -> Admission {
+        self.admit_within(service, request_id, None)
+    }
+
+    /// Calls the engine to admit a request with a deadline.
+    fn admit_within(
+        &mut self,
+        service: &str,
+        request_id: Option<&str>,
+        timeout: Option<Duration>,
+    ) -> Admission {
         let head = RequestHead {
             service: service.to_owned(),
             method: "POST".to_owned(),
@@ -94,7 +104,7 @@
             request_id: request_id.map(str::to_owned),
             content_length: None,
             first_bytes: Vec::new(),
-            timeout: None,
+            timeout,
             arrived: self.now,
         };
         self.engine.admit(&head, false, self.now)
@@ -222,6 +232,112 @@
     assert_eq!(repeat, (RefusalReason::RequestIdUnknown, Outcome::Unknown));
 }
 
+/// Guards against an attempt that starts in a shutdown and is cut at its end: of a new request, of
+/// one that waits for a slot and of one that has failed at another instance.
+#[test]
+fn start_attempt_beyond_shutdown() {
+    let mut host = TestHost::new();
+    let admitted = |host: &mut TestHost| match host.admit("katalog", None) {
+        Admission::Admitted(it) => it,
+        other => panic!("{other:?}"),
+    };
+    let tickets: Vec<_> = (0..6).map(|_| admitted(&mut host)).collect();
+    let starts = tickets.iter().map(|it| host.engine.start_attempt(*it, host.now));
+    let running = starts.filter(|it| matches!(it, StartOutcome::Attempt(_))).count();
+    assert_eq!(running, 4);
+    host.engine.set_draining(host.now);
+    host.engine.set_cut_at(host.now + Duration::from_secs(5));
+    assert_eq!(host.refusal("katalog", None), (RefusalReason::ShuttingDown, Outcome::NotRun));
+    let assert_refused = |host: &mut TestHost, ticket| {
+        let start = host.engine.start_attempt(ticket, host.now);
+        let StartOutcome::Refused(it) = start else { panic!("{start:?}") };
+        assert_eq!((it.reason, it.outcome), (RefusalReason::ShuttingDown, Outcome::NotRun));
+        assert_eq!(it.retry_after, Some(Duration::ZERO));
+    };
+    // The end of a request places the first one that waits.
+    host.engine.abandon(tickets[0], host.now);
+    assert_eq!(host.engine.ready_tickets().collect::<Vec<_>>(), [tickets[4]]);
+    assert_refused(&mut host, tickets[4]);
+    assert_refused(&mut host, tickets[5]);
+    assert_eq!(host.engine.in_flight(), 3);
+    // The slot of a refused request is free for one that ends in time.
+    host.engine.set_cut_at(host.now + Duration::from_secs(6));
+    let ticket = admitted(&mut host);
+    let start = host.engine.start_attempt(ticket, host.now);
+    assert!(matches!(start, StartOutcome::Attempt(_)), "{start:?}");
+    host.engine.set_cut_at(host.now + Duration::from_secs(5));
+    let unreachable = failed_attempt(AttemptOutcome::Unreachable, false);
+    let next = host.engine.finish_attempt(tickets[1], unreachable, host.now);
+    assert!(matches!(next, FinishOutcome::Retry(_)), "{next:?}");
+    assert_refused(&mut host, tickets[1]);
+}
+
+/// Guards against a request that waits for a slot, is sent right before its deadline and then may
+/// have run.
+#[test]
+fn start_attempt_before_deadline() {
+    let mut host = TestHost::new();
+    let timeout = Some(Duration::from_millis(500));
+    let ids: Vec<_> = (0..5).map(|it| host.request_id(&it.to_string())).collect();
+    let mut tickets = Vec::new();
+    for id in &ids {
+        let admission = host.admit_within("bestellung", Some(id), timeout);
+        let Admission::Admitted(ticket) = admission else { panic!("{admission:?}") };
+        host.engine.start_attempt(ticket, host.now);
+        tickets.push(ticket);
+    }
+    host.now += Duration::from_millis(497);
+    host.engine.abandon(tickets[0], host.now);
+    assert_eq!(host.engine.ready_tickets().collect::<Vec<_>>(), [tickets[4]]);
+    let start = host.engine.start_attempt(tickets[4], host.now);
+    let StartOutcome::Refused(refusal) = start else { panic!("{start:?}") };
+    let refused = (refusal.reason, refusal.outcome);
+    assert_eq!(refused, (RefusalReason::DeadlinePassed, Outcome::NotRun));
+    // Its slot is free again.
+    let admission = host.admit("bestellung", Some(&ids[4]));
+    let Admission::Admitted(ticket) = admission else { panic!("{admission:?}") };
+    let start = host.engine.start_attempt(ticket, host.now);
+    assert!(matches!(start, StartOutcome::Attempt(_)), "{start:?}");
+}
+
+/// Guards against slots that a lender uses while the last responses of the borrower's requests,
+/// which may end after the deadline, still arrive.
+#[test]
+fn lent_slots_wait_for_last_response() {
+    let mut host = TestHost::new();
+    let request = QuotaMessage::LoanRequest {
+        id: LoanId { incarnation: 1, sequence: 1 },
+        renews: None,
+        resource: ResourceName::RegionSlots("katalog".to_owned(), "jura".to_owned()),
+        units: 1_000_000,
+    };
+    let replies = host.engine.receive("entry-2", Message::Quota(request), host.now);
+    let Message::Quota(QuotaMessage::LoanResponse { units, .. }) = &replies[0].message else {
+        panic!("{replies:?}");
+    };
+    assert!(*units > 500_000, "{units} units lent");
+    let attempts = |host: &mut TestHost| {
+        let mut tickets = Vec::new();
+        let mut res = 0;
+        for _ in 0..4 {
+            let admission = host.admit("katalog", None);
+            let Admission::Admitted(ticket) = admission else { panic!("{admission:?}") };
+            let start = host.engine.start_attempt(ticket, host.now);
+            res += usize::from(matches!(start, StartOutcome::Attempt(_)));
+            tickets.push(ticket);
+        }
+        tickets.iter().rev().for_each(|it| host.engine.abandon(*it, host.now));
+        res
+    };
+    // A request that starts right before the loan ends has 5 s.
+    let last_deadline = Settings::default().loan_duration + Duration::from_secs(5);
+    host.run(last_deadline + MAX_RESPONSE_OVERRUN - Duration::from_millis(50));
+    let started = attempts(&mut host);
+    assert!(started < 4, "{started} requests started while the borrower's may run");
+    host.run(Duration::from_millis(150));
+    assert_eq!(attempts(&mut host), 4, "the slots do not return");
+}
+
 /// Guards against slots that stay in use after the caller disconnected.
 #[test]
 fn abandon_releases_slots() {
