Check planned stops of the soak by the rule

The soak never found the requests that a planned stop cut: its check counted only requests that were sent up to 3 s after the SIGTERM, and no answers of the host in place of one under way.

Change: every request counts that ends without a whole response from the SIGTERM until 1 s after the grace, once it has reached an instance or was sent 1 s ago, and so does an answer of the host's own while the instance is at work. Instances record when they have the response, and callers whether the connection was reset. Excused, as in the rule, are requests whose deadline or route timeout has passed or whose instance ended, and those of the first 3 s whose instance is still at work in the last sixth of the grace; the former check reported the last ones. A SIGTERM to a process that already stops or is gone is no stop.

Tests: request_cut_by_planned_stop_is_reported fails with the former check (a request sent 3,001 ms after the SIGTERM), and so does request_cut_for_another_reason_is_not_reported (one whose instance is slow).

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,6 +1,8 @@
 //! Callers, which look hosts up and send requests as the clients of users do.
 
 use std::{
+    error::Error,
+    io, iter,
     net::SocketAddr,
     sync::{
         Arc,
@@ -16,7 +18,7 @@
 
 use crate::{
     history::{CallerRequest, History, LIMITED_TEAM, RequestOutcome},
-    manifest::{REVOCABLE_KEYS, ROUTE_HOST},
+    manifest::{REVOCABLE_KEYS, ROUTE_HOST, ROUTE_TIMEOUT},
 };
 
 /// Deadline that a caller sets for each request.
@@ -148,6 +150,7 @@
             key,
             team,
             host,
+            time_limit: REQUEST_DEADLINE.min(ROUTE_TIMEOUT),
             sent_at,
             ended_at,
             outcome,
@@ -172,6 +175,10 @@
     } else if error.is_connect() {
         RequestOutcome::Unreachable
     } else {
-        RequestOutcome::Broken
+        let causes = iter::successors(Some(error as &(dyn Error + 'static)), |&it| it.source());
+        let is_reset = causes
+            .filter_map(|it| it.downcast_ref::<io::Error>())
+            .any(|it| it.kind() == io::ErrorKind::ConnectionReset);
+        RequestOutcome::Broken { is_reset }
     }
 }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -19,6 +19,24 @@
 /// not checked.
 pub(crate) const STABILIZATION_TIME: Duration = Duration::from_secs(4);
 
+/// Time within which a host that is told to stop must end.
+pub(crate) const STOP_GRACE: Duration = Duration::from_secs(6);
+
+/// Time after the grace in which a cut request still counts as cut by the stop.
+const STOP_AFTERMATH: Duration = Duration::from_secs(1);
+
+/// Time after the start of a stop until which requests are sent of which a slow instance may be the
+/// reason for a cut.
+const SLOW_REQUEST_SENT_WITHIN: Duration = Duration::from_secs(3);
+
+/// Time after the start of a stop from which on an instance that is still at work is that reason:
+/// the last sixth of the grace.
+const SLOW_INSTANCE_WORKS_UNTIL: Duration = Duration::from_secs(5);
+
+/// Time after which a host has read a whole request that it accepted: the tolerated 200 ms, and time
+/// for a process that waits for a processor.
+const MAX_READ_TIME: Duration = Duration::from_secs(1);
+
 /// Window over which the executions of the rate-limited team are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(5);
 
@@ -51,6 +69,8 @@
     instance_drains: Mutex<Vec<(String, Instant)>>,
     /// Indices of hosts that were stopped gracefully, with the time of the signal.
     host_stops: Mutex<Vec<(usize, Instant)>>,
+    /// Ids of instances that ended, with the time of their end.
+    instance_ends: Mutex<Vec<(String, Instant)>>,
 }
 
 /// One execution of a request by an instance, recorded when the instance starts to process it.
@@ -72,6 +92,8 @@
     pub body_bytes: usize,
     /// When processing began.
     pub started_at: Instant,
+    /// When the instance had the response; `None` if its connection closed before.
+    pub finished_at: Option<Instant>,
 }
 
 /// A request of a caller, recorded when it ends.
@@ -91,6 +113,9 @@
     pub team: &'static str,
     /// Index of the host that the caller connected to.
     pub host: usize,
+    /// Time from the sending until the caller's deadline or the route's timeout, the earlier of the
+    /// two.
+    pub time_limit: Duration,
     /// When the caller began to send.
     pub sent_at: Instant,
     /// When the whole response was received or the request failed.
@@ -114,7 +139,10 @@
     /// No connection could be opened.
     Unreachable,
     /// The connection ended before the whole response was received.
-    Broken,
+    Broken {
+        /// Whether it was reset, as opposed to an orderly end.
+        is_reset: bool,
+    },
     /// The whole response was not received in time.
     TimedOut,
 }
@@ -129,9 +157,16 @@
 }
 
 impl History {
-    /// Records that an instance began to execute a request.
-    pub fn record_execution(&self, execution: Execution) {
-        self.executions.lock().push(execution);
+    /// Records that an instance began to execute a request; returns the index of the execution.
+    pub fn record_execution(&self, execution: Execution) -> usize {
+        let mut executions = self.executions.lock();
+        executions.push(execution);
+        executions.len() - 1
+    }
+
+    /// Records that the instance has the response of an execution now.
+    pub fn record_execution_finish(&self, execution_index: usize) {
+        self.executions.lock()[execution_index].finished_at = Some(Instant::now());
     }
 
     /// Records a request that ended.
@@ -154,6 +189,11 @@
         self.instance_drains.lock().push((instance.to_owned(), Instant::now()));
     }
 
+    /// Records that an instance ends now.
+    pub fn record_instance_end(&self, instance: &str) {
+        self.instance_ends.lock().push((instance.to_owned(), Instant::now()));
+    }
+
     /// Records that a host is signalled to shut down now.
     pub fn record_host_stop(&self, host: usize) {
         self.host_stops.lock().push((host, Instant::now()));
@@ -211,7 +251,8 @@
             let outcome = match &it.outcome {
                 RequestOutcome::Answered { status, .. } => status.to_string(),
                 RequestOutcome::Unreachable => "unreachable".to_owned(),
-                RequestOutcome::Broken => "broken".to_owned(),
+                RequestOutcome::Broken { is_reset: true } => "reset".to_owned(),
+                RequestOutcome::Broken { is_reset: false } => "broken".to_owned(),
                 RequestOutcome::TimedOut => "timed-out".to_owned(),
             };
             *res.entry(outcome).or_default() += 1;
@@ -270,26 +311,62 @@
         None
     }
 
-    /// Checks that the graceful shutdown of a host did not cut a request that was executed.
+    /// Checks that the graceful shutdown of a host did not cut a request: one that reached an
+    /// instance ends with a whole response, and so does one that the host has had time to read. A
+    /// response of the host's own does not count while an instance is at work.
     fn check_planned_stop(
         &self,
         request: &CallerRequest,
         executions: &[&Execution],
     ) -> Option<String> {
-        let is_cut = matches!(request.outcome, RequestOutcome::Broken);
-        if !is_cut || executions.is_empty() {
+        let CallerRequest { sent_at, ended_at, .. } = *request;
+        let at_work = executions
+            .iter()
+            .find(|it| it.started_at <= ended_at && it.finished_at.is_none_or(|it| it > ended_at));
+        let how = match &request.outcome {
+            RequestOutcome::Broken { .. }
+                if executions.is_empty() && ended_at < sent_at + MAX_READ_TIME =>
+            {
+                return None;
+            }
+            RequestOutcome::Broken { is_reset: true } => "reset".to_owned(),
+            RequestOutcome::Broken { is_reset: false } => "ended in order".to_owned(),
+            RequestOutcome::Answered { status, is_sealed: false, .. } if at_work.is_some() => {
+                format!("answered {status} by the host")
+            }
+            RequestOutcome::Answered { .. }
+            | RequestOutcome::Unreachable
+            | RequestOutcome::TimedOut => return None,
+        };
+        let is_instance_lost = self.instance_ends.lock().iter().any(|end| {
+            (sent_at..=ended_at).contains(&end.1)
+                && executions.iter().any(|it| it.instance == end.0)
+        });
+        if ended_at >= sent_at + request.time_limit
+            || is_instance_lost
+            || !self.is_undisturbed(sent_at, ended_at)
+        {
             return None;
         }
         let stops = self.host_stops.lock();
-        let stop = stops.iter().find(|it| {
-            it.0 == request.host
-                && request.sent_at <= it.1 + Duration::from_secs(3)
-                && request.ended_at >= it.1
+        let (_, stopped_at) = stops.iter().find(|(host, stopped_at)| {
+            let is_slow = sent_at <= *stopped_at + SLOW_REQUEST_SENT_WITHIN
+                && ended_at >= *stopped_at + SLOW_INSTANCE_WORKS_UNTIL
+                && at_work.is_some();
+            let counted_until = *stopped_at + STOP_GRACE + STOP_AFTERMATH;
+            *host == request.host && (*stopped_at..=counted_until).contains(&ended_at) && !is_slow
         })?;
-        self.is_undisturbed(request.sent_at, request.ended_at).then(|| {
-            let delay = request.ended_at.saturating_duration_since(stop.1);
-            format!("cut {delay:?} after host {} was told to stop", request.host)
-        })
+        let ended_after = ended_at.saturating_duration_since(*stopped_at);
+        let age = ended_at.saturating_duration_since(sent_at);
+        let work = match (executions.is_empty(), at_work) {
+            (true, _) => "at no instance".to_owned(),
+            (false, Some(it)) => format!("while {} was at work", it.instance),
+            (false, None) => "after the instance had the response".to_owned(),
+        };
+        Some(format!(
+            "{how} {ended_after:?} after host {} was told to stop, {age:?} after it was sent, {work}",
+            request.host
+        ))
     }
 }
 
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -33,6 +33,8 @@
     node_program: PathBuf,
     /// The last process that was started, which may have exited.
     process: Option<Child>,
+    /// Whether the process was told to stop.
+    is_stopping: bool,
 }
 
 /// Zones, each with its region.
@@ -85,7 +87,15 @@
             .with_context(|| format!("cannot write settings file {}", settings_path.display()))?;
         let log_path = run_dir.join(format!("{name}.log"));
         let node_program = node_program.to_owned();
-        Ok(Self { ip, store_proxy, settings_path, log_path, node_program, process: None })
+        Ok(Self {
+            ip,
+            store_proxy,
+            settings_path,
+            log_path,
+            node_program,
+            process: None,
+            is_stopping: false,
+        })
     }
 
     /// Address at which the host accepts requests of callers.
@@ -114,6 +124,7 @@
             .spawn()
             .with_context(|| format!("cannot start {}", self.node_program.display()))?;
         self.process = Some(process);
+        self.is_stopping = false;
         Ok(())
     }
 
@@ -121,6 +132,15 @@
         self.process.as_mut().is_some_and(|it| matches!(it.try_wait(), Ok(None)))
     }
 
+    /// Tells the process to stop with SIGTERM; returns whether it was running and told for the first
+    /// time.
+    pub(crate) fn stop(&mut self) -> bool {
+        let is_first = self.is_running() && !self.is_stopping;
+        self.is_stopping = true;
+        self.signal(Signal::SIGTERM);
+        is_first
+    }
+
     /// Sends a signal to the process if it is running. The check comes first because the id of an
     /// exited process may already belong to another one.
     pub(crate) fn signal(&mut self, signal: Signal) {
--- a/crates/soak/src/instance.rs
+++ b/crates/soak/src/instance.rs
@@ -127,7 +127,7 @@
         let Ok(_slot) = self.slots.acquire().await else {
             return not_run(StatusCode::SERVICE_UNAVAILABLE);
         };
-        self.history.record_execution(Execution {
+        let execution_index = self.history.record_execution(Execution {
             request_id: request_id.clone(),
             instance: self.instance_id.clone(),
             service: self.service.clone(),
@@ -136,10 +136,12 @@
             path: request.uri().path().to_owned(),
             body_bytes: body.len(),
             started_at: Instant::now(),
+            finished_at: None,
         });
         let execution_time =
             if fault == InstanceFault::Slow { EXECUTION_TIME * 20 } else { EXECUTION_TIME };
         sleep(execution_time).await;
+        self.history.record_execution_finish(execution_index);
         let fails =
             fault == InstanceFault::Failing && request_id.ends_with(['0', '2', '4', '6', '8']);
         let status = if fails { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
--- a/crates/soak/src/manifest.rs
+++ b/crates/soak/src/manifest.rs
@@ -1,7 +1,7 @@
 //! Contents of the store that operators and instances write: the manifest and the registrations of
 //! instances.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde_json::{Value, json};
 
@@ -10,6 +10,9 @@
 /// Host name of all routes in the manifest.
 pub(crate) const ROUTE_HOST: &str = "soak.example";
 
+/// Timeout of all routes in the manifest.
+pub(crate) const ROUTE_TIMEOUT: Duration = Duration::from_millis(1800);
+
 /// API keys of the team `revoked`, which are revoked one by one while callers use them.
 pub(crate) const REVOCABLE_KEYS: [&str; 3] = ["key-one", "key-two", "key-three"];
 
@@ -21,7 +24,7 @@
             "host": ROUTE_HOST,
             "path_prefix": path_prefix,
             "repeat": repeat,
-            "timeout_ms": 1800,
+            "timeout_ms": ROUTE_TIMEOUT.as_millis() as u64,
             "target_latency_ms": 300,
             "service": service,
             "max_attempts": 2,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,7 +21,7 @@
 use crate::{
     caller::{Caller, HostEndpoints},
     fault::{Fault, ScheduledFault, schedule},
-    history::{History, STABILIZATION_TIME, Violation},
+    history::{History, STABILIZATION_TIME, STOP_GRACE, Violation},
     host::Host,
     instance::{Instance, InstanceFault},
     manifest::{REVOCABLE_KEYS, manifest, registration},
@@ -48,9 +48,6 @@
 /// Time from the end of an instance until another one gets its address.
 const ADDRESS_REUSE_DELAY: Duration = Duration::from_millis(2200);
 
-/// Time after which a host that was told to stop is killed.
-const HOST_STOP_TIMEOUT: Duration = Duration::from_secs(6);
-
 /// Parameters of the run of one seed.
 #[derive(Debug, Clone)]
 pub struct RunConfig {
@@ -299,11 +296,12 @@
         Ok(())
     }
 
-    /// Shuts a host down with SIGTERM, kills it after [`HOST_STOP_TIMEOUT`], and restarts it.
+    /// Shuts a host down with SIGTERM, kills it after [`STOP_GRACE`], and restarts it.
     async fn stop_host(&self, host: usize) -> anyhow::Result<()> {
-        let kill_at = Instant::now() + HOST_STOP_TIMEOUT;
-        self.history.record_host_stop(host);
-        self.hosts[host].lock().signal(Signal::SIGTERM);
+        let kill_at = Instant::now() + STOP_GRACE;
+        if self.hosts[host].lock().stop() {
+            self.history.record_host_stop(host);
+        }
         while self.hosts[host].lock().is_running() && Instant::now() < kill_at {
             sleep(Duration::from_millis(50)).await;
         }
@@ -336,6 +334,7 @@
                 return;
             }
             self.store.remove("servers", &site.instance_id);
+            self.history.record_instance_end(&site.instance_id);
             site.proxy.set_fault(LinkFault::Reset);
             if site.service == "orders" { "catalogue" } else { "orders" }
         };
--- a/crates/soak/tests/history.rs
+++ b/crates/soak/tests/history.rs
@@ -18,6 +18,7 @@
         key: "key".to_owned(),
         team: "steady",
         host: 0,
+        time_limit: Duration::from_millis(2500),
         sent_at: now,
         ended_at: now,
         outcome: sealed_response(200, &response_body(id, 0)),
@@ -39,6 +40,7 @@
         path: request.path.clone(),
         body_bytes: request.body_bytes,
         started_at: request.sent_at,
+        finished_at: Some(request.ended_at),
     }
 }
 
@@ -87,7 +89,9 @@
         let mut request = successful_request("a", "/order/1");
         let mut executions = vec![execution_of(&request)];
         corrupt(&mut request, &mut executions);
-        executions.into_iter().for_each(|it| history.record_execution(it));
+        for it in executions {
+            history.record_execution(it);
+        }
         history.record_request(request);
         assert_eq!(violated_guarantees(&history), [guarantee]);
     }
@@ -120,24 +124,116 @@
     assert_eq!(violated_guarantees(&history), ["leaving", "revoked-key"]);
 }
 
-/// Guards against a check that misses requests cut by a planned stop, and against one that blames
-/// the stop for requests cut during a disturbance.
+/// A request to host 0 that fails; times are in milliseconds from the host's SIGTERM.
+#[derive(Clone, Copy)]
+struct FailedRequest {
+    sent_ms: u64,
+    ended_ms: u64,
+    /// When its instance had the response; `u64::MAX` if it never had.
+    finished_ms: u64,
+    is_executed: bool,
+    /// Status of a response of the host's own; reset if there is none.
+    status: Option<u16>,
+}
+
+impl FailedRequest {
+    /// A request that is reset while its instance is at work.
+    fn new(sent_ms: u64, ended_ms: u64) -> Self {
+        Self { sent_ms, ended_ms, finished_ms: u64::MAX, is_executed: true, status: None }
+    }
+
+    /// Records the request as one that begins at a time from the SIGTERM.
+    fn record(self, history: &History, stopped_at: Instant) {
+        let mut request = successful_request("a", "/order/1");
+        request.sent_at = stopped_at + Duration::from_millis(self.sent_ms);
+        request.ended_at = stopped_at + Duration::from_millis(self.ended_ms);
+        request.outcome = match self.status {
+            Some(status) => {
+                RequestOutcome::Answered { status, is_sealed: false, body: String::new() }
+            }
+            None => RequestOutcome::Broken { is_reset: true },
+        };
+        if self.is_executed {
+            let finished_at = (self.finished_ms < u64::MAX)
+                .then(|| stopped_at + Duration::from_millis(self.finished_ms));
+            history.record_execution(Execution { finished_at, ..execution_of(&request) });
+        }
+        history.record_request(request);
+    }
+}
+
+/// Guards against a check that misses requests cut by a planned stop.
 #[tokio::test(start_paused = true)]
 async fn request_cut_by_planned_stop_is_reported() {
-    for (is_disturbed, expected) in [(false, &["planned-stop"][..]), (true, &[])] {
+    let not_executed = |it| FailedRequest { is_executed: false, ..it };
+    for it in [
+        FailedRequest::new(0, 100),
+        // The instance was still at work late in the grace, but the request was sent too late.
+        FailedRequest::new(3001, 5000),
+        FailedRequest::new(3450, 5700),
+        FailedRequest::new(4600, 7000),
+        // It was sent early enough, but cut before the last sixth of the grace.
+        FailedRequest::new(2900, 4999),
+        // The instance was no longer at work.
+        FailedRequest { finished_ms: 5200, ..FailedRequest::new(2900, 5300) },
+        FailedRequest { finished_ms: 3200, ..FailedRequest::new(3000, 3300) },
+        not_executed(FailedRequest::new(3000, 4000)),
+        FailedRequest { status: Some(502), ..FailedRequest::new(3450, 5600) },
+        FailedRequest { status: Some(504), ..FailedRequest::new(3450, 5949) },
+    ] {
         let history = History::default();
-        let mut it = successful_request("a", "/order/1");
         history.record_host_stop(0);
-        advance(Duration::from_millis(100)).await;
-        it.ended_at = Instant::now();
-        it.outcome = RequestOutcome::Broken;
-        if is_disturbed {
-            history.record_disturbance(it.sent_at, it.ended_at);
-        }
-        history.record_execution(execution_of(&it));
-        history.record_request(it);
-        assert_eq!(violated_guarantees(&history), expected);
+        it.record(&history, Instant::now());
+        let case = (it.sent_ms, it.ended_ms, it.status);
+        assert_eq!(violated_guarantees(&history), ["planned-stop"], "{case:?}");
+    }
+    let history = History::default();
+    let sent_before = Instant::now();
+    advance(Duration::from_secs(2)).await;
+    history.record_host_stop(0);
+    FailedRequest::new(0, 2400).record(&history, sent_before);
+    assert_eq!(violated_guarantees(&history), ["planned-stop"]);
+}
+
+/// Guards against a check that blames a planned stop for cuts that have another reason.
+#[tokio::test(start_paused = true)]
+async fn request_cut_for_another_reason_is_not_reported() {
+    type Prepare = fn(&History);
+    let nothing: Prepare = |_| {};
+    let late = FailedRequest::new(3450, 5700);
+    let cases: [(FailedRequest, Prepare); 9] = [
+        (FailedRequest::new(3000, 5000), nothing),
+        (FailedRequest::new(3450, 5950), nothing),
+        (FailedRequest { status: Some(504), ..FailedRequest::new(3450, 5950) }, nothing),
+        (FailedRequest::new(4600, 7001), nothing),
+        (FailedRequest { is_executed: false, ..FailedRequest::new(3000, 3999) }, nothing),
+        // The host answered after the instance had: its response was of no use.
+        (
+            FailedRequest {
+                status: Some(502),
+                finished_ms: 3900,
+                ..FailedRequest::new(3450, 4000)
+            },
+            nothing,
+        ),
+        (late, |it| it.record_instance_end("i-1")),
+        (late, |it| it.record_disturbance(Instant::now(), Instant::now())),
+        (FailedRequest { status: Some(503), is_executed: false, ..late }, nothing),
+    ];
+    for (it, prepare) in cases {
+        let history = History::default();
+        let stopped_at = Instant::now();
+        history.record_host_stop(0);
+        advance(Duration::from_millis(3500)).await;
+        prepare(&history);
+        it.record(&history, stopped_at);
+        let case = (it.sent_ms, it.ended_ms, it.status);
+        assert!(violated_guarantees(&history).is_empty(), "{case:?}");
     }
+    let history = History::default();
+    history.record_host_stop(1);
+    late.record(&history, Instant::now());
+    assert!(violated_guarantees(&history).is_empty());
 }
 
 /// Guards against checks over all requests that never report anything: a team over its rate,
