Play slow requests and callers that lag behind lookups in the soak

The soak could not meet requests that outlast a planned stop: its instances took 30 ms, or 600 ms when slow, its callers set 2 s, and all of them looked hosts up every second.

Change: in half of the seeds instances take as long as a deployment's, up to 2.4 s; orders have 2.5 s and fresh connections, half of the bodies come in chunks, a quarter of the callers sets shorter deadlines; lookups are kept for one or three lifetimes, and longer when one fails. The route timeout is 2.5 s, so that it does not cut what callers allow.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,6 +1,7 @@
 //! Callers, which look hosts up and send requests as the clients of users do.
 
 use std::{
+    convert::Infallible,
     error::Error,
     io, iter,
     net::SocketAddr,
@@ -12,7 +13,7 @@
 };
 
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
-use reqwest::{Client, Method, Response};
+use reqwest::{Body, Client, Method, Response};
 use serde::Deserialize;
 use tokio::time::{Instant, sleep};
 
@@ -21,14 +22,34 @@
     manifest::{REVOCABLE_KEYS, ROUTE_HOST, ROUTE_TIMEOUT},
 };
 
-/// Deadline that a caller sets for each request.
-const REQUEST_DEADLINE: Duration = Duration::from_secs(2);
+/// Deadline of a caller's orders, unless the caller is impatient.
+const ORDER_DEADLINE: Duration = Duration::from_millis(2500);
+
+/// Deadline of its other requests.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// Fraction of these deadlines that impatient callers set.
+const IMPATIENT_FRACTION: f64 = 0.6;
+
+/// Lifetimes for which a caller keeps the response of a lookup.
+const LOOKUP_TTLS: [u32; 2] = [1, 3];
+
+/// Fraction of the lookups that fail on the caller's side.
+const LOST_LOOKUP_FRACTION: f64 = 0.25;
+
+/// Time after a failed lookup until the next one; the expired addresses stay in use.
+const LOOKUP_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Chunks of a body without a length.
+const BODY_CHUNKS: usize = 4;
 
 /// Time after the deadline in which a host may still answer that the request expired.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 
 const LOOKUP_TIMEOUT: Duration = Duration::from_secs(1);
 
+const ORDER_BYTES: usize = 200;
+
 const UPLOAD_BYTES: usize = 60_000;
 
 /// Number of different affinity keys that callers send.
@@ -47,6 +68,11 @@
 pub(crate) struct Caller {
     /// Keeps connections open between requests.
     client: Client,
+    /// Opens a connection for each request; orders are sent this way.
+    fresh_client: Client,
+    is_impatient: bool,
+    /// Lifetimes for which a lookup response is kept.
+    lookup_ttls: u32,
     hosts: Arc<Vec<HostEndpoints>>,
     history: Arc<History>,
     /// Number of the next request id, shared by all callers.
@@ -71,11 +97,20 @@
         next_request_number: Arc<AtomicU64>,
         seed: u64,
     ) -> anyhow::Result<Self> {
-        let timeout = REQUEST_DEADLINE + DEADLINE_MARGIN;
-        let client = Client::builder().no_proxy().timeout(timeout).build()?;
-        let rng = SmallRng::seed_from_u64(seed);
-        let resolved = (Vec::new(), Instant::now());
-        Ok(Self { client, hosts, history, next_request_number, rng, resolved })
+        let client = Client::builder().no_proxy().build()?;
+        let fresh_client = Client::builder().no_proxy().pool_max_idle_per_host(0).build()?;
+        let mut rng = SmallRng::seed_from_u64(seed);
+        Ok(Self {
+            client,
+            fresh_client,
+            is_impatient: rng.random_range(0..4) == 0,
+            lookup_ttls: *LOOKUP_TTLS.choose(&mut rng).unwrap_or(&1),
+            hosts,
+            history,
+            next_request_number,
+            rng,
+            resolved: (Vec::new(), Instant::now()),
+        })
     }
 
     /// Sends requests one after the other until the given time.
@@ -94,7 +129,8 @@
     /// Looks the addresses up at up to three random hosts; if none returns any, the expired
     /// addresses stay in use.
     async fn look_up(&mut self) {
-        for _ in 0..3 {
+        let attempts = if self.rng.random_bool(LOST_LOOKUP_FRACTION) { 0 } else { 3 };
+        for _ in 0..attempts {
             let Some(host) = self.hosts.choose(&mut self.rng) else { return };
             let url = format!("http://{}/v1/lookup?name={ROUTE_HOST}", host.lookup_address);
             let response = self.client.get(url).timeout(LOOKUP_TIMEOUT).send().await;
@@ -102,11 +138,13 @@
             if let Ok(it) = response.json::<LookupResponse>().await
                 && !it.addresses.is_empty()
             {
-                let expires_at = Instant::now() + Duration::from_secs_f64(it.ttl_s);
+                let expires_at =
+                    Instant::now() + Duration::from_secs_f64(it.ttl_s) * self.lookup_ttls;
                 self.resolved = (it.addresses, expires_at);
                 return;
             }
         }
+        self.resolved.1 = Instant::now() + LOOKUP_RETRY_DELAY;
     }
 
     /// Sends one random request and records its outcome.
@@ -116,10 +154,26 @@
         let names = kingcupford_node::header_names();
         let id = format!("soak-{}", self.next_request_number.fetch_add(1, Ordering::Relaxed));
         let affinity_key = self.rng.random_range(0..AFFINITY_KEYS);
-        let (method, path, body_bytes) = match self.rng.random_range(0..10) {
-            0..7 => (Method::GET, format!("/read/{affinity_key}"), 0),
-            7..9 => (Method::POST, format!("/order/{affinity_key}"), 200),
-            _ => (Method::POST, format!("/order/up/{affinity_key}"), UPLOAD_BYTES),
+        let (client, method, path, body_bytes, deadline) = match self.rng.random_range(0..10) {
+            0..7 => (&self.client, Method::GET, format!("/read/{affinity_key}"), 0, DEADLINE),
+            7..9 => {
+                let path = format!("/order/{affinity_key}");
+                (&self.fresh_client, Method::POST, path, ORDER_BYTES, ORDER_DEADLINE)
+            }
+            _ => {
+                let path = format!("/order/up/{affinity_key}");
+                (&self.client, Method::POST, path, UPLOAD_BYTES, DEADLINE)
+            }
+        };
+        let patience = if self.is_impatient { IMPATIENT_FRACTION } else { 1.0 };
+        let deadline = deadline.mul_f64(patience);
+        let body = vec![b'x'; body_bytes];
+        let body = if method == Method::POST && self.rng.random() {
+            let chunks = body.chunks(body_bytes / BODY_CHUNKS).map(<[u8]>::to_vec);
+            let chunks: Vec<_> = chunks.map(Ok::<_, Infallible>).collect();
+            Body::wrap_stream(futures_util::stream::iter(chunks))
+        } else {
+            body.into()
         };
         let (team, key) = match self.rng.random_range(0..20) {
             0..12 => ("steady", "key-steady"),
@@ -127,15 +181,15 @@
             _ => ("revoked", *REVOCABLE_KEYS.choose(&mut self.rng).unwrap_or(&"")),
         };
         let is_idempotent = method == Method::GET;
-        let request = self
-            .client
+        let request = client
             .request(method, format!("http://{address}{path}"))
             .header("host", ROUTE_HOST)
             .header(&names.request_id, &id)
-            .header(&names.deadline_ms, REQUEST_DEADLINE.as_millis().to_string())
+            .header(&names.deadline_ms, deadline.as_millis().to_string())
             .header(&names.affinity_key, affinity_key.to_string())
             .header(&names.api_key, key)
-            .body(vec![b'x'; body_bytes]);
+            .timeout(deadline + DEADLINE_MARGIN)
+            .body(body);
         let sent_at = Instant::now();
         let outcome = match request.send().await {
             Ok(it) => outcome_of_response(it).await,
@@ -150,7 +204,7 @@
             key,
             team,
             host,
-            time_limit: REQUEST_DEADLINE.min(ROUTE_TIMEOUT),
+            time_limit: deadline.min(ROUTE_TIMEOUT),
             sent_at,
             ended_at,
             outcome,
--- a/crates/soak/src/instance.rs
+++ b/crates/soak/src/instance.rs
@@ -8,6 +8,7 @@
     http::{HeaderMap, HeaderName, StatusCode},
     listener::TcpListener,
 };
+use rand::Rng as _;
 use tokio::{
     sync::Semaphore,
     task::JoinHandle,
@@ -22,8 +23,40 @@
 /// Requests that may wait for a slot.
 const QUEUE_CAPACITY: usize = 16;
 
-/// Execution time of a request without a fault.
-const EXECUTION_TIME: Duration = Duration::from_millis(30);
+/// Execution time of every request on a brisk instance without a fault.
+const BRISK_EXECUTION_TIME: Duration = Duration::from_millis(30);
+
+/// Fraction of the requests that take a long time on an instance that isn't brisk.
+const LONG_FRACTION: f64 = 0.06;
+
+/// Execution times of an instance that isn't brisk, as multiples of its service's.
+const USUAL_FACTORS: std::ops::Range<f64> = 0.4..1.2;
+
+/// The same of the requests that take a long time.
+const LONG_FACTORS: std::ops::Range<f64> = 2.0..4.9;
+
+/// How long instances execute requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Pace {
+    /// All requests take the same short time.
+    Brisk,
+    /// Execution times vary, some nearly as long as the callers' deadline.
+    Deployment,
+}
+
+impl Pace {
+    /// Execution time of a request without a fault.
+    fn execution_time(self, service: &str) -> Duration {
+        let base = match self {
+            Self::Brisk => return BRISK_EXECUTION_TIME,
+            Self::Deployment if service == "orders" => Duration::from_millis(480),
+            Self::Deployment => Duration::from_millis(360),
+        };
+        let mut rng = rand::rng();
+        let factors = if rng.random_bool(LONG_FRACTION) { LONG_FACTORS } else { USUAL_FACTORS };
+        base.mul_f64(rng.random_range(factors))
+    }
+}
 
 /// Misbehavior of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
@@ -31,7 +64,7 @@
 pub enum InstanceFault {
     /// The instance behaves correctly.
     None,
-    /// Execution takes 20 times as long.
+    /// Execution takes several times as long.
     Slow,
     /// Requests whose id ends in an even digit are executed but answered with status 500.
     Failing,
@@ -55,6 +88,7 @@
 struct RequestHandler {
     instance_id: String,
     service: String,
+    pace: Pace,
     fault: Arc<Mutex<InstanceFault>>,
     slots: Semaphore,
     /// Number of requests that execute or wait for a slot.
@@ -67,6 +101,7 @@
     pub(crate) fn start(
         id: &str,
         service: &str,
+        pace: Pace,
         address: SocketAddr,
         history: &Arc<History>,
     ) -> Self {
@@ -74,6 +109,7 @@
         let handler = Arc::new(RequestHandler {
             instance_id: id.to_owned(),
             service: service.to_owned(),
+            pace,
             fault: Arc::clone(&fault),
             slots: Semaphore::new(EXECUTION_SLOTS),
             in_flight: Mutex::new(0),
@@ -138,9 +174,13 @@
             started_at: Instant::now(),
             finished_at: None,
         });
-        let execution_time =
-            if fault == InstanceFault::Slow { EXECUTION_TIME * 20 } else { EXECUTION_TIME };
-        sleep(execution_time).await;
+        let execution_time = self.pace.execution_time(&self.service);
+        let slowdown = match (fault, self.pace) {
+            (InstanceFault::Slow, Pace::Brisk) => 20,
+            (InstanceFault::Slow, Pace::Deployment) => 5,
+            (InstanceFault::None | InstanceFault::Failing | InstanceFault::Shedding, _) => 1,
+        };
+        sleep(execution_time * slowdown).await;
         self.history.record_execution_finish(execution_index);
         let fails =
             fault == InstanceFault::Failing && request_id.ends_with(['0', '2', '4', '6', '8']);
--- a/crates/soak/src/manifest.rs
+++ b/crates/soak/src/manifest.rs
@@ -11,7 +11,7 @@
 pub(crate) const ROUTE_HOST: &str = "soak.example";
 
 /// Timeout of all routes in the manifest.
-pub(crate) const ROUTE_TIMEOUT: Duration = Duration::from_millis(1800);
+pub(crate) const ROUTE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// API keys of the team `revoked`, which are revoked one by one while callers use them.
 pub(crate) const REVOCABLE_KEYS: [&str; 3] = ["key-one", "key-two", "key-three"];
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,7 +11,7 @@
 use anyhow::{Context as _, ensure};
 use nix::sys::signal::Signal;
 use parking_lot::Mutex;
-use rand::{SeedableRng as _, rngs::SmallRng};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use reqwest::Client;
 use tokio::{
     task::JoinSet,
@@ -23,7 +23,7 @@
     fault::{Fault, ScheduledFault, schedule},
     history::{History, STABILIZATION_TIME, STOP_GRACE, Violation},
     host::Host,
-    instance::{Instance, InstanceFault},
+    instance::{Instance, InstanceFault, Pace},
     manifest::{REVOCABLE_KEYS, manifest, registration},
     proxy::{LinkFault, Proxy},
     store::{Store, StoreFault},
@@ -94,6 +94,7 @@
 struct InstanceSite {
     /// Id of the current or last instance, under which it is registered in the store.
     instance_id: String,
+    pace: Pace,
     /// Service of the current or last instance.
     service: &'static str,
     /// Running instance; `None` until the next instance gets the address.
@@ -110,7 +111,8 @@
 pub async fn run_seed(config: &RunConfig) -> anyhow::Result<RunReport> {
     let mut rng = SmallRng::seed_from_u64(config.seed);
     let faults = schedule(&mut rng, config.fault_phase, config.hosts, config.instances);
-    let deployment = Arc::new(Deployment::start(config).await?);
+    let pace = if rng.random() { Pace::Deployment } else { Pace::Brisk };
+    let deployment = Arc::new(Deployment::start(config, pace).await?);
     deployment.wait_until_ready().await?;
     let started_at = Instant::now();
     let settled_at = started_at + config.fault_phase + SETTLE_TIME;
@@ -154,7 +156,7 @@
 
 impl Deployment {
     /// Starts the store, then the instances, then the processes of the hosts.
-    async fn start(config: &RunConfig) -> anyhow::Result<Self> {
+    async fn start(config: &RunConfig, pace: Pace) -> anyhow::Result<Self> {
         let [a, b, c] = config.network_prefix;
         let ip = |last_byte: usize| Ipv4Addr::new(a, b, c, last_byte as u8);
         ensure!(config.hosts < 90 && config.instances < 90, "at most 89 hosts and 89 instances");
@@ -171,6 +173,7 @@
             let proxy_address = SocketAddr::from((ip(100 + index), 9001));
             let proxy = Proxy::start(proxy_address, address).await?;
             let mut site = InstanceSite {
+                pace,
                 instance_id: String::new(),
                 service,
                 instance: None,
@@ -370,7 +373,8 @@
         self.started_instances += 1;
         self.instance_id = format!("i-{index}-{}", self.started_instances);
         self.service = service;
-        self.instance = Some(Instance::start(&self.instance_id, service, self.address, history));
+        self.instance =
+            Some(Instance::start(&self.instance_id, service, self.pace, self.address, history));
         let ready = registration(index, service, self.proxy.address, "ready");
         store.put("servers", &self.instance_id, ready);
     }
