Let the soak play planned operations only

Most faults of a schedule are unplanned and excuse cuts by planned stops for 4 s, so few stops were checked.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -110,18 +110,28 @@
     fault_phase: Duration,
     host_count: usize,
     instance_count: usize,
+    planned_only: bool,
 ) -> Vec<ScheduledFault> {
     let mut res = Vec::new();
     // At least one fault per second of the fault phase, and at least two in a very short one.
     let min_count = (fault_phase.as_secs() as usize).max(2);
     while res.len() < min_count {
         let fault = Fault::random(rng, host_count, instance_count);
+        if planned_only && !fault.is_planned() {
+            continue;
+        }
         let first_start = fault_phase.mul_f64(rng.random_range(0.0..1.0));
         let duration = Duration::from_millis(rng.random_range(300..4000));
         let repetitions = if rng.random_range(0..4) == 0 { 3 } else { 1 };
         for repetition in 0..repetitions {
             let gap = Duration::from_millis(rng.random_range(50..900));
             let starts_after = (first_start + gap * repetition).min(fault_phase);
+            let fault = match fault {
+                Fault::StopHost(host) if planned_only => {
+                    Fault::StopHost((host + repetition as usize) % host_count)
+                }
+                _ => fault,
+            };
             res.push(ScheduledFault { starts_after, duration, fault });
         }
         if let Fault::RestoreStore { away_time, copy_age } = fault {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -53,6 +53,8 @@
             optional --instances instances: usize
             /// Callers per deployment.
             optional --callers callers: usize
+            /// Schedules planned operations only, with stops of hosts in turn.
+            optional --planned
         }
     }
 }
@@ -84,6 +86,7 @@
             hosts: flags.hosts.unwrap_or(DEFAULT_HOSTS),
             instances: flags.instances.unwrap_or(DEFAULT_INSTANCES),
             callers: flags.callers.unwrap_or(DEFAULT_CALLERS),
+            planned_only: flags.planned,
             node_program: node_program.clone(),
             run_dir: parent_dir.join(seed.to_string()),
             // Separate loopback networks keep parallel seeds and soak processes apart.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -61,6 +61,8 @@
     pub instances: usize,
     /// Number of callers that send requests concurrently.
     pub callers: usize,
+    /// Whether only planned operations are scheduled.
+    pub planned_only: bool,
     /// Path of the node program, which each host runs.
     pub node_program: PathBuf,
     /// Directory for the settings and log files of the hosts; created if missing.
@@ -110,8 +112,9 @@
 /// a task panics.
 pub async fn run_seed(config: &RunConfig) -> anyhow::Result<RunReport> {
     let mut rng = SmallRng::seed_from_u64(config.seed);
-    let faults = schedule(&mut rng, config.fault_phase, config.hosts, config.instances);
-    let pace = if rng.random() { Pace::Deployment } else { Pace::Brisk };
+    let faults =
+        schedule(&mut rng, config.fault_phase, config.hosts, config.instances, config.planned_only);
+    let pace = if config.planned_only || rng.random() { Pace::Deployment } else { Pace::Brisk };
     let deployment = Arc::new(Deployment::start(config, pace).await?);
     deployment.wait_until_ready().await?;
     let started_at = Instant::now();
