Let the soak's instances stop work at the deadline

The published protocol says that an instance stops work at the deadline that it receives. The soak's worked on, so that a host that shortens it in a shutdown would be blamed for its own answer.

Change: instances answer 504 at the deadline, and refuse as not run what waits in their queue then. The report of a cut names requests that no instance had begun.

--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -358,10 +358,10 @@
         })?;
         let ended_after = ended_at.saturating_duration_since(*stopped_at);
         let age = ended_at.saturating_duration_since(sent_at);
-        let work = match (executions.is_empty(), at_work) {
-            (true, _) => "at no instance".to_owned(),
-            (false, Some(it)) => format!("while {} was at work", it.instance),
-            (false, None) => "after the instance had the response".to_owned(),
+        let work = match (at_work, executions.iter().any(|it| it.started_at <= ended_at)) {
+            (Some(it), _) => format!("while {} was at work", it.instance),
+            (None, true) => "after the instance had the response".to_owned(),
+            (None, false) => "before an instance began".to_owned(),
         };
         Some(format!(
             "{how} {ended_after:?} after host {} was told to stop, {age:?} after it was sent, {work}",
--- a/crates/soak/src/instance.rs
+++ b/crates/soak/src/instance.rs
@@ -12,7 +12,7 @@
 use tokio::{
     sync::Semaphore,
     task::JoinHandle,
-    time::{Instant, sleep},
+    time::{Instant, sleep_until, timeout_at},
 };
 
 use crate::history::{Execution, History};
@@ -26,6 +26,9 @@
 /// Execution time of every request on a brisk instance without a fault.
 const BRISK_EXECUTION_TIME: Duration = Duration::from_millis(30);
 
+/// Deadline of a request without one, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 60_000;
+
 /// Fraction of the requests that take a long time on an instance that isn't brisk.
 const LONG_FRACTION: f64 = 0.06;
 
@@ -156,11 +159,13 @@
         {
             return not_run(StatusCode::SERVICE_UNAVAILABLE);
         }
+        let deadline_ms = text(&names.deadline_ms).parse().unwrap_or(MAX_DEADLINE_MS);
+        let deadline = Instant::now() + Duration::from_millis(deadline_ms);
         let in_flight = InFlightGuard::new(&self.in_flight);
         let Ok(body) = request.take_body().into_bytes().await else {
             return not_run(StatusCode::BAD_REQUEST);
         };
-        let Ok(_slot) = self.slots.acquire().await else {
+        let Ok(Ok(_slot)) = timeout_at(deadline, self.slots.acquire()).await else {
             return not_run(StatusCode::SERVICE_UNAVAILABLE);
         };
         let execution_index = self.history.record_execution(Execution {
@@ -180,11 +185,18 @@
             (InstanceFault::Slow, Pace::Deployment) => 5,
             (InstanceFault::None | InstanceFault::Failing | InstanceFault::Shedding, _) => 1,
         };
-        sleep(execution_time * slowdown).await;
+        let ends_at = Instant::now() + execution_time * slowdown;
+        sleep_until(ends_at.min(deadline)).await;
         self.history.record_execution_finish(execution_index);
         let fails =
             fault == InstanceFault::Failing && request_id.ends_with(['0', '2', '4', '6', '8']);
-        let status = if fails { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
+        let status = if ends_at > deadline {
+            StatusCode::GATEWAY_TIMEOUT
+        } else if fails {
+            StatusCode::INTERNAL_SERVER_ERROR
+        } else {
+            StatusCode::OK
+        };
         let load = format!("{},0,{EXECUTION_SLOTS}", in_flight.count().min(EXECUTION_SLOTS));
         Response::builder()
             .status(status)
