--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,7 +11,7 @@
 use anyhow::{Context as _, ensure};
 use nix::sys::signal::Signal;
 use parking_lot::Mutex;
-use rand::{SeedableRng as _, rngs::SmallRng};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use reqwest::Client;
 use tokio::{
     task::JoinSet,
@@ -21,9 +21,9 @@
 use crate::{
     caller::{Caller, HostEndpoints},
     fault::{Fault, ScheduledFault, schedule},
-    history::{History, STABILIZATION_TIME, Violation},
+    history::{History, STABILIZATION_TIME, STOP_GRACE, Violation},
     host::Host,
-    instance::{Instance, InstanceFault},
+    instance::{Instance, InstanceFault, Pace},
     manifest::{REVOCABLE_KEYS, manifest, registration},
     proxy::{LinkFault, Proxy},
     store::{Store, StoreFault},
@@ -48,9 +48,6 @@
 /// Time from the end of an instance until another one gets its address.
 const ADDRESS_REUSE_DELAY: Duration = Duration::from_millis(2200);
 
-/// Time after which a host that was told to stop is killed.
-const HOST_STOP_TIMEOUT: Duration = Duration::from_secs(6);
-
 /// Parameters of the run of one seed.
 #[derive(Debug, Clone)]
 pub struct RunConfig {
@@ -64,6 +61,8 @@
     pub instances: usize,
     /// Number of callers that send requests concurrently.
     pub callers: usize,
+    /// Whether only planned operations are scheduled.
+    pub planned_only: bool,
     /// Path of the node program, which each host runs.
     pub node_program: PathBuf,
     /// Directory for the settings and log files of the hosts; created if missing.
@@ -97,6 +96,7 @@
 struct InstanceSite {
     /// Id of the current or last instance, under which it is registered in the store.
     instance_id: String,
+    pace: Pace,
     /// Service of the current or last instance.
     service: &'static str,
     /// Running instance; `None` until the next instance gets the address.
@@ -112,8 +112,10 @@
 /// a task panics.
 pub async fn run_seed(config: &RunConfig) -> anyhow::Result<RunReport> {
     let mut rng = SmallRng::seed_from_u64(config.seed);
-    let faults = schedule(&mut rng, config.fault_phase, config.hosts, config.instances);
-    let deployment = Arc::new(Deployment::start(config).await?);
+    let faults =
+        schedule(&mut rng, config.fault_phase, config.hosts, config.instances, config.planned_only);
+    let pace = if config.planned_only || rng.random() { Pace::Deployment } else { Pace::Brisk };
+    let deployment = Arc::new(Deployment::start(config, pace).await?);
     deployment.wait_until_ready().await?;
     let started_at = Instant::now();
     let settled_at = started_at + config.fault_phase + SETTLE_TIME;
@@ -157,7 +159,7 @@
 
 impl Deployment {
     /// Starts the store, then the instances, then the processes of the hosts.
-    async fn start(config: &RunConfig) -> anyhow::Result<Self> {
+    async fn start(config: &RunConfig, pace: Pace) -> anyhow::Result<Self> {
         let [a, b, c] = config.network_prefix;
         let ip = |last_byte: usize| Ipv4Addr::new(a, b, c, last_byte as u8);
         ensure!(config.hosts < 90 && config.instances < 90, "at most 89 hosts and 89 instances");
@@ -174,6 +176,7 @@
             let proxy_address = SocketAddr::from((ip(100 + index), 9001));
             let proxy = Proxy::start(proxy_address, address).await?;
             let mut site = InstanceSite {
+                pace,
                 instance_id: String::new(),
                 service,
                 instance: None,
@@ -299,11 +302,12 @@
         Ok(())
     }
 
-    /// Shuts a host down with SIGTERM, kills it after [`HOST_STOP_TIMEOUT`], and restarts it.
+    /// Shuts a host down with SIGTERM, kills it after [`STOP_GRACE`], and restarts it.
     async fn stop_host(&self, host: usize) -> anyhow::Result<()> {
-        let kill_at = Instant::now() + HOST_STOP_TIMEOUT;
-        self.history.record_host_stop(host);
-        self.hosts[host].lock().signal(Signal::SIGTERM);
+        let kill_at = Instant::now() + STOP_GRACE;
+        if self.hosts[host].lock().stop() {
+            self.history.record_host_stop(host);
+        }
         while self.hosts[host].lock().is_running() && Instant::now() < kill_at {
             sleep(Duration::from_millis(50)).await;
         }
@@ -336,6 +340,7 @@
                 return;
             }
             self.store.remove("servers", &site.instance_id);
+            self.history.record_instance_end(&site.instance_id);
             site.proxy.set_fault(LinkFault::Reset);
             if site.service == "orders" { "catalogue" } else { "orders" }
         };
@@ -371,7 +376,8 @@
         self.started_instances += 1;
         self.instance_id = format!("i-{index}-{}", self.started_instances);
         self.service = service;
-        self.instance = Some(Instance::start(&self.instance_id, service, self.address, history));
+        self.instance =
+            Some(Instance::start(&self.instance_id, service, self.pace, self.address, history));
         let ready = registration(index, service, self.proxy.address, "ready");
         store.put("servers", &self.instance_id, ready);
     }
