--- a/crates/steer/src/instance_registry.rs
+++ b/crates/steer/src/instance_registry.rs
@@ -178,16 +178,15 @@
         is_copied: bool,
         now: Instant,
     ) -> bool {
-        let precedes = |known: Option<u64>| match registration.sequence.zip(known) {
-            Some((sequence, known)) => Some(sequence < known),
-            None => None,
+        let precedes = |known: Option<u64>| {
+            registration.sequence.zip(known).is_some_and(|(sequence, known)| sequence < known)
         };
         let known = self.key(&registration.id).and_then(|it| self.get(it));
         if let Some(it) = known.map(|it| &it.registration) {
             if it.started_unix_ms == registration.started_unix_ms {
                 let is_ready_again =
                     it.state == ServingState::Draining && registration.state == ServingState::Ready;
-                return precedes(it.sequence) == Some(true) || is_copied && is_ready_again;
+                return precedes(it.sequence) || is_copied && is_ready_again;
             }
             let starts = registration.started_unix_ms.zip(it.started_unix_ms);
             if starts.is_some_and(|(start, known)| start < known) {
@@ -199,7 +198,7 @@
                 && it.started_unix_ms == registration.started_unix_ms
                 && now.saturating_duration_since(it.left_at) < DEPARTURE_RETENTION
         });
-        departures.into_iter().any(|it| is_copied || precedes(it.sequence) == Some(true))
+        departures.into_iter().any(|it| is_copied || precedes(it.sequence))
     }
 
     /// Marks an instance as cold for a time, as reported with a response.
