--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -189,10 +189,10 @@
     /// Shuts down gracefully.
     ///
     /// This host is marked as draining, so that lookup answers stop naming it, and refuses requests
-    /// whose deadline lies beyond `shutdown_deadline_ms`. After `drain_notice_ms` the listener for callers is closed, running requests are finished, and the
-    /// share of this host is handed over to the other hosts. Requests that still run at
-    /// `shutdown_deadline_ms` are cut. Completion of `abort_wait`, for example at a second signal,
-    /// cuts them early.
+    /// whose deadline lies beyond `shutdown_deadline_ms`. After `drain_notice_ms` the listener for
+    /// callers is closed, running requests are finished, and the share of this host is handed over to
+    /// the other hosts. Requests that still run at `shutdown_deadline_ms` are cut. Completion of
+    /// `abort_wait`, for example at a second signal, cuts them early.
     pub async fn shutdown(self, abort_wait: impl Future<Output = ()>) -> ShutdownReport {
         let host = &self.host;
         let deadline = Duration::from_millis(host.settings.shutdown_deadline_ms);
