--- a/crates/soak/src/instance.rs
+++ b/crates/soak/src/instance.rs
@@ -35,7 +35,7 @@
 /// Execution times of an instance that isn't brisk, as multiples of its service's.
 const USUAL_FACTORS: std::ops::Range<f64> = 0.4..1.2;
 
-/// The same of the requests that take a long time.
+/// Execution times of the requests that take a long time, as multiples of their service's.
 const LONG_FACTORS: std::ops::Range<f64> = 2.0..4.9;
 
 /// How long instances execute requests.
